Design, workspace scaffold, base package and the core's interfaces

The design page fixes modules, interfaces, messages, failure reactions and bounds before code. base/ has the clock, errors, lists, events, counters and the option table; core/core.h and core/services.h are the seams between the parts.

--- /dev/null
+++ b/base/registry.h
@@ -0,0 +1,18 @@
+/* Registry in which the services of one process or core find each other by name. */
+#ifndef HT_BASE_REGISTRY_H
+#define HT_BASE_REGISTRY_H
+
+#include <stdbool.h>
+
+struct ht_registry;
+
+struct ht_registry *ht_registry_new(void);
+void ht_registry_free(struct ht_registry *reg);
+
+/** Publishes @iface under @name; false when the name is taken. Neither is copied. */
+bool ht_registry_add(struct ht_registry *reg, const char *name, void *iface);
+
+/** Returns the interface published under @name, or NULL. */
+void *ht_registry_find(const struct ht_registry *reg, const char *name);
+
+#endif
--- /dev/null
+++ b/core/services.h
@@ -0,0 +1,161 @@
+/*
+ * Interfaces by which the core's services call each other. Each is published in the core's registry
+ * under the name given with it, and looked up once, at start. Tests publish fakes.
+ */
+#ifndef HT_CORE_SERVICES_H
+#define HT_CORE_SERVICES_H
+
+#include "core/core.h"
+
+/** Why a Forward came back (Returned.reason). */
+enum ht_return_reason {
+	HT_RETURN_UNKNOWN_FLOW = 1,
+	HT_RETURN_LONGER_WAIT = 2, /**< the receiver's estimated wait is not lower */
+	HT_RETURN_NOT_HOME = 3,	   /**< the receiver does not own the target */
+	HT_RETURN_NOT_SERVED = 4,  /**< its newer configuration has no such target in the service */
+	HT_RETURN_UNAVAILABLE = 5, /**< target down, draining, misassigned or full */
+};
+
+/** Registry name "env": what every service gets from the core. */
+struct ht_env {
+	struct ht_core_params params;
+	struct ht_counters counters;
+	struct ht_registry *registry;
+	ht_ms now;
+	bool stopping;
+	/** Sends @msg to @peer and counts its bytes as control or data by kind. */
+	bool (*send)(struct ht_env *env, uint64_t peer, Ht__PeerMsg *msg);
+	/** Asks to be advanced at @due at the latest. */
+	void (*wake_at)(struct ht_env *env, ht_ms due);
+	/** Emits an event; @fmt gives the detail fields as "key=value ...". */
+	void (*emit)(struct ht_env *env, enum ht_event_number number, uint64_t flow,
+		     uint64_t request, uint64_t target, uint64_t instance, const char *fmt, ...)
+		__attribute__((format(printf, 7, 8)));
+	/** Uniform in [0, 2^64), from the seeded source. */
+	uint64_t (*random)(struct ht_env *env);
+	uint64_t self; /**< own instance id */
+	struct ht_core *core;
+};
+
+/** "config" */
+struct ht_config_if {
+	void *ctx;
+	/** The configuration in force, or NULL before the first. Borrowed. */
+	struct ht_config *(*current)(void *ctx);
+	/**
+	 * The @k-th earlier distinct target set of a service, newest first (0 to 3), if it was in
+	 * force within the last flow idle time; else NULL. Borrowed.
+	 */
+	const struct ht_service_conf *(*previous_set)(void *ctx, uint64_t service, unsigned int k);
+	/** A peer works by @version: pulls it from @peer when it is newer. */
+	void (*seen)(void *ctx, uint64_t peer, uint64_t version);
+};
+
+/** "membership" */
+struct ht_membership_if {
+	void *ctx;
+	/** Home of a target in the present view, or 0 when its data centre has no live instance. */
+	uint64_t (*home)(void *ctx, uint64_t target, const char *dc);
+	/** Live instance with this incarnation, or 0. */
+	uint64_t (*by_incarnation)(void *ctx, uint64_t incarnation);
+	/** True when the instance is live and reachable in the present view. */
+	bool (*reachable)(void *ctx, uint64_t instance);
+	/** Calls @visit for each known instance of the data centre except this one. */
+	void (*each_peer)(void *ctx, const char *dc,
+			  void (*visit)(void *vctx, uint64_t instance, bool live), void *vctx);
+	/** True while more than half of the counted members grant the lease; checks the clock. */
+	bool (*lease_valid)(void *ctx);
+	/** Number of counted members of the own data centre, this instance included. */
+	unsigned int (*counted)(void *ctx);
+	/** True when the instance is proven dead or its grant from here has lapsed. */
+	bool (*dead)(void *ctx, uint64_t instance);
+	/** Time since when this instance has had no majority, or HT_NEVER. */
+	ht_ms (*minority_since)(void *ctx);
+};
+
+enum ht_owner_state {
+	HT_OWNER_NONE,
+	HT_OWNER_CLAIMING,
+	HT_OWNER_HOLDING, /**< granted, but requests of a dead owner may still run */
+	HT_OWNER_OWNED,
+	HT_OWNER_RELEASING, /**< handed over; own requests still in flight */
+};
+
+/** "ownership" */
+struct ht_ownership_if {
+	void *ctx;
+	enum ht_owner_state (*state)(void *ctx, uint64_t target);
+	/**
+	 * Slots that this instance may use at the target now, its own in-flight requests
+	 * included; 0 without a valid lease. Called before every send.
+	 */
+	uint32_t (*slots)(void *ctx, uint64_t target);
+	/** When the target was last taken over from another owner, or HT_NEVER. */
+	ht_ms (*taken_over_at)(void *ctx, uint64_t target);
+	/** One own request to a target in the state releasing has ended. */
+	void (*request_ended)(void *ctx, uint64_t target);
+};
+
+/** "targets": called by ownership and config */
+struct ht_targets_if {
+	void *ctx;
+	/** Requests of this instance now in flight at the target. */
+	uint32_t (*in_flight)(void *ctx, uint64_t target);
+	/** Ownership gained, lost or slots changed: opens or closes connections, runs the queue. */
+	void (*owner_changed)(void *ctx, uint64_t target);
+	/** The configuration changed. */
+	void (*config_changed)(void *ctx);
+	/** Requests in flight and queued at all targets. */
+	uint32_t (*open_requests)(void *ctx);
+};
+
+/** "ledger" */
+struct ht_ledger_if {
+	void *ctx;
+	/** Sends what this incarnation knows of the target's postings to its new owner. */
+	void (*hand_over)(void *ctx, uint64_t target, uint64_t to);
+	/** Sends the whole ledger, before a planned stop; @to may differ per entry's target. */
+	void (*hand_over_all)(void *ctx);
+	/** True when nothing waits for a LedgerAck. */
+	bool (*handed_over)(void *ctx);
+	void (*entries)(void *ctx, uint64_t peer, const Ht__LedgerEntries *msg);
+	void (*ack)(void *ctx, uint64_t peer, const Ht__LedgerAck *msg);
+};
+
+/** "router": requests, forwards, answers, returns */
+struct ht_router_if {
+	void *ctx;
+	void (*request)(void *ctx, uint64_t handle, const struct ht_request *req);
+	void (*forward)(void *ctx, uint64_t peer, const Ht__Forward *msg);
+	void (*answer)(void *ctx, uint64_t peer, const Ht__Answer *msg);
+	void (*returned)(void *ctx, uint64_t peer, const Ht__Returned *msg);
+	void (*target_answer)(void *ctx, const struct ht_target_answer *ans);
+	void (*target_state)(void *ctx, uint64_t target, enum ht_target_state state);
+	/** A peer's link went down or it died: pending forwards to it are settled. */
+	void (*peer_down)(void *ctx, uint64_t peer, enum ht_peer_down_reason reason);
+	/** Requests for which this instance still owes an answer. */
+	uint32_t (*pending)(void *ctx);
+};
+
+/** Called in registration order on every advance; each service publishes one as "NAME.tick". */
+struct ht_tick_if {
+	void *ctx;
+	void (*tick)(void *ctx);
+};
+
+/* Constructors; each publishes its interfaces. The core frees services in reverse order. */
+struct ht_membership;
+struct ht_membership *ht_membership_new(struct ht_env *env);
+void ht_membership_free(struct ht_membership *m);
+struct ht_ownership;
+struct ht_ownership *ht_ownership_new(struct ht_env *env);
+void ht_ownership_free(struct ht_ownership *o);
+struct ht_config_service;
+struct ht_config_service *ht_config_service_new(struct ht_env *env);
+void ht_config_service_free(struct ht_config_service *c);
+/** Request path: publishes "router", "targets" and "ledger" (its parts are private to it). */
+struct ht_request_path;
+struct ht_request_path *ht_request_path_new(struct ht_env *env);
+void ht_request_path_free(struct ht_request_path *p);
+
+#endif
--- /dev/null
+++ b/scripts/check-events.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Fails when docs/events.md and the event tables in base/events/ differ in number, level or name.
+set -eu
+code=$(sed -nE 's/^HT_EVENT\(([0-9]+), ([A-Z]+), ([A-Z0-9_]+),.*/\1 \2 \3/p' base/events/*.def | sort)
+docs=$(sed -nE 's/^\| ([0-9]+) \| ([A-Z]+) \| `([A-Z0-9_]+)` \|.*/\1 \2 \3/p' docs/events.md | sort)
+dup=$(echo "$code" | cut -d' ' -f1 | uniq -d)
+if [ -n "$dup" ]; then
+	echo "events: number used twice: $dup" >&2
+	exit 1
+fi
+if [ "$code" != "$docs" ]; then
+	echo "events: docs/events.md and base/events/*.def differ:" >&2
+	diff <(echo "$code") <(echo "$docs") >&2 || true
+	exit 1
+fi
