Extend claims, heartbeats and the live list in the shared interfaces

Cause: a member cannot tell for how long a peer counts its echo when the member counts differ; a claimant cannot prove a former owner's release to third members; the live list has no revision to order differences by; whole rules of 21,000 targets exceed one frame; the daemon has no way to learn a peer's address that came in through a relay. After: Heartbeat.lease_ms, ClaimedTarget.holder and hold_ms, ConfigData.part and parts, a revision for ht_core_live_list, ht_core_instance, ht_core_each_instance and the wall time in the parameters.

--- a/core/core.h
+++ b/core/core.h
@@ -139,7 +139,7 @@
 enum ht_platform_call {
 	HT_PLATFORM_READ_HEAD,	  /**< current configuration, whole */
 	HT_PLATFORM_WATCH_HEAD,	  /**< completes when the head's version differs from @known */
-	HT_PLATFORM_READ_LIVE,	  /**< list of live instances */
+	HT_PLATFORM_READ_LIVE,	  /**< live instances; may wait until the revision is not @known */
 	HT_PLATFORM_WRITE_STATUS, /**< status of this data centre, from a relay */
 };
 
@@ -175,6 +175,7 @@
 	uint64_t seed;	      /**< of the core's random source */
 	uint8_t ticket_key[16];
 	ht_ms now;
+	ht_ms wall;		   /**< wall time at now, for the time line; 0: same as now */
 	ht_ms heartbeat_min;	   /**< 500 */
 	ht_ms heartbeat_per_peer;  /**< 60 */
 	ht_ms lease_min;	   /**< 2000; otherwise 3 heartbeat intervals */
@@ -218,9 +219,13 @@
 /** Result of HT_PLATFORM_READ_HEAD or _WATCH_HEAD; @cfg is NULL when the call failed. */
 void ht_core_platform_config(struct ht_core *core, struct ht_config *cfg);
 /** Result of HT_PLATFORM_READ_LIVE; @count < 0 when the call failed. */
-void ht_core_live_list(struct ht_core *core, const struct ht_instance_info *list, int count);
+void ht_core_live_list(struct ht_core *core, uint64_t revision, const struct ht_instance_info *list,
+		       int count);
 
-/** Moves the clock to @now and runs what is due. Time never goes back. */
+/**
+ * Moves the clock to @now and runs what is due. Time never goes back. Call it before each batch of
+ * events, so that a lease that ended while the process was paused is seen before anything is sent.
+ */
 void ht_core_advance(struct ht_core *core, ht_ms now);
 
 /** Starts a planned stop; ops->stopped follows. */
@@ -230,5 +235,13 @@
 const struct ht_config *ht_core_config(const struct ht_core *core);
 struct ht_counters *ht_core_counters(struct ht_core *core);
 struct ht_registry *ht_core_registry(struct ht_core *core);
+/** A known instance by id (from the list, relays or a link), or NULL. Borrowed until the next call.
+ */
+const struct ht_instance_info *ht_core_instance(const struct ht_core *core, uint64_t id);
+/** Calls @visit for each known instance except this one; @live as membership sees it. */
+void ht_core_each_instance(const struct ht_core *core,
+			   void (*visit)(void *vctx, const struct ht_instance_info *info,
+					 bool live),
+			   void *vctx);
 
 #endif
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1106,7 +1106,7 @@
   (ProtobufCMessageInit) ht__hello_proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ht__heartbeat__field_descriptors[7] =
 {
   {
     "sequence",
@@ -1180,19 +1180,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Heartbeat, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__heartbeat__field_indices_by_name[] = {
   5,   /* field[5] = busy */
   3,   /* field[3] = config_version */
   1,   /* field[1] = echo */
   2,   /* field[2] = echo_incarnation */
+  6,   /* field[6] = lease_ms */
   4,   /* field[4] = leaving */
   0,   /* field[0] = sequence */
 };
 static const ProtobufCIntRange ht__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ht__heartbeat__descriptor =
 {
@@ -1202,7 +1215,7 @@
   "Ht__Heartbeat",
   "ht",
   sizeof(Ht__Heartbeat),
-  6,
+  7,
   ht__heartbeat__field_descriptors,
   ht__heartbeat__field_indices_by_name,
   1,  ht__heartbeat__number_ranges,
@@ -1958,7 +1971,7 @@
   (ProtobufCMessageInit) ht__returned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[6] =
 {
   {
     "target",
@@ -2008,9 +2021,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holder",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimedTarget, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimedTarget, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__claimed_target__field_indices_by_name[] = {
   2,   /* field[2] = granted */
+  5,   /* field[5] = hold_ms */
+  4,   /* field[4] = holder */
   1,   /* field[1] = in_flight */
   0,   /* field[0] = target */
   3,   /* field[3] = was_owner */
@@ -2018,7 +2057,7 @@
 static const ProtobufCIntRange ht__claimed_target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__claimed_target__descriptor =
 {
@@ -2028,7 +2067,7 @@
   "Ht__ClaimedTarget",
   "ht",
   sizeof(Ht__ClaimedTarget),
-  4,
+  6,
   ht__claimed_target__field_descriptors,
   ht__claimed_target__field_indices_by_name,
   1,  ht__claimed_target__number_ranges,
@@ -2469,7 +2508,7 @@
   (ProtobufCMessageInit) ht__config_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__config_data__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ht__config_data__field_descriptors[8] =
 {
   {
     "from_version",
@@ -2543,11 +2582,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ConfigData, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ConfigData, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__config_data__field_indices_by_name[] = {
   4,   /* field[4] = added */
   2,   /* field[2] = change_id */
   0,   /* field[0] = from_version */
+  6,   /* field[6] = part */
+  7,   /* field[7] = parts */
   3,   /* field[3] = removed */
   5,   /* field[5] = text_hash */
   1,   /* field[1] = version */
@@ -2555,7 +2620,7 @@
 static const ProtobufCIntRange ht__config_data__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ht__config_data__descriptor =
 {
@@ -2565,7 +2630,7 @@
   "Ht__ConfigData",
   "ht",
   sizeof(Ht__ConfigData),
-  6,
+  8,
   ht__config_data__field_descriptors,
   ht__config_data__field_indices_by_name,
   1,  ht__config_data__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -125,10 +125,14 @@
    * asks for no takeover of new targets
    */
   protobuf_c_boolean busy;
+  /*
+   * the sender counts echoes of this sequence for so long
+   */
+  uint32_t lease_ms;
 };
 #define HT__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -303,10 +307,19 @@
    * replies
    */
   protobuf_c_boolean was_owner;
+  /*
+   * Replies: incarnation whose earlier grant is in the way. Claims: incarnation that has granted
+   * the target to the claimant.
+   */
+  uint64_t holder;
+  /*
+   * replies: requests of a dead owner may still run for so long
+   */
+  uint32_t hold_ms;
 };
 #define HT__CLAIMED_TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claimed_target__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -428,10 +441,18 @@
    * hash of the whole text at version
    */
   uint64_t text_hash;
+  /*
+   * index among the messages that make up one difference
+   */
+  uint32_t part;
+  /*
+   * their number; 0 is the same as 1
+   */
+  uint32_t parts;
 };
 #define HT__CONFIG_DATA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__config_data__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Ht__Instance
@@ -453,6 +474,9 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * Without instances and with equal revisions: asks for the whole list.
+ */
 struct  Ht__LiveList
 {
   ProtobufCMessage base;
