Add the decision core's control half: membership, ownership, configuration

Cause: the daemon needs a core to call. Ruled out: counting votes apart from leases. A voter's vote and its lease must count together, otherwise two owners may have majorities that share no voter who checked for the other.

--- /dev/null
+++ b/core/claims.c
@@ -0,0 +1,351 @@
+/* The claiming side of ownership: claims, replies, the step to owner. */
+#include "core/owned.h"
+
+#include <stdlib.h>
+
+static struct ht_vote *vote_of(struct ht_owned *t, uint64_t member)
+{
+	for (size_t i = 0; i < t->vote_count; i++)
+		if (t->votes[i].member == member)
+			return &t->votes[i];
+	if (t->vote_count == t->vote_capacity) {
+		size_t capacity = t->vote_capacity ? t->vote_capacity * 2 : 4;
+		struct ht_vote *a = realloc(t->votes, capacity * sizeof(*a));
+
+		if (!a)
+			return NULL;
+		t->votes = a;
+		t->vote_capacity = capacity;
+	}
+	t->votes[t->vote_count] = (struct ht_vote){.member = member};
+	return &t->votes[t->vote_count++];
+}
+
+static const struct ht_vote *valid_vote(const struct ht_ownership *o, const struct ht_owned *t,
+					uint64_t member)
+{
+	for (size_t i = 0; i < t->vote_count; i++)
+		if (t->votes[i].member == member)
+			return t->votes[i].generation ==
+					       ht_membership_generation(o->membership, member)
+				       ? &t->votes[i]
+				       : NULL;
+	return NULL;
+}
+
+void ht_claim_start(struct ht_ownership *o, struct ht_owned *t)
+{
+	ht_claim_drop(o, t);
+	t->epoch = ht_membership_epoch(o->membership);
+	t->claimed_at = o->env->now;
+	t->next_claim = o->env->now;
+	t->retry_after = HT_CLAIM_RETRY_MS;
+	ht_owned_set_state(o, t, HT_OWNER_CLAIMING);
+}
+
+void ht_claim_drop(struct ht_ownership *o, struct ht_owned *t)
+{
+	(void)o;
+	t->vote_count = 0;
+	t->self_vote = false;
+	t->taken_over = false;
+	t->blocker = 0;
+	t->released_by = 0;
+	t->next_claim = HT_NEVER;
+	t->hold_until = 0;
+}
+
+static bool is_claimed(const struct ht_owned *t)
+{
+	return t->state == HT_OWNER_CLAIMING || t->state == HT_OWNER_HOLDING ||
+	       t->state == HT_OWNER_OWNED;
+}
+
+struct count_votes {
+	const struct ht_ownership *o;
+	const struct ht_owned *t;
+	bool missing, objection;
+};
+
+static void count_peer(void *vctx, uint64_t instance, bool live)
+{
+	struct count_votes *c = vctx;
+	const struct ht_vote *v = valid_vote(c->o, c->t, instance);
+
+	if (!live)
+		return;
+	if (!v)
+		c->missing = true;
+	else if (!v->granted)
+		c->objection = true;
+}
+
+static struct count_votes count_all(struct ht_ownership *o, const struct ht_owned *t)
+{
+	struct count_votes c = {.o = o, .t = t};
+
+	o->members->each_peer(o->members->ctx, o->env->params.self.dc, count_peer, &c);
+	return c;
+}
+
+bool ht_claim_incomplete(struct ht_ownership *o, const struct ht_owned *t)
+{
+	struct count_votes c = count_all(o, t);
+
+	return !t->self_vote || c.missing || c.objection;
+}
+
+/*
+ * Votes of a majority are enough while the member lists agree. Waiting for the other live members,
+ * and for one lease in the case of an objection, also covers owners that an unequal list hides.
+ */
+static bool may_own(struct ht_ownership *o, const struct ht_owned *t)
+{
+	ht_ms lease = ht_membership_lease(o->membership) + o->env->params.death_margin;
+	struct count_votes c;
+
+	if (!t->self_vote ||
+	    !ht_membership_majority(o->membership, t->votes, t->vote_count, t->self_vote))
+		return false;
+	c = count_all(o, t);
+	if (c.objection && o->env->now < t->claimed_at + lease)
+		return false;
+	return !c.missing || o->env->now >= t->claimed_at + HT_CLAIM_SETTLE_MS;
+}
+
+void ht_claim_try_own(struct ht_ownership *o, struct ht_owned *t)
+{
+	ht_ms now = o->env->now;
+
+	if (t->state != HT_OWNER_CLAIMING || !may_own(o, t))
+		return;
+	if (t->taken_over)
+		t->taken_over_at = now;
+	o->env->emit(o->env, HT_EV_TARGET_OWNED, 0, 0, t->id, 0, "hold=%lld borrowed=%u",
+		     (long long)(t->hold_until > now ? t->hold_until - now : 0), ht_borrowed(t));
+	ht_owned_set_state(o, t, t->hold_until > now ? HT_OWNER_HOLDING : HT_OWNER_OWNED);
+}
+
+static void vote_for_self(struct ht_ownership *o, struct ht_owned *t)
+{
+	struct ht_ballot b =
+		ht_vote_on(o, t, o->env->self, o->env->params.incarnation, t->released_by);
+
+	t->self_vote = b.granted;
+	if (b.granted && b.hold_ms) {
+		t->taken_over = true;
+		if (o->env->now + b.hold_ms > t->hold_until)
+			t->hold_until = o->env->now + b.hold_ms;
+	}
+	if (b.holder)
+		t->blocker = b.holder;
+}
+
+/* One message with all due targets that the member has not granted. */
+static void send_to(void *vctx, uint64_t instance, bool live)
+{
+	struct ht_ownership *o = vctx;
+	Ht__ClaimedTarget *store = calloc(o->count + 1, sizeof(*store));
+	Ht__ClaimedTarget **items = calloc(o->count + 1, sizeof(*items));
+	Ht__Claim claim = HT__CLAIM__INIT;
+	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
+
+	for (size_t i = 0; store && items && live && i < o->count; i++) {
+		const struct ht_owned *t = &o->owned[i];
+		const struct ht_vote *v = valid_vote(o, t, instance);
+
+		if (!is_claimed(t) || t->next_claim > o->env->now || (v && v->granted))
+			continue;
+		ht__claimed_target__init(&store[claim.n_targets]);
+		store[claim.n_targets].target = t->id;
+		store[claim.n_targets].holder = t->released_by;
+		items[claim.n_targets] = &store[claim.n_targets];
+		claim.n_targets++;
+	}
+	claim.epoch = ht_membership_epoch(o->membership);
+	claim.targets = items;
+	msg.kind_case = HT__PEER_MSG__KIND_CLAIM;
+	msg.claim = &claim;
+	if (claim.n_targets && o->env->send(o->env, instance, &msg)) {
+		ht_count(&o->env->counters, HT_C_claims_sent, 1);
+		o->env->emit(o->env, HT_EV_CLAIM_SENT, 0, 0, 0, instance, "epoch=%llu targets=%zu",
+			     (unsigned long long)claim.epoch, claim.n_targets);
+	}
+	free(store);
+	free(items);
+}
+
+static void schedule_next(struct ht_ownership *o, struct ht_owned *t)
+{
+	ht_ms longest = ht_membership_lease(o->membership) / 3;
+
+	if (!ht_claim_incomplete(o, t) && t->state != HT_OWNER_CLAIMING) {
+		t->next_claim = HT_NEVER;
+		return;
+	}
+	t->next_claim = o->env->now + t->retry_after;
+	t->retry_after = t->retry_after * 2 < longest ? t->retry_after * 2 : longest;
+}
+
+void ht_claims_send(struct ht_ownership *o)
+{
+	bool due = false;
+
+	for (size_t i = 0; i < o->count; i++) {
+		struct ht_owned *t = &o->owned[i];
+
+		if (!is_claimed(t) || t->next_claim > o->env->now)
+			continue;
+		due = true;
+		if (!t->self_vote)
+			vote_for_self(o, t);
+	}
+	if (!due)
+		return;
+	o->members->each_peer(o->members->ctx, o->env->params.self.dc, send_to, o);
+	for (size_t i = 0; i < o->count; i++) {
+		struct ht_owned *t = &o->owned[i];
+
+		if (!is_claimed(t) || t->next_claim > o->env->now)
+			continue;
+		ht_claim_try_own(o, t);
+		schedule_next(o, t);
+	}
+}
+
+static void borrow(struct ht_ownership *o, struct ht_owned *t, uint64_t from, uint32_t count)
+{
+	struct ht_borrow *slot = &t->borrows[0];
+
+	for (int i = 0; i < HT_BORROWERS; i++) {
+		if (t->borrows[i].from == from || t->borrows[i].count == 0) {
+			slot = &t->borrows[i];
+			break;
+		}
+		if (t->borrows[i].until < slot->until)
+			slot = &t->borrows[i];
+	}
+	/* With no entry left, the oldest lender's count is kept as part of the new one. */
+	*slot = (struct ht_borrow){
+		.from = from,
+		.count = slot->count && slot->from != from ? slot->count + count : count,
+		.until = o->env->now + o->env->params.takeover_hold,
+	};
+}
+
+uint32_t ht_borrowed(const struct ht_owned *t)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < HT_BORROWERS; i++)
+		n += t->borrows[i].count;
+	return n;
+}
+
+void ht_borrow_expire(struct ht_ownership *o, struct ht_owned *t)
+{
+	bool changed = false;
+
+	for (int i = 0; i < HT_BORROWERS; i++) {
+		struct ht_borrow *b = &t->borrows[i];
+
+		if (b->count == 0)
+			continue;
+		if (o->env->now < b->until) {
+			o->env->wake_at(o->env, b->until);
+			continue;
+		}
+		b->count = 0;
+		changed = true;
+	}
+	if (changed)
+		ht_owned_changed(o, t->id);
+}
+
+static void take_grant(struct ht_ownership *o, struct ht_owned *t, uint64_t peer,
+		       const Ht__ClaimedTarget *in)
+{
+	bool alive;
+
+	if (in->was_owner || in->hold_ms)
+		t->taken_over = true;
+	if (in->in_flight)
+		borrow(o, t, peer, in->in_flight);
+	/* Only the votes that made the majority can tell of a dead owner. */
+	if (t->state == HT_OWNER_CLAIMING && o->env->now + in->hold_ms > t->hold_until)
+		t->hold_until = o->env->now + in->hold_ms;
+	if (t->blocker && t->blocker != t->released_by &&
+	    ht_membership_incarnation(o->membership, peer, &alive) == t->blocker) {
+		t->released_by = t->blocker;
+		t->next_claim = o->env->now;
+	}
+}
+
+/* A voter names an incarnation in the way: it may have granted already. */
+static void take_block(struct ht_ownership *o, struct ht_owned *t, uint64_t holder)
+{
+	t->blocker = holder;
+	for (size_t i = 0; i < t->vote_count; i++) {
+		bool alive;
+
+		if (t->votes[i].granted &&
+		    ht_membership_incarnation(o->membership, t->votes[i].member, &alive) ==
+			    holder) {
+			t->released_by = holder;
+			t->next_claim = o->env->now;
+		}
+	}
+}
+
+static void take_reply(struct ht_ownership *o, uint64_t peer, uint64_t epoch, uint32_t generation,
+		       const Ht__ClaimedTarget *in)
+{
+	struct ht_owned *t = ht_owned_find(o, in->target);
+	struct ht_vote *v;
+
+	if (!t || !is_claimed(t) || epoch < t->epoch)
+		return;
+	v = vote_of(t, peer);
+	if (!v)
+		return;
+	*v = (struct ht_vote){
+		.member = peer,
+		.generation = generation,
+		.granted = in->granted,
+		.denied = !in->granted && in->holder == 0,
+	};
+	if (in->granted)
+		take_grant(o, t, peer, in);
+	else if (in->holder)
+		take_block(o, t, in->holder);
+	ht_claim_try_own(o, t);
+	if (in->in_flight)
+		ht_owned_changed(o, t->id);
+}
+
+void ht_ownership_claim_reply(struct ht_ownership *o, uint64_t peer, const Ht__ClaimReply *msg)
+{
+	uint32_t generation = ht_membership_generation(o->membership, peer);
+
+	/* Without a lease from the voter the vote may have been moved since. */
+	if (generation == 0 || msg->epoch < ht_membership_min_epoch(o->membership, peer))
+		return;
+	for (size_t i = 0; i < msg->n_targets; i++)
+		take_reply(o, peer, msg->epoch, generation, msg->targets[i]);
+	ht_claims_send(o);
+}
+
+void ht_ownership_slot_release(struct ht_ownership *o, uint64_t peer, const Ht__SlotRelease *msg)
+{
+	struct ht_owned *t = ht_owned_find(o, msg->target);
+
+	for (int i = 0; t && i < HT_BORROWERS; i++) {
+		struct ht_borrow *b = &t->borrows[i];
+
+		if (b->from != peer || b->count == 0)
+			continue;
+		b->count -= msg->count < b->count ? msg->count : b->count;
+		ht_owned_changed(o, t->id);
+		return;
+	}
+}
--- /dev/null
+++ b/core/control.h
@@ -0,0 +1,101 @@
+/*
+ * Calls among the control services (membership, ownership, configuration, planned stop) and core.c.
+ * The request path uses core/services.h only.
+ */
+#ifndef HT_CORE_CONTROL_H
+#define HT_CORE_CONTROL_H
+
+#include "core/services.h"
+
+/** Events that core.c passes on to membership. */
+void ht_membership_heartbeat(struct ht_membership *m, uint64_t peer, const Ht__Heartbeat *msg);
+void ht_membership_heard(struct ht_membership *m, uint64_t peer);
+void ht_membership_peer_up(struct ht_membership *m, const struct ht_instance_info *info,
+			   uint64_t incarnation);
+void ht_membership_peer_down(struct ht_membership *m, uint64_t peer, uint64_t incarnation,
+			     enum ht_peer_down_reason reason);
+void ht_membership_platform_list(struct ht_membership *m, uint64_t revision,
+				 const struct ht_instance_info *list, int count);
+void ht_membership_peer_list(struct ht_membership *m, uint64_t peer, const Ht__LiveList *msg);
+/** The instance announces that it is leaving, at once and in every heartbeat from now on. */
+void ht_membership_leave(struct ht_membership *m);
+const struct ht_instance_info *ht_membership_info(const struct ht_membership *m, uint64_t id);
+void ht_membership_each(const struct ht_membership *m,
+			void (*visit)(void *vctx, const struct ht_instance_info *info, bool live),
+			void *vctx);
+
+/** Rises whenever homes, the counted members or the grants behind the lease change. */
+uint64_t ht_membership_view(const struct ht_membership *m);
+/** Time for which a grant from a peer counts, in ms, for the present number of members. */
+ht_ms ht_membership_lease(const struct ht_membership *m);
+/** True until this incarnation may vote: an earlier one may have granted what it forgot. */
+bool ht_membership_voteless(const struct ht_membership *m);
+/** Rank of this instance among the relays of its data centre, from 0; -1 when it is none. */
+int ht_membership_relay_rank(const struct ht_membership *m);
+/** Revision of the list of instances in use; 0 when there is none yet. */
+uint64_t ht_membership_list_revision(const struct ht_membership *m);
+/** True when another live, not leaving instance of the data centre exists. */
+bool ht_membership_has_successor(const struct ht_membership *m);
+/** A random live peer of the own data centre, or 0. */
+uint64_t ht_membership_random_peer(struct ht_membership *m);
+/** Calls @visit with the configuration version of each live peer of the data centre. */
+void ht_membership_versions(const struct ht_membership *m,
+			    void (*visit)(void *vctx, const char *name, uint64_t version),
+			    void *vctx);
+
+/**
+ * A vote of a peer on a target. A vote counts while the peer's lease has been valid without a gap
+ * since it was cast; @generation tells the gaps apart.
+ */
+struct ht_vote {
+	uint64_t member;
+	uint32_t generation;
+	bool granted, denied;
+};
+
+/** Generation of @member's lease for a vote that counts from now; 0 when its lease is not valid. */
+uint32_t ht_membership_generation(const struct ht_membership *m, uint64_t member);
+/** Votes that answer a claim of an older epoch than this one are void. */
+uint64_t ht_membership_min_epoch(const struct ht_membership *m, uint64_t member);
+/** True when the granted votes and this instance's own (@self) are a majority now. */
+bool ht_membership_majority(const struct ht_membership *m, const struct ht_vote *votes,
+			    size_t count, bool self);
+/** Incarnation of a member, or 0; true in @alive while it is not dead. */
+uint64_t ht_membership_incarnation(const struct ht_membership *m, uint64_t member, bool *alive);
+/** When the latest member of the data centre died, restarted or this one started. */
+ht_ms ht_membership_last_death(const struct ht_membership *m);
+/** When this member died; meaningful only while it is dead. */
+ht_ms ht_membership_died_at(const struct ht_membership *m, uint64_t member);
+/** Epoch counter, shared so that a lapse makes all answers to earlier claims void. */
+uint64_t ht_membership_epoch(const struct ht_membership *m);
+
+/** Messages and events for ownership. */
+void ht_ownership_claim(struct ht_ownership *o, uint64_t peer, const Ht__Claim *msg);
+void ht_ownership_claim_reply(struct ht_ownership *o, uint64_t peer, const Ht__ClaimReply *msg);
+void ht_ownership_slot_release(struct ht_ownership *o, uint64_t peer, const Ht__SlotRelease *msg);
+/** Brings claims in line with the present view and configuration. Cheap when neither changed. */
+void ht_ownership_review(struct ht_ownership *o);
+/** Number of targets that this instance owns or claims. */
+size_t ht_ownership_held(const struct ht_ownership *o);
+
+/** Messages and events for the configuration service. */
+void ht_config_service_platform(struct ht_config_service *c, struct ht_config *cfg);
+void ht_config_service_announce(struct ht_config_service *c, uint64_t peer, uint64_t version);
+void ht_config_service_pull(struct ht_config_service *c, uint64_t peer, const Ht__ConfigPull *msg);
+void ht_config_service_data(struct ht_config_service *c, uint64_t peer, const Ht__ConfigData *msg);
+
+/** Calls to the platform, by relays and by instances that start. */
+struct ht_relay;
+struct ht_relay *ht_relay_new(struct ht_env *env);
+void ht_relay_free(struct ht_relay *r);
+/** A head call ended; @version is 0 when it failed. */
+void ht_relay_head_done(struct ht_relay *r, uint64_t version);
+void ht_relay_list_done(struct ht_relay *r, bool ok);
+
+/** Planned stop; constructed and freed with the other services. */
+struct ht_stop;
+struct ht_stop *ht_stop_new(struct ht_env *env);
+void ht_stop_free(struct ht_stop *s);
+void ht_stop_begin(struct ht_stop *s);
+
+#endif
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,205 @@
+#include "core/members.h"
+
+#include "base/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Index of the first member whose id is not below @id. */
+static size_t position(const struct ht_membership *m, uint64_t id)
+{
+	size_t lo = 0, hi = m->count;
+
+	while (lo < hi) {
+		size_t mid = (lo + hi) / 2;
+
+		if (m->members[mid].id < id)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+struct ht_member *ht_members_find(const struct ht_membership *m, uint64_t id)
+{
+	size_t at = position(m, id);
+
+	return at < m->count && m->members[at].id == id ? &m->members[at] : NULL;
+}
+
+static bool reserve(struct ht_membership *m)
+{
+	size_t capacity = m->capacity ? m->capacity * 2 : 16;
+	struct ht_member *a;
+
+	if (m->count < m->capacity)
+		return true;
+	a = realloc(m->members, capacity * sizeof(*a));
+	if (!a)
+		return false;
+	m->members = a;
+	m->capacity = capacity;
+	return true;
+}
+
+struct ht_member *ht_members_add(struct ht_membership *m, const struct ht_instance_info *info)
+{
+	uint64_t id = ht_instance_id(info->name);
+	size_t at = position(m, id);
+	struct ht_member *p;
+
+	if (at < m->count && m->members[at].id == id)
+		return &m->members[at];
+	if (!reserve(m))
+		return NULL;
+	p = m->members + at;
+	memmove(p + 1, p, (m->count - at) * sizeof(*p));
+	m->count++;
+	*p = (struct ht_member){
+		.id = id,
+		.dc = ht_hash_str(info->dc),
+		.info = *info,
+		.self = id == m->env->self,
+		.generation = 1,
+		.died_at = HT_NEVER,
+	};
+	p->local = p->dc == m->dc;
+	return p;
+}
+
+void ht_members_erase(struct ht_membership *m, struct ht_member *p)
+{
+	size_t at = (size_t)(p - m->members);
+
+	memmove(p, p + 1, (m->count - at - 1) * sizeof(*p));
+	m->count--;
+}
+
+bool ht_member_counted(const struct ht_membership *m, const struct ht_member *p)
+{
+	ht_ms lease = m->longest_lease + m->env->params.death_margin;
+
+	if (!p->local || p->leaving || !(p->listed || p->presumed || p->self))
+		return false;
+	/* Grants that a dead member gave to others may still be in use for one lease. */
+	return !(p->proven && m->env->now >= p->died_at + lease);
+}
+
+bool ht_member_is_live_peer(const struct ht_member *p)
+{
+	return p->local && !p->self &&
+	       (p->state == HT_MEMBER_LIVE || p->state == HT_MEMBER_SUSPECT);
+}
+
+bool ht_member_may_be_home(const struct ht_membership *m, const struct ht_member *p)
+{
+	if (p->self)
+		return !m->leaving;
+	if (p->leaving || p->info.leaving)
+		return false;
+	if (p->local)
+		return ht_member_is_live_peer(p);
+	return !p->proven && (p->listed || p->linked);
+}
+
+unsigned int ht_membership_counted(const struct ht_membership *m)
+{
+	unsigned int n = 0;
+
+	for (size_t i = 0; i < m->count; i++)
+		n += ht_member_counted(m, &m->members[i]);
+	return n;
+}
+
+ht_ms ht_membership_interval(const struct ht_membership *m)
+{
+	const struct ht_core_params *params = &m->env->params;
+	ht_ms scaled = params->heartbeat_per_peer * ht_membership_counted(m);
+
+	return scaled > params->heartbeat_min ? scaled : params->heartbeat_min;
+}
+
+ht_ms ht_membership_lease(const struct ht_membership *m)
+{
+	ht_ms lease = 3 * ht_membership_interval(m);
+
+	return lease > m->env->params.lease_min ? lease : m->env->params.lease_min;
+}
+
+void ht_membership_touch(struct ht_membership *m)
+{
+	m->view++;
+	m->next_check = 0;
+}
+
+static bool lease_from(const struct ht_membership *m, const struct ht_member *p)
+{
+	return p->self ? !m->leaving : m->env->now < p->lease_until;
+}
+
+/*
+ * A majority of the counted members, or all of them that are not proven dead: then nobody is left
+ * who could hold a majority of his own.
+ */
+static bool enough(const struct ht_membership *m, unsigned int all, unsigned int alive)
+{
+	unsigned int counted = 0, dead = 0;
+
+	for (size_t i = 0; i < m->count; i++) {
+		if (!ht_member_counted(m, &m->members[i]))
+			continue;
+		counted++;
+		dead += m->members[i].proven;
+	}
+	if (counted == 0)
+		return true;
+	return 2 * all > counted || (alive > 0 && alive == counted - dead);
+}
+
+bool ht_membership_lease_valid(const struct ht_membership *m)
+{
+	unsigned int all = 0, alive = 0;
+
+	for (size_t i = 0; i < m->count; i++) {
+		const struct ht_member *p = &m->members[i];
+
+		if (!ht_member_counted(m, p) || !lease_from(m, p))
+			continue;
+		all++;
+		alive += !p->proven;
+	}
+	return enough(m, all, alive);
+}
+
+bool ht_membership_majority(const struct ht_membership *m, const struct ht_vote *votes,
+			    size_t count, bool self)
+{
+	unsigned int all = self && !m->leaving, alive = all;
+
+	for (size_t i = 0; i < count; i++) {
+		const struct ht_member *p = ht_members_find(m, votes[i].member);
+
+		if (!p || !votes[i].granted || p->generation != votes[i].generation ||
+		    !ht_member_counted(m, p) || !lease_from(m, p))
+			continue;
+		all++;
+		alive += !p->proven;
+	}
+	/* Without a vote of its own an instance may only use the targets it was granted. */
+	return (self || all > 0) && enough(m, all, alive);
+}
+
+uint32_t ht_membership_generation(const struct ht_membership *m, uint64_t member)
+{
+	const struct ht_member *p = ht_members_find(m, member);
+
+	return p && !p->self && lease_from(m, p) ? p->generation : 0;
+}
+
+uint64_t ht_membership_min_epoch(const struct ht_membership *m, uint64_t member)
+{
+	const struct ht_member *p = ht_members_find(m, member);
+
+	return p ? p->min_epoch : UINT64_MAX;
+}
--- /dev/null
+++ b/core/owned.h
@@ -0,0 +1,97 @@
+/* Private to ownership: the table of targets of the own data centre. */
+#ifndef HT_CORE_OWNED_H
+#define HT_CORE_OWNED_H
+
+#include "core/control.h"
+
+#define HT_BORROWERS 4
+/* Live members that do not answer a claim delay ownership for at most this time, in ms. */
+#define HT_CLAIM_SETTLE_MS 500
+/* First distance between two claims of one target, in ms; doubles up to the heartbeat interval. */
+#define HT_CLAIM_RETRY_MS 100
+
+/* Slots that a former owner's requests in flight still take. */
+struct ht_borrow {
+	uint64_t from;
+	uint32_t count;
+	ht_ms until; /* no request runs longer than the takeover hold */
+};
+
+struct ht_owned {
+	uint64_t id;
+	uint32_t slots;
+	bool configured; /* serves in this data centre under the configuration in force */
+	bool home;	 /* this instance is home in the present view */
+	bool isolated;	 /* served without a majority */
+	enum ht_owner_state state;
+
+	/* The claimant that has this instance's own vote; 0 for none. */
+	uint64_t lock_holder, lock_incarnation;
+
+	/* Own claim. */
+	uint64_t epoch; /* of the first claim of this term */
+	ht_ms claimed_at, next_claim, retry_after;
+	uint64_t blocker;     /* incarnation that voters name as in the way */
+	uint64_t released_by; /* that incarnation, once it has granted */
+	struct ht_vote *votes;
+	size_t vote_count, vote_capacity;
+	bool self_vote, taken_over;
+	ht_ms hold_until, taken_over_at;
+	struct ht_borrow borrows[HT_BORROWERS];
+
+	/* Former owner's side. */
+	uint64_t releasing_to;
+	uint32_t release_left;
+	ht_ms release_until;
+};
+
+struct ht_ownership {
+	struct ht_env *env;
+	struct ht_ownership_if iface;
+	struct ht_tick_if tick;
+	struct ht_membership *membership;
+	const struct ht_membership_if *members;
+	const struct ht_config_if *config;
+	struct ht_owned *owned; /* sorted by id */
+	size_t count, capacity;
+	uint64_t seen_view, seen_epoch;
+	const struct ht_config *seen_config;
+	uint64_t seen_version;
+	bool isolated;
+};
+
+/** Finds a record, or adds one; NULL when out of memory. Pointers to records are void after it. */
+struct ht_owned *ht_owned_get(struct ht_ownership *o, uint64_t target);
+struct ht_owned *ht_owned_find(const struct ht_ownership *o, uint64_t target);
+const struct ht_targets_if *ht_owned_targets(const struct ht_ownership *o);
+uint32_t ht_owned_in_flight(const struct ht_ownership *o, uint64_t target);
+/** Sets the state and tells the request path. */
+void ht_owned_set_state(struct ht_ownership *o, struct ht_owned *t, enum ht_owner_state state);
+void ht_owned_changed(struct ht_ownership *o, uint64_t target);
+
+struct ht_ballot {
+	bool granted, voteless;
+	uint64_t holder; /* incarnation in the way */
+	uint32_t hold_ms;
+	uint32_t in_flight;
+	bool was_owner;
+};
+
+/** This instance's vote on a claim of @claimant; hands the target over when it is the owner. */
+struct ht_ballot ht_vote_on(struct ht_ownership *o, struct ht_owned *t, uint64_t claimant,
+			    uint64_t incarnation, uint64_t released_by);
+
+/** Starts a term: claims go out with the next ht_claims_send(). */
+void ht_claim_start(struct ht_ownership *o, struct ht_owned *t);
+/** Gives up a claim or an ownership; the own vote stays with this instance. */
+void ht_claim_drop(struct ht_ownership *o, struct ht_owned *t);
+/** Sends the claims that are due, one message to each member that has not granted them. */
+void ht_claims_send(struct ht_ownership *o);
+/** Becomes owner when the votes allow it. */
+void ht_claim_try_own(struct ht_ownership *o, struct ht_owned *t);
+/** True when a live member has no valid vote for the target. */
+bool ht_claim_incomplete(struct ht_ownership *o, const struct ht_owned *t);
+void ht_borrow_expire(struct ht_ownership *o, struct ht_owned *t);
+uint32_t ht_borrowed(const struct ht_owned *t);
+
+#endif
--- /dev/null
+++ b/core/wakeups.h
@@ -0,0 +1,27 @@
+/* Set of times at which a core wants to be advanced. */
+#ifndef HT_CORE_WAKEUPS_H
+#define HT_CORE_WAKEUPS_H
+
+#include "base/clock.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** Sorted, latest first, without duplicates, so that due times are taken from the end. */
+struct ht_wakeups {
+	ht_ms *due;
+	size_t count, capacity;
+};
+
+/** Adds @due; HT_NEVER is ignored. When memory is short, the earliest time is moved ahead. */
+void ht_wakeups_add(struct ht_wakeups *w, ht_ms due);
+
+/** Earliest time, or HT_NEVER. */
+ht_ms ht_wakeups_first(const struct ht_wakeups *w);
+
+/** Drops all times up to @now. */
+void ht_wakeups_drop(struct ht_wakeups *w, ht_ms now);
+
+void ht_wakeups_clear(struct ht_wakeups *w);
+
+#endif
