Test ownership under each failure; count members that join or restart late

Cause: in a data centre of two, a restart of one instance took the targets of the other out of service, since its vote was missing at once. A listed instance that has not started yet lowered the majority of the others. After: a restarted member counts as dead for 400 ms, a new one counts after 400 ms, and a listed one that was never heard after 30 s.

--- a/core/claims.c
+++ b/core/claims.c
@@ -126,19 +126,40 @@
 	ht_owned_set_state(o, t, t->hold_until > now ? HT_OWNER_HOLDING : HT_OWNER_OWNED);
 }
 
+/* A voter names an incarnation in the way: true when it has granted already. */
+static bool take_block(struct ht_ownership *o, struct ht_owned *t, uint64_t holder)
+{
+	t->blocker = holder;
+	for (size_t i = 0; i < t->vote_count; i++) {
+		uint64_t member = t->votes[i].member;
+		bool alive;
+
+		if (!t->votes[i].granted ||
+		    ht_membership_incarnation(o->membership, member, &alive) != holder)
+			continue;
+		t->released_by = holder;
+		return true;
+	}
+	return false;
+}
+
+static struct ht_ballot own_vote(struct ht_ownership *o, struct ht_owned *t)
+{
+	return ht_vote_on(o, t, o->env->self, o->env->params.incarnation, t->released_by);
+}
+
 static void vote_for_self(struct ht_ownership *o, struct ht_owned *t)
 {
-	struct ht_ballot b =
-		ht_vote_on(o, t, o->env->self, o->env->params.incarnation, t->released_by);
+	struct ht_ballot b = own_vote(o, t);
 
+	if (b.holder && take_block(o, t, b.holder))
+		b = own_vote(o, t);
 	t->self_vote = b.granted;
 	if (b.granted && b.hold_ms) {
 		t->taken_over = true;
 		if (o->env->now + b.hold_ms > t->hold_until)
 			t->hold_until = o->env->now + b.hold_ms;
 	}
-	if (b.holder)
-		t->blocker = b.holder;
 }
 
 /* One message with all due targets that the member has not granted. */
@@ -281,22 +302,6 @@
 	}
 }
 
-/* A voter names an incarnation in the way: it may have granted already. */
-static void take_block(struct ht_ownership *o, struct ht_owned *t, uint64_t holder)
-{
-	t->blocker = holder;
-	for (size_t i = 0; i < t->vote_count; i++) {
-		bool alive;
-
-		if (t->votes[i].granted &&
-		    ht_membership_incarnation(o->membership, t->votes[i].member, &alive) ==
-			    holder) {
-			t->released_by = holder;
-			t->next_claim = o->env->now;
-		}
-	}
-}
-
 static void take_reply(struct ht_ownership *o, uint64_t peer, uint64_t epoch, uint32_t generation,
 		       const Ht__ClaimedTarget *in)
 {
@@ -316,8 +321,8 @@
 	};
 	if (in->granted)
 		take_grant(o, t, peer, in);
-	else if (in->holder)
-		take_block(o, t, in->holder);
+	else if (in->holder && take_block(o, t, in->holder))
+		t->next_claim = o->env->now;
 	ht_claim_try_own(o, t);
 	if (in->in_flight)
 		ht_owned_changed(o, t->id);
--- a/core/live_list.c
+++ b/core/live_list.c
@@ -66,6 +66,8 @@
 		return;
 	if (!p->listed || !same(&p->info, info))
 		note(c, info, false);
+	if (!p->listed && !p->presumed)
+		ht_member_welcome(m, p, HT_START_GRACE_MS);
 	p->listed = true;
 	if (!p->self)
 		p->info = *info;
--- a/core/members.c
+++ b/core/members.c
@@ -80,12 +80,19 @@
 {
 	ht_ms lease = m->longest_lease + m->env->params.death_margin;
 
-	if (!p->local || p->leaving || !(p->listed || p->presumed || p->self))
+	if (!p->local || p->leaving || !(p->listed || p->presumed || p->self) ||
+	    m->env->now < p->counted_from)
 		return false;
 	/* Grants that a dead member gave to others may still be in use for one lease. */
 	return !(p->proven && m->env->now >= p->died_at + lease);
 }
 
+void ht_member_welcome(const struct ht_membership *m, struct ht_member *p, ht_ms grace)
+{
+	if (m->lease_held && !p->self)
+		p->counted_from = m->env->now + grace;
+}
+
 bool ht_member_is_live_peer(const struct ht_member *p)
 {
 	return p->local && !p->self &&
@@ -138,6 +145,11 @@
 	return p->self ? !m->leaving : m->env->now < p->lease_until;
 }
 
+static bool is_ghost(const struct ht_membership *m, const struct ht_member *p)
+{
+	return p->proven || m->env->now < p->ghost_until;
+}
+
 /*
  * A majority of the counted members, or all of them that are not proven dead: then nobody is left
  * who could hold a majority of his own.
@@ -150,7 +162,7 @@
 		if (!ht_member_counted(m, &m->members[i]))
 			continue;
 		counted++;
-		dead += m->members[i].proven;
+		dead += is_ghost(m, &m->members[i]);
 	}
 	if (counted == 0)
 		return true;
@@ -167,7 +179,7 @@
 		if (!ht_member_counted(m, p) || !lease_from(m, p))
 			continue;
 		all++;
-		alive += !p->proven;
+		alive += !is_ghost(m, p);
 	}
 	return enough(m, all, alive);
 }
@@ -184,7 +196,7 @@
 		    !ht_member_counted(m, p) || !lease_from(m, p))
 			continue;
 		all++;
-		alive += !p->proven;
+		alive += !is_ghost(m, p);
 	}
 	/* Without a vote of its own an instance may only use the targets it was granted. */
 	return (self || all > 0) && enough(m, all, alive);
--- a/core/members.h
+++ b/core/members.h
@@ -10,6 +10,14 @@
 #define HT_REMOTE_RETRY_MS 5000
 /* Shortest distance between two heartbeats out of turn to one peer, in ms. */
 #define HT_PROMPT_MS 100
+/*
+ * Time in which owners get the votes of a member that joins or restarts, in ms. Shorter than
+ * HT_CLAIM_SETTLE_MS: until then a joiner's claim waits for the owner's answer.
+ */
+#define HT_JOIN_GRACE_MS 400
+/* A listed instance that has not been heard yet counts as a silent member after this time, in ms.
+ */
+#define HT_START_GRACE_MS 30000
 /* Instances of a data centre that watch the platform. */
 #define HT_RELAYS 2
 /* Heartbeats out of turn to a new incarnation that are free of that limit. */
@@ -41,6 +49,8 @@
 	ht_ms prompted_at;
 	unsigned int prompts;
 	ht_ms echo_after;    /* no echo before: locks of this incarnation may have been moved */
+	ht_ms counted_from;  /* a new member has no place in majorities before */
+	ht_ms ghost_until;   /* restarted: counts as its dead incarnation until then */
 	ht_ms down_until;    /* remote: link failed */
 	ht_ms lease_until;   /* grant of this peer to this instance */
 	uint32_t generation; /* rises when the grant lapses */
@@ -85,6 +95,8 @@
 
 /** True when the member's vote is part of the total of which a majority is needed. */
 bool ht_member_counted(const struct ht_membership *m, const struct ht_member *p);
+/** Tells an established instance that a member is new: others' votes alone count for a while. */
+void ht_member_welcome(const struct ht_membership *m, struct ht_member *p, ht_ms grace);
 /** True when it is a live member of the own data centre, not this instance. */
 bool ht_member_is_live_peer(const struct ht_member *p);
 /** True when it may be home of targets in the present view. */
--- a/core/membership.c
+++ b/core/membership.c
@@ -125,6 +125,8 @@
 	p->dead_at = max_ms(p->dead_at, m->env->now + lease + m->env->params.death_margin);
 	p->suspect_at = m->env->now + lease * 2 / 3;
 	p->presumed = true;
+	if (p->counted_from > m->env->now + HT_JOIN_GRACE_MS)
+		p->counted_from = m->env->now + HT_JOIN_GRACE_MS;
 	if (p->state == HT_MEMBER_LIVE || !p->local)
 		return;
 	if (p->state != HT_MEMBER_SUSPECT) {
@@ -196,6 +198,8 @@
 		if (router)
 			router->peer_down(router->ctx, p->id, HT_PEER_GONE);
 		lapse(m, p);
+		if (m->lease_held)
+			p->ghost_until = m->env->now + HT_JOIN_GRACE_MS;
 	}
 	p->incarnation = incarnation;
 	p->proven = false;
@@ -215,6 +219,8 @@
 
 	if (!p || p->self)
 		return;
+	if (!p->presumed && !p->listed)
+		ht_member_welcome(m, p, HT_JOIN_GRACE_MS);
 	if (p->incarnation != incarnation)
 		restart(m, p, incarnation);
 	if (info->size > 0)
@@ -292,6 +298,18 @@
 		m->next_check = min_ms(m->next_check, p->dead_at);
 	if (p->proven)
 		m->next_check = min_ms(m->next_check, m->env->now + m->env->params.death_margin);
+	if (p->counted_from > m->env->now)
+		m->next_check = min_ms(m->next_check, p->counted_from);
+	else if (p->counted_from) {
+		p->counted_from = 0;
+		m->epoch++;
+	}
+	if (p->ghost_until > m->env->now)
+		m->next_check = min_ms(m->next_check, p->ghost_until);
+	else if (p->ghost_until) {
+		p->ghost_until = 0;
+		m->epoch++;
+	}
 }
 
 /* A remote instance that was gone may have come back without a link to here. */
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -77,6 +77,7 @@
 	struct node nodes[MAX_NODES];
 	int count;
 	bool cut[MAX_NODES][MAX_NODES];
+	bool hidden[MAX_NODES][MAX_NODES]; /* [i][j]: i's list lacks j */
 	struct packet *packets;
 	size_t packet_count;
 	struct running *running;
@@ -94,8 +95,9 @@
 	bool load;	 /* saturate every usable slot */
 	int bound_extra; /* allowed above the slots, for tests of unequal lists */
 	int peak;	 /* highest sum seen */
-	uint64_t lost;	 /* packets dropped by cuts */
-	bool drop;	 /* cut links lose packets instead of delaying them */
+	ht_ms gap[MAX_TARGETS], longest_gap; /* without any usable slot */
+	uint64_t lost;			     /* packets dropped by cuts */
+	bool drop;			     /* cut links lose packets instead of delaying them */
 	char last_status[512];
 };
 
@@ -465,6 +467,18 @@
 	net->packet_count += kept;
 }
 
+static inline void answer_list(struct net *net, struct node *n)
+{
+	struct ht_instance_info list[MAX_NODES];
+	int count = 0;
+
+	for (int i = 0; i < net->list_count; i++)
+		if (!net->hidden[n->index]
+				[node_by_id(net, ht_instance_id(net->list[i].name))->index])
+			list[count++] = net->list[i];
+	ht_core_live_list(n->core, net->revision, list, net->platform_down ? -1 : count);
+}
+
 /* True when the call has ended. */
 static inline bool answer_call(struct net *net, const struct call *c)
 {
@@ -479,8 +493,7 @@
 		return false;
 	ht_core_advance(n->core, net->now);
 	if (c->kind == HT_PLATFORM_READ_LIVE)
-		ht_core_live_list(n->core, net->revision, net->list,
-				  net->platform_down ? -1 : net->list_count);
+		answer_list(net, n);
 	else
 		ht_core_platform_config(n->core, net->platform_down ? NULL : net->head);
 	return true;
@@ -596,6 +609,18 @@
 	n->last_version = version;
 }
 
+static inline void note_gap(struct net *net, int t)
+{
+	bool usable = false;
+
+	for (int i = 0; i < net->count; i++)
+		usable |= net->nodes[i].core && !net->nodes[i].frozen &&
+			  node_slots(&net->nodes[i], t) > 0;
+	net->gap[t] = usable ? 0 : net->gap[t] + 1;
+	if (net->gap[t] > net->longest_gap)
+		net->longest_gap = net->gap[t];
+}
+
 static inline void net_step(struct net *net)
 {
 	net->now++;
@@ -615,8 +640,10 @@
 		if (net->load)
 			start_requests(net, n);
 	}
-	for (int t = 0; t < net->target_count; t++)
+	for (int t = 0; t < net->target_count; t++) {
 		check_bound(net, t);
+		note_gap(net, t);
+	}
 }
 
 static inline void net_run(struct net *net, ht_ms ms)
@@ -634,6 +661,20 @@
 		ht_core_advance(n->core, net->now);
 }
 
+/* Cuts or heals the packets from @a to @b; a healed link greets again. */
+static inline void net_cut(struct net *net, int a, int b, bool cut)
+{
+	net->cut[a][b] = cut;
+	if (!cut && net->drop)
+		net_link(net, a, b);
+}
+
+static inline void net_cut_both(struct net *net, int a, int b, bool cut)
+{
+	net_cut(net, a, b, cut);
+	net_cut(net, b, a, cut);
+}
+
 /* Number of targets of which exactly one running node has all slots. */
 static inline int net_served(const struct net *net)
 {
@@ -675,6 +716,7 @@
 		net_start(net, i);
 	net_run(net, 6000);
 	ck_assert_int_eq(net_served(net), 6);
+	net->longest_gap = 0;
 	return net;
 }
 
