Lint one file per clang-tidy run

clang-tidy 14 reports valist.Uninitialized in base/err.c when that file is not the first one of its invocation; alone it is clean. With three files per run the result depended on the order of the file list, so that adding a file elsewhere made the check fail.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 	@clang-format --dry-run -Werror $(FORMATTED)
 lint:
 	@mkdir -p $(B)
-	@printf '%s\n' $(LINTED) | xargs -P 6 -n 3 sh -c 'clang-tidy --quiet "$$@" -- -Wno-unknown-warning-option $(ALL_CFLAGS) 2>/dev/null' lint
+	@printf '%s\n' $(LINTED) | xargs -P 4 -n 1 sh -c 'clang-tidy --quiet "$$@" -- -Wno-unknown-warning-option $(ALL_CFLAGS) 2>/dev/null' lint
 	@scripts/check-events.sh
 
 # Runs every unit test and property test; fixed seeds, so that each run gives the same verdict.
