Line differences, parts by service, the head and the check of a change

ht_rules_diff gives removed and added lines with their numbers, so that a peer restores the exact text; ht_rules_patch trusts nothing and compares the hash of the result.

An address that a change takes from a service is listed in config/head as retired, with the time of the change, and is given to no other service for 60 s.

--- a/rules/internal.h
+++ b/rules/internal.h
@@ -37,6 +37,9 @@
 			void (*visit)(void *ctx, const char *line, size_t len, unsigned int number),
 			void *ctx);
 
+/** Copies @len bytes of text and adds a newline when the last line has none; to be freed. */
+char *ht_rules_terminated(const char *text, size_t len);
+
 /* Fields: each reads word @i of @line and adds a fault when it does not fit. */
 bool ht_rules_name(const struct ht_rules_line *line, unsigned int i, const char *what,
 		   char out[HT_NAME_MAX], struct ht_rules_errors *errors);
--- a/rules/line.c
+++ b/rules/line.c
@@ -1,6 +1,7 @@
 #include "rules/internal.h"
 
 #include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 void ht_rules_each_line(const char *text, size_t len,
@@ -19,6 +20,20 @@
 	}
 }
 
+char *ht_rules_terminated(const char *text, size_t len)
+{
+	char *copy = malloc(len + 2);
+
+	if (!copy)
+		return NULL;
+	if (len)
+		memcpy(copy, text, len);
+	if (len && text[len - 1] != '\n')
+		copy[len++] = '\n';
+	copy[len] = 0;
+	return copy;
+}
+
 static bool is_blank(char c)
 {
 	return c == ' ' || c == '\t';
--- a/rules/parse.c
+++ b/rules/parse.c
@@ -415,7 +415,7 @@
 {
 	struct ht_rules_errors own = {0};
 	struct parser p = {.errors = &own};
-	char *copy = strndup(text, len);
+	char *copy = ht_rules_terminated(text, len);
 	bool ok = false;
 
 	p.cfg = ht_config_new(0, "", copy);
--- a/rules/rules.h
+++ b/rules/rules.h
@@ -34,9 +34,113 @@
 
 /**
  * Parses rules @text of @len bytes into a sealed configuration with version 0; the caller sets
- * version and change_id. Returns NULL when there is any fault; @errors (may be NULL) then holds
- * all of them, not only the first.
+ * version and change_id. The configuration's text ends with a newline. Returns NULL when there is
+ * any fault; @errors (may be NULL) then holds all of them, not only the first.
  */
 struct ht_config *ht_rules_parse(const char *text, size_t len, struct ht_rules_errors *errors);
 
+/**
+ * Difference of two rules texts by lines, comments included. Each entry is "NUMBER LINE":
+ * removed lines with their number in the old text, added lines with their number in the new one,
+ * both ascending. The fields have the types of ConfigData's in wire/peer.proto.
+ */
+struct ht_rules_diff {
+	char **removed;
+	size_t removed_count;
+	char **added;
+	size_t added_count;
+	uint64_t text_hash; /**< ht_hash of the whole new text, with a newline at its end */
+};
+
+/** Fills @diff; false when out of memory. Free with ht_rules_diff_clear. */
+bool ht_rules_diff(const char *from, const char *to, struct ht_rules_diff *diff);
+void ht_rules_diff_clear(struct ht_rules_diff *diff);
+
+/**
+ * Returns the new text, to be freed, or NULL with HT_EINVAL when @diff does not fit @from or the
+ * result has another hash. @diff may come from a peer; nothing in it is trusted.
+ */
+char *ht_rules_patch(const char *from, const struct ht_rules_diff *diff, struct ht_err *err);
+
+/** Writes "-LINE" and "+LINE" for people to read. */
+void ht_rules_diff_print(const struct ht_rules_diff *diff, FILE *out);
+
+/** Returns the line of an entry, without its number. */
+const char *ht_rules_diff_line(const char *entry);
+
+#define HT_RULES_HASH_TEXT 17 /* 16 hexadecimal digits and NUL */
+
+/** The rules of one service, as kept in the object config/parts/HASH. */
+struct ht_rules_part {
+	char service[HT_NAME_MAX];
+	char hash[HT_RULES_HASH_TEXT];
+	char *text; /**< NULL when not read yet */
+};
+
+struct ht_rules_parts {
+	struct ht_rules_part *items;
+	size_t count;
+};
+
+/**
+ * Splits a text that parses into one part per service, in the order of first mention. Blank lines
+ * and comment lines go with the rule that follows them, those at the end with the last rule.
+ */
+bool ht_rules_parts_split(const char *text, struct ht_rules_parts *parts, struct ht_err *err);
+
+/** Joins the parts in their order; the result is to be freed. NULL when a text is missing. */
+char *ht_rules_parts_join(const struct ht_rules_parts *parts);
+void ht_rules_parts_clear(struct ht_rules_parts *parts);
+
+/** An address that a change took from a service. */
+struct ht_rules_retired {
+	char address[HT_ADDR_TEXT];
+	char service[HT_NAME_MAX];
+	ht_ms at; /**< wall-clock time of the change, in ms */
+};
+
+struct ht_rules_retired_list {
+	struct ht_rules_retired *items;
+	size_t count;
+};
+
+/** Time for which an address that a change took from a service is given to no other, in ms. */
+#define HT_RULES_RETIRED_MS 60000
+
+/**
+ * Refuses a @next text that gives an address to another service while the accepted configuration
+ * (may be NULL) uses it, or less than HT_RULES_RETIRED_MS after it was retired. @next must parse.
+ */
+bool ht_rules_check_change(const struct ht_config *accepted, const char *next,
+			   const struct ht_rules_retired_list *retired, ht_ms now,
+			   struct ht_rules_errors *errors);
+
+/** Fills @out with the entries of @old that still count, and what the change retires at @now. */
+bool ht_rules_retire(const struct ht_config *accepted, const struct ht_config *next,
+		     const struct ht_rules_retired_list *old, ht_ms now,
+		     struct ht_rules_retired_list *out);
+
+/** The object config/head. */
+struct ht_rules_head {
+	uint64_t version;
+	uint64_t parent;
+	char change_id[40];
+	struct ht_rules_parts parts; /**< without texts when read */
+	struct ht_rules_retired_list retired;
+};
+
+void ht_rules_head_clear(struct ht_rules_head *head);
+
+/** The JSON value of the object, compact, to be freed; NULL when out of memory. */
+char *ht_rules_head_format(const struct ht_rules_head *head);
+bool ht_rules_head_parse(const char *json, size_t len, struct ht_rules_head *head,
+			 struct ht_err *err);
+
+/** JSON value of a part's object, to be freed. */
+char *ht_rules_part_format(const struct ht_rules_part *part);
+
+/** Sets @part->text from the JSON value of its object; refuses a text with another hash. */
+bool ht_rules_part_parse(const char *json, size_t len, struct ht_rules_part *part,
+			 struct ht_err *err);
+
 #endif
