--- a/rules/diff.c
+++ b/rules/diff.c
@@ -96,7 +96,7 @@
 static int search(struct middle *mid)
 {
 	for (int d = 0; d <= EDITS_MAX; d++) {
-		int *row = calloc((size_t)(2 * d + 1), sizeof(*row));
+		int *row = calloc(2 * (size_t)d + 1, sizeof(*row));
 
 		if (!row)
 			return -1;
@@ -115,11 +115,12 @@
 /* Marks the lines that the path of @d edits adds or removes, from its end to its start. */
 static void mark_path(const struct middle *mid, int d)
 {
-	int x = mid->n, k = mid->n - mid->m;
+	int k = mid->n - mid->m;
 
 	for (; d > 0; d--) {
 		const int *prev = mid->rows[d - 1];
 		bool down = k == -d || (k != d && prev[k - 1 + d - 1] < prev[k + 1 + d - 1]);
+		int x;
 
 		k += down ? 1 : -1;
 		x = prev[k + d - 1];
