--- a/rules/head.c
+++ b/rules/head.c
@@ -37,10 +37,19 @@
 	return list;
 }
 
+static json_t *recent_json(const struct ht_rules_head *head)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < head->recent_count; i++)
+		json_array_append_new(list, json_string(head->recent[i]));
+	return list;
+}
+
 char *ht_rules_head_format(const struct ht_rules_head *head)
 {
 	json_t *root =
-		json_pack("{sI ss sI so so}", "version", (json_int_t)head->version, "change_id",
+		json_pack("{sI ss sI so so so}", "version", (json_int_t)head->version, "change_id",
 			  head->change_id, "parent", (json_int_t)head->parent, "parts",
 			  parts_json(&head->parts), "retired", retired_json(&head->retired));
 	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
@@ -116,6 +125,17 @@
 	return retired->items != NULL;
 }
 
+/* Also optional; entries of another form are left out. */
+static void read_recent(const json_t *list, struct ht_rules_head *head)
+{
+	for (size_t i = 0; i < json_array_size(list) && i < HT_RULES_RECENT; i++) {
+		const char *id = json_string_value(json_array_get(list, i));
+
+		if (id && strlen(id) < sizeof(head->recent[0]))
+			memcpy(head->recent[head->recent_count++], id, strlen(id) + 1);
+	}
+}
+
 bool ht_rules_head_parse(const char *json, size_t len, struct ht_rules_head *head,
 			 struct ht_err *err)
 {
@@ -131,6 +151,7 @@
 	     copy_string(root, "change_id", head->change_id, sizeof(head->change_id)) &&
 	     read_parts(json_object_get(root, "parts"), &head->parts) &&
 	     read_retired(json_object_get(root, "retired"), &head->retired);
+	read_recent(json_object_get(root, "changes"), head);
 	json_decref(root);
 	if (ok)
 		return true;
--- a/rules/rules.h
+++ b/rules/rules.h
@@ -120,13 +120,21 @@
 		     const struct ht_rules_retired_list *old, ht_ms now,
 		     struct ht_rules_retired_list *out);
 
-/** The object config/head. */
+/** Number of change ids that config/head lists. */
+#define HT_RULES_RECENT 8
+
+/**
+ * The object config/head. The ids of the newest changes, newest first and the present one
+ * included, show a writer without an answer that its change was accepted and then superseded.
+ */
 struct ht_rules_head {
 	uint64_t version;
 	uint64_t parent;
 	char change_id[40];
 	struct ht_rules_parts parts; /**< without texts when read */
 	struct ht_rules_retired_list retired;
+	char recent[HT_RULES_RECENT][40];
+	size_t recent_count;
 };
 
 void ht_rules_head_clear(struct ht_rules_head *head);
--- a/tests/rules/test_change.c
+++ b/tests/rules/test_change.c
@@ -153,6 +153,9 @@
 	char *json;
 
 	ck_assert(ht_rules_parts_split(SERVICES, &head.parts, NULL));
+	strcpy(head.recent[0], "c");
+	strcpy(head.recent[1], "b");
+	head.recent_count = 2;
 	head.retired = (struct ht_rules_retired_list){&gone, 1};
 	json = ht_rules_head_format(&head);
 	ck_assert(ht_rules_head_parse(json, strlen(json), &copy, NULL));
@@ -163,6 +166,8 @@
 	ck_assert_str_eq(copy.parts.items[1].hash, head.parts.items[1].hash);
 	ck_assert_uint_eq(copy.retired.count, 1);
 	ck_assert_int_eq(copy.retired.items[0].at, 1234);
+	ck_assert_uint_eq(copy.recent_count, 2);
+	ck_assert_str_eq(copy.recent[1], "b");
 	ht_rules_head_clear(&copy);
 	ht_rules_parts_clear(&head.parts);
 	free(json);
