--- a/rules/head.c
+++ b/rules/head.c
@@ -48,10 +48,10 @@
 
 char *ht_rules_head_format(const struct ht_rules_head *head)
 {
-	json_t *root =
-		json_pack("{sI ss sI so so so}", "version", (json_int_t)head->version, "change_id",
-			  head->change_id, "parent", (json_int_t)head->parent, "parts",
-			  parts_json(&head->parts), "retired", retired_json(&head->retired));
+	json_t *root = json_pack("{sI ss sI so so so}", "version", (json_int_t)head->version,
+				 "change_id", head->change_id, "parent", (json_int_t)head->parent,
+				 "parts", parts_json(&head->parts), "retired",
+				 retired_json(&head->retired), "changes", recent_json(head));
 	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
 
 	json_decref(root);
