--- /dev/null
+++ b/ctl/main.c
@@ -0,0 +1,6 @@
+#include "ctl/ctl.h"
+
+int main(int argc, char **argv)
+{
+	return ht_ctl_main(argc, argv, stdout, stderr);
+}
--- a/rules/change.c
+++ b/rules/change.c
@@ -51,9 +51,9 @@
 		if (strcmp(service, line->words[1].text) == 0)
 			continue;
 		snprintf(hint, sizeof(hint), "apply it again in %lld s", (left + 999) / 1000);
-		ht_rules_fault(c->errors, line->number, line->words[i].column, hint,
-			       "address %s was taken from service '%s' less than %d s ago", addr,
-			       service, HT_RULES_RETIRED_MS / 1000);
+		ht_rules_errors_add(c->errors, line->number, line->words[i].column, hint,
+				    "address %s was taken from service '%s' less than %d s ago",
+				    addr, service, HT_RULES_RETIRED_MS / 1000);
 	}
 }
 
@@ -75,9 +75,9 @@
 	ht_addr_format(&addr, buf);
 	owner = json_string_value(json_object_get(c->used, buf));
 	if (owner && strcmp(owner, line.words[1].text) != 0)
-		ht_rules_fault(c->errors, line.number, line.words[i].column,
-			       "remove it there first, then wait 60 s",
-			       "address %s still belongs to service '%s'", buf, owner);
+		ht_rules_errors_add(c->errors, line.number, line.words[i].column,
+				    "remove it there first, then wait 60 s",
+				    "address %s still belongs to service '%s'", buf, owner);
 	check_retired(c, &line, i, buf);
 }
 
@@ -113,7 +113,7 @@
 	if (c.used && c.retired)
 		ht_rules_each_line(next, strlen(next), check_line, &c);
 	else
-		ht_rules_fault(errors, 0, 0, NULL, "out of memory");
+		ht_rules_errors_add(errors, 0, 0, NULL, "out of memory");
 	json_decref(c.used);
 	json_decref(c.retired);
 	return errors->total == before;
--- a/rules/errors.c
+++ b/rules/errors.c
@@ -9,8 +9,8 @@
 	*errors = (struct ht_rules_errors){0};
 }
 
-bool ht_rules_fault(struct ht_rules_errors *errors, unsigned int line, unsigned int column,
-		    const char *hint, const char *fmt, ...)
+bool ht_rules_errors_add(struct ht_rules_errors *errors, unsigned int line, unsigned int column,
+			 const char *hint, const char *fmt, ...)
 {
 	struct ht_rules_error *item;
 	va_list ap;
--- a/rules/fields.c
+++ b/rules/fields.c
@@ -13,17 +13,19 @@
 	size_t len = strlen(word->text);
 
 	if (len >= HT_NAME_MAX)
-		return ht_rules_fault(errors, line->number, word->column, "choose a shorter name",
-				      "%s name has %zu bytes, at most %d are allowed", what, len,
-				      HT_NAME_MAX - 1);
+		return ht_rules_errors_add(errors, line->number, word->column,
+					   "choose a shorter name",
+					   "%s name has %zu bytes, at most %d are allowed", what,
+					   len, HT_NAME_MAX - 1);
 	for (size_t k = 0; k < len; k++) {
 		unsigned char c = (unsigned char)word->text[k];
 
 		if (c >= 128 || (!isalnum(c) && !strchr("-_.", c)))
-			return ht_rules_fault(errors, line->number, word->column + (unsigned int)k,
-					      "use letters a-z, A-Z, digits, '-', '_' and '.'",
-					      "%s name '%s' has a character that is not allowed",
-					      what, word->text);
+			return ht_rules_errors_add(
+				errors, line->number, word->column + (unsigned int)k,
+				"use letters a-z, A-Z, digits, '-', '_' and '.'",
+				"%s name '%s' has a character that is not allowed", what,
+				word->text);
 	}
 	memcpy(out, word->text, len + 1);
 	return true;
@@ -37,9 +39,9 @@
 
 	if (ht_addr_parse(out, word->text, &err))
 		return true;
-	return ht_rules_fault(errors, line->number, word->column,
-			      "write IP:PORT or [IP]:PORT, with a port from 1 to 65535", "%s",
-			      err.text);
+	return ht_rules_errors_add(errors, line->number, word->column,
+				   "write IP:PORT or [IP]:PORT, with a port from 1 to 65535", "%s",
+				   err.text);
 }
 
 bool ht_rules_integer(const struct ht_rules_line *line, unsigned int i, const char *what,
@@ -55,8 +57,8 @@
 	*out = strtoll(word->text, &end, 10);
 	if (isdigit((unsigned char)word->text[0]) && !*end && !errno && *out >= min && *out <= max)
 		return true;
-	return ht_rules_fault(errors, line->number, word->column, hint, "bad number '%s' for %s",
-			      word->text, what);
+	return ht_rules_errors_add(errors, line->number, word->column, hint,
+				   "bad number '%s' for %s", word->text, what);
 }
 
 bool ht_rules_weight(const struct ht_rules_line *line, unsigned int i, double min, double max,
@@ -72,6 +74,6 @@
 	if (strspn(word->text, "0123456789.") == strlen(word->text) && end != word->text && !*end &&
 	    *out >= min && *out <= max)
 		return true;
-	return ht_rules_fault(errors, line->number, word->column, hint, "bad weight '%s'",
-			      word->text);
+	return ht_rules_errors_add(errors, line->number, word->column, hint, "bad weight '%s'",
+				   word->text);
 }
--- a/rules/internal.h
+++ b/rules/internal.h
@@ -21,10 +21,6 @@
 	unsigned int end_column; /**< behind the last word */
 };
 
-/** Adds a fault; @hint may be NULL. Always returns false. */
-bool ht_rules_fault(struct ht_rules_errors *errors, unsigned int line, unsigned int column,
-		    const char *hint, const char *fmt, ...) __attribute__((format(printf, 5, 6)));
-
 /** Orders the faults by line and column. */
 void ht_rules_errors_sort(struct ht_rules_errors *errors);
 
--- a/rules/line.c
+++ b/rules/line.c
@@ -46,24 +46,24 @@
 	json_t *str;
 
 	if (len > HT_RULES_LINE_MAX)
-		return ht_rules_fault(errors, number, HT_RULES_LINE_MAX + 1, "shorten the comment",
-				      "line of %zu bytes, at most %d are allowed", len,
-				      HT_RULES_LINE_MAX);
+		return ht_rules_errors_add(
+			errors, number, HT_RULES_LINE_MAX + 1, "shorten the comment",
+			"line of %zu bytes, at most %d are allowed", len, HT_RULES_LINE_MAX);
 	for (size_t i = 0; i < len; i++) {
 		unsigned char c = (unsigned char)text[i];
 
 		if (c == '\r' && i + 1 == len)
-			return ht_rules_fault(errors, number, (unsigned int)i + 1,
-					      "save the file with newline line ends",
-					      "carriage return at the end of the line");
+			return ht_rules_errors_add(errors, number, (unsigned int)i + 1,
+						   "save the file with newline line ends",
+						   "carriage return at the end of the line");
 		if ((c < 32 && c != '\t') || c == 127)
-			return ht_rules_fault(errors, number, (unsigned int)i + 1, "remove it",
-					      "control character 0x%02x", c);
+			return ht_rules_errors_add(errors, number, (unsigned int)i + 1, "remove it",
+						   "control character 0x%02x", c);
 	}
 	str = json_stringn(text, len);
 	if (!str)
-		return ht_rules_fault(errors, number, 1, "save the file as UTF-8",
-				      "line is not valid UTF-8");
+		return ht_rules_errors_add(errors, number, 1, "save the file as UTF-8",
+					   "line is not valid UTF-8");
 	json_decref(str);
 	return true;
 }
@@ -75,12 +75,14 @@
 	unsigned int column = (unsigned int)at + 1;
 
 	if (line->count == HT_RULES_WORDS_MAX)
-		return ht_rules_fault(errors, line->number, column,
-				      "put '#' before the comment that says who asked for the rule",
-				      "more than %d words in a rule", HT_RULES_WORDS_MAX);
+		return ht_rules_errors_add(
+			errors, line->number, column,
+			"put '#' before the comment that says who asked for the rule",
+			"more than %d words in a rule", HT_RULES_WORDS_MAX);
 	word = &line->words[line->count];
 	if (len >= sizeof(word->text))
-		return ht_rules_fault(errors, line->number, column, NULL, "word of %zu bytes", len);
+		return ht_rules_errors_add(errors, line->number, column, NULL, "word of %zu bytes",
+					   len);
 	memcpy(word->text, text, len);
 	word->text[len] = 0;
 	word->column = column;
--- a/rules/parse.c
+++ b/rules/parse.c
@@ -37,7 +37,7 @@
 	const struct ht_rules_line *line = &p->line;
 	unsigned int column = i < line->count ? line->words[i].column : line->end_column;
 
-	return ht_rules_fault(p->errors, line->number, column, hint, "%s", text);
+	return ht_rules_errors_add(p->errors, line->number, column, hint, "%s", text);
 }
 
 static struct reference *add_reference(struct parser *p, struct references *refs)
@@ -67,9 +67,10 @@
 	snprintf(full, sizeof(full), "%s %s", kind, key);
 	line = json_object_get(p->seen, full);
 	if (line)
-		return ht_rules_fault(p->errors, p->line.number, p->line.words[word].column,
-				      "remove one of the two", "%s is already used in line %lld",
-				      what, (long long)json_integer_value(line));
+		return ht_rules_errors_add(p->errors, p->line.number, p->line.words[word].column,
+					   "remove one of the two",
+					   "%s is already used in line %lld", what,
+					   (long long)json_integer_value(line));
 	if (json_object_set_new(p->seen, full, json_integer(p->line.number)))
 		p->failed = true;
 	return true;
@@ -315,9 +316,9 @@
 	snprintf(key, sizeof(key), "service %s", ref->service);
 	if (json_object_get(p->seen, key))
 		return true;
-	return ht_rules_fault(p->errors, ref->line, ref->service_column,
-			      "add its service line or correct the name", "unknown service '%s'",
-			      ref->service);
+	return ht_rules_errors_add(p->errors, ref->line, ref->service_column,
+				   "add its service line or correct the name",
+				   "unknown service '%s'", ref->service);
 }
 
 static void resolve_share(struct parser *p, const struct reference *ref)
@@ -336,10 +337,10 @@
 		hits++;
 	}
 	if (!hits)
-		ht_rules_fault(p->errors, ref->line, ref->name_column,
-			       "correct the name of the data centre or remove the rule",
-			       "service '%s' has no target in data centre '%s'", ref->service,
-			       ref->name);
+		ht_rules_errors_add(p->errors, ref->line, ref->name_column,
+				    "correct the name of the data centre or remove the rule",
+				    "service '%s' has no target in data centre '%s'", ref->service,
+				    ref->name);
 }
 
 /* True when a target line has the name, even one with faults of its own. */
@@ -364,9 +365,9 @@
 	}
 	if (named_target(p, ref))
 		return;
-	ht_rules_fault(p->errors, ref->line, ref->name_column,
-		       "correct the name or remove the rule with the target's own",
-		       "service '%s' has no target '%s'", ref->service, ref->name);
+	ht_rules_errors_add(p->errors, ref->line, ref->name_column,
+			    "correct the name or remove the rule with the target's own",
+			    "service '%s' has no target '%s'", ref->service, ref->name);
 }
 
 static void resolve(struct parser *p)
@@ -378,8 +379,8 @@
 	for (size_t i = 0; i < p->drains.count; i++)
 		resolve_drain(p, &p->drains.items[i]);
 	if (!p->cfg->service_count && !p->errors->total)
-		ht_rules_fault(p->errors, 0, 0, "a rules file has at least one service line",
-			       "no service");
+		ht_rules_errors_add(p->errors, 0, 0, "a rules file has at least one service line",
+				    "no service");
 }
 
 static void check_weights(struct parser *p)
@@ -391,8 +392,8 @@
 		for (size_t k = 0; k < svc->target_count; k++)
 			sum += svc->targets[k].weight;
 		if (svc->target_count && sum <= 0)
-			ht_rules_fault(p->errors, 0, 0, "give one of its data centres a share",
-				       "every target of service '%s' has weight 0", svc->name);
+			ht_rules_errors_add(p->errors, 0, 0, "give one of its data centres a share",
+					    "every target of service '%s' has weight 0", svc->name);
 	}
 }
 
@@ -402,11 +403,11 @@
 
 	resolve(p);
 	if (p->failed)
-		return ht_rules_fault(p->errors, 0, 0, NULL, "out of memory");
+		return ht_rules_errors_add(p->errors, 0, 0, NULL, "out of memory");
 	if (p->errors->total)
 		return false;
 	if (!ht_config_seal(p->cfg, &err))
-		return ht_rules_fault(p->errors, 0, 0, NULL, "%s", err.text);
+		return ht_rules_errors_add(p->errors, 0, 0, NULL, "%s", err.text);
 	check_weights(p);
 	return p->errors->total == 0;
 }
@@ -424,7 +425,7 @@
 		ht_rules_each_line(text, len, parse_line, &p);
 		ok = finish(&p);
 	} else {
-		ht_rules_fault(&own, 0, 0, NULL, "out of memory");
+		ht_rules_errors_add(&own, 0, 0, NULL, "out of memory");
 	}
 	ht_rules_errors_sort(&own);
 	free(copy);
--- a/rules/rules.h
+++ b/rules/rules.h
@@ -29,6 +29,11 @@
 
 void ht_rules_errors_clear(struct ht_rules_errors *errors);
 
+/** Adds a fault; @hint may be NULL. Always returns false. */
+bool ht_rules_errors_add(struct ht_rules_errors *errors, unsigned int line, unsigned int column,
+			 const char *hint, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+
 /** Writes one line per error, "FILE:LINE:COLUMN: text (hint)", and a last one when some are cut. */
 void ht_rules_errors_print(const struct ht_rules_errors *errors, const char *file, FILE *out);
 
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -27,6 +27,8 @@
 	int reads, writes; /* calls on objects */
 	/* Called once before a write of the head, as another operator's write at that moment. */
 	void (*before_write)(struct fake *f);
+	/* Called once after a write of the head whose answer is lost. */
+	void (*after_write)(struct fake *f);
 };
 
 struct fake_upload {
@@ -90,6 +92,9 @@
 	have = fake_put(f, name, json_loadb(up->data, up->len, JSON_DECODE_ANY, NULL), 0);
 	if (head && f->lose_answers > 0) {
 		f->lose_answers--;
+		if (f->after_write)
+			f->after_write(f);
+		f->after_write = NULL;
 		return MHD_NO;
 	}
 	return fake_answer(conn, 200, json_pack("{sI}", "version", (json_int_t)have));
