--- a/rules/config.c
+++ b/rules/config.c
@@ -104,7 +104,7 @@
 {
 	while (*next < cfg->target_count && cfg->targets[*next].service < svc->id)
 		(*next)++;
-	svc->targets = cfg->targets + *next;
+	svc->targets = cfg->targets ? cfg->targets + *next : NULL;
 	svc->target_count = 0;
 	svc->target_set = svc->id;
 	while (*next < cfg->target_count && cfg->targets[*next].service == svc->id) {
