core: name the former owner of a target in the ownership interface

A home that took a target over from a live instance asks that instance once for an unknown flow (design 3.14); the interface gave only the time of the takeover. The field may be NULL.

--- a/core/services.h
+++ b/core/services.h
@@ -92,6 +92,8 @@
 	uint32_t (*slots)(void *ctx, uint64_t target);
 	/** When the target was last taken over from another owner, or HT_NEVER. */
 	ht_ms (*taken_over_at)(void *ctx, uint64_t target);
+	/** Live instance that the target was taken over from, or 0. May be NULL. */
+	uint64_t (*former_owner)(void *ctx, uint64_t target);
 	/** One own request to a target in the state releasing has ended. */
 	void (*request_ended)(void *ctx, uint64_t target);
 };
