wire: carry the incarnation's clock with a handed-over ledger

The receiver needs the age of a ticket: an entry that expired before the hand-over would otherwise count as absent, that is as not run. Tickets hold the issuer's monotonic time only.

--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -2265,7 +2265,7 @@
   (ProtobufCMessageInit) ht__ledger_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[5] =
 {
   {
     "incarnation",
@@ -2315,17 +2315,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "now_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__LedgerEntries, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__ledger_entries__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   1,   /* field[1] = entries */
   0,   /* field[0] = incarnation */
   2,   /* field[2] = last */
+  4,   /* field[4] = now_ms */
 };
 static const ProtobufCIntRange ht__ledger_entries__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ht__ledger_entries__descriptor =
 {
@@ -2335,7 +2348,7 @@
   "Ht__LedgerEntries",
   "ht",
   sizeof(Ht__LedgerEntries),
-  4,
+  5,
   ht__ledger_entries__field_descriptors,
   ht__ledger_entries__field_indices_by_name,
   1,  ht__ledger_entries__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -374,10 +374,14 @@
   Ht__LedgerEntry **entries;
   protobuf_c_boolean last;
   uint32_t batch;
+  /*
+   * the incarnation's clock, for the age of its tickets
+   */
+  int64_t now_ms;
 };
 #define HT__LEDGER_ENTRIES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__ledger_entries__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Ht__LedgerAck
