--- /dev/null
+++ b/core/handover.c
@@ -0,0 +1,414 @@
+/*
+ * Hand-over of the ledger of postings. An instance that stops streams its whole ledger, and each
+ * later change, to every instance that takes a target over. Only the mark `last` makes the ledger
+ * complete at the receiver: from then on a ticket that is absent there was not run.
+ */
+#include "core/path.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BATCH_ENTRIES 128
+/* Larger bodies are left out; the verdict "ran" is kept. Frames stay below 1 MiB. */
+#define BODY_MAX 4096
+/* A receiver that does not acknowledge for this long is given up; its copy stays incomplete. */
+#define ACK_TIMEOUT 2000
+
+struct follower {
+	struct ht_list node;
+	uint64_t peer;
+	uint32_t sent;	/* batches sent */
+	uint32_t acked; /* batches acknowledged */
+	ht_ms waiting_since;
+	bool whole; /* gets every posting, not only those of one target */
+	bool last;
+};
+
+/* A ledger received from another incarnation. */
+struct predecessor {
+	uint64_t incarnation;
+	uint32_t next; /* batch expected next */
+	ht_ms clock;   /* its clock minus the own clock */
+	ht_ms received;
+	bool gap;
+	bool complete;
+};
+
+struct batch {
+	struct ht_request_path *p;
+	struct follower *f;
+	uint64_t target; /* 0: all */
+	size_t count;
+	Ht__LedgerEntry *entries[BATCH_ENTRIES];
+	Ht__LedgerEntry entry[BATCH_ENTRIES];
+	Ht__RequestKey key[BATCH_ENTRIES];
+	Ht__Ticket ticket[BATCH_ENTRIES];
+	Ht__Ticket next[BATCH_ENTRIES];
+	Ht__Answer answer[BATCH_ENTRIES];
+};
+
+void ht_handover_init(struct ht_request_path *p)
+{
+	ht_list_init(&p->followers);
+	p->predecessors = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+}
+
+void ht_handover_free(struct ht_request_path *p)
+{
+	while (!ht_list_empty(&p->followers)) {
+		struct follower *f = ht_container_of(p->followers.next, struct follower, node);
+
+		ht_list_del(&f->node);
+		free(f);
+	}
+	g_hash_table_destroy(p->predecessors);
+}
+
+static struct follower *follower_of(struct ht_request_path *p, uint64_t peer, bool create)
+{
+	struct ht_list *pos;
+	struct follower *f;
+
+	ht_list_for_each(pos, &p->followers)
+	{
+		f = ht_container_of(pos, struct follower, node);
+		if (f->peer == peer)
+			return f;
+	}
+	f = create ? calloc(1, sizeof(*f)) : NULL;
+	if (!f)
+		return NULL;
+	f->peer = peer;
+	ht_list_add_tail(&p->followers, &f->node);
+	return f;
+}
+
+static void give_up(struct ht_request_path *p, struct follower *f, const char *why)
+{
+	p->env->emit(p->env, HT_EV_LEDGER_NOT_TAKEN, 0, 0, 0, f->peer, "why=%s sent=%u acked=%u",
+		     why, f->sent, f->acked);
+	ht_list_del(&f->node);
+	free(f);
+}
+
+/* False when the follower was given up. */
+static bool flush_batch(struct batch *b, bool last)
+{
+	struct ht_request_path *p = b->p;
+	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
+	Ht__LedgerEntries m = HT__LEDGER_ENTRIES__INIT;
+
+	m.incarnation = p->env->params.incarnation;
+	m.n_entries = b->count;
+	m.entries = b->entries;
+	m.last = last;
+	m.batch = b->f->sent;
+	m.now_ms = p->env->now;
+	msg.kind_case = HT__PEER_MSG__KIND_LEDGER_ENTRIES;
+	msg.ledger_entries = &m;
+	b->count = 0;
+	if (!p->env->send(p->env, b->f->peer, &msg)) {
+		give_up(p, b->f, "not_sent");
+		b->f = NULL;
+		return false;
+	}
+	if (b->f->sent == b->f->acked)
+		b->f->waiting_since = p->env->now;
+	b->f->sent++;
+	b->f->last = b->f->last || last;
+	return true;
+}
+
+static void fill_answer(struct batch *b, size_t i, const struct ht_entry *e)
+{
+	Ht__Answer *a = &b->answer[i];
+
+	ht__answer__init(a);
+	a->code = e->code;
+	a->verdict = e->verdict;
+	a->content_format = e->content_format;
+	if (e->payload_len <= BODY_MAX && !e->evicted) {
+		a->payload.data = e->payload;
+		a->payload.len = e->payload_len;
+		a->etag.data = (uint8_t *)e->etag;
+		a->etag.len = sizeof(e->etag);
+	} else {
+		a->code = HT_GATEWAY_TIMEOUT;
+	}
+	b->entry[i].answer = a;
+}
+
+static void add_entry(void *ctx, struct ht_entry *e)
+{
+	struct batch *b = ctx;
+	struct ht_ticket t;
+	size_t i;
+
+	ht_ticket_unpack(&t, e->ticket);
+	if (!b->f || t.incarnation != b->p->env->params.incarnation ||
+	    (b->target && e->target != b->target))
+		return;
+	i = b->count++;
+	ht__ledger_entry__init(&b->entry[i]);
+	ht__request_key__init(&b->key[i]);
+	ht_ticket_to_wire(&b->ticket[i], e->ticket);
+	b->entries[i] = &b->entry[i];
+	b->key[i].flow = e->flow;
+	b->key[i].token.data = e->token;
+	b->key[i].token.len = e->token_len;
+	b->key[i].ticket = &b->ticket[i];
+	b->entry[i].key = &b->key[i];
+	b->entry[i].state = (Ht__LedgerState)e->state;
+	b->entry[i].target = e->target;
+	if (e->state == HT_ENTRY_ANSWERED)
+		fill_answer(b, i, e);
+	if (b->count == BATCH_ENTRIES)
+		flush_batch(b, false);
+}
+
+static void send_ledger(struct ht_request_path *p, struct follower *f, uint64_t target, bool last)
+{
+	struct batch *b = calloc(1, sizeof(*b));
+
+	if (!b) {
+		give_up(p, f, "memory");
+		return;
+	}
+	b->p = p;
+	b->f = f;
+	b->target = target;
+	if (!last || !f->whole)
+		ht_ledger_each_posting(p->ledger, add_entry, b);
+	if (b->f && (b->count || last))
+		flush_batch(b, last);
+	if (b->f)
+		p->env->emit(p->env, HT_EV_LEDGER_SENT, 0, 0, target, f->peer,
+			     "batches=%u last=%d", f->sent, last);
+	free(b);
+}
+
+void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e)
+{
+	struct ht_list *pos, *tmp;
+
+	if (!e->posting || ht_list_empty(&p->followers))
+		return;
+	ht_list_for_each_safe(pos, tmp, &p->followers)
+	{
+		struct batch *b = calloc(1, sizeof(*b));
+
+		if (!b)
+			return;
+		b->p = p;
+		b->f = ht_container_of(pos, struct follower, node);
+		add_entry(b, (struct ht_entry *)e);
+		if (b->count)
+			flush_batch(b, false);
+		free(b);
+	}
+}
+
+/* While stopping, the receiver gets everything: any of the tickets may be asked for there. */
+static void hand_over(void *ctx, uint64_t target, uint64_t to)
+{
+	struct ht_request_path *p = ctx;
+	struct follower *f = follower_of(p, to, true);
+
+	if (!f || f->whole)
+		return;
+	if (!p->env->stopping) {
+		send_ledger(p, f, target, false);
+		return;
+	}
+	send_ledger(p, f, 0, false);
+	f = follower_of(p, to, false);
+	if (f)
+		f->whole = true;
+}
+
+static void hand_over_all(void *ctx)
+{
+	struct ht_request_path *p = ctx;
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+	struct ht_list *pos, *tmp;
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, p->targets);
+	while (cfg && g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct ht_target_conf *conf =
+			ht_config_target(cfg, ((struct ht_target *)value)->id);
+		uint64_t home = conf ? p->membership->home(p->membership->ctx, conf->id, conf->dc)
+				     : 0;
+
+		if (home && home != p->env->self)
+			follower_of(p, home, true);
+	}
+	p->ledger_closed = true;
+	ht_list_for_each_safe(pos, tmp, &p->followers)
+	{
+		struct follower *f = ht_container_of(pos, struct follower, node);
+
+		if (!f->last)
+			send_ledger(p, f, 0, true);
+	}
+}
+
+static bool handed_over(void *ctx)
+{
+	struct ht_request_path *p = ctx;
+	struct ht_list *pos;
+
+	ht_list_for_each(pos, &p->followers)
+	{
+		struct follower *f = ht_container_of(pos, struct follower, node);
+
+		if (f->acked < f->sent)
+			return false;
+	}
+	return true;
+}
+
+static void take_entry(struct ht_request_path *p, const Ht__LedgerEntry *m)
+{
+	struct ht_body body = {.method = HT_POST, .has_ticket = true};
+	struct ht_answer a = {0};
+	struct ht_entry *e;
+
+	if (!m->key || !m->key->ticket || m->key->token.len > HT_TOKEN_MAX ||
+	    m->state > HT__LEDGER_STATE__LEDGER_UNKNOWN)
+		return;
+	body.flow = m->key->flow;
+	body.token_len = (uint8_t)m->key->token.len;
+	if (body.token_len)
+		memcpy(body.token, m->key->token.data, body.token_len);
+	ht_ticket_from_wire(body.ticket, m->key->ticket);
+	e = ht_ledger_find(p->ledger, &body);
+	if (!e)
+		e = ht_ledger_add(p->ledger, &body, HT_ENTRY_UNKNOWN, p->env->now);
+	if (!e || e->job)
+		return;
+	e->target = m->target;
+	ht_ledger_change(p->ledger, e, (enum ht_entry_state)m->state, p->env->now);
+	if (m->state != HT__LEDGER_STATE__LEDGER_ANSWERED || !m->answer)
+		return;
+	a.code = (uint8_t)m->answer->code;
+	a.verdict = (enum ht_verdict)m->answer->verdict;
+	a.payload = m->answer->payload.data;
+	a.payload_len = m->answer->payload.len;
+	a.content_format = m->answer->content_format;
+	if (m->answer->etag.len == sizeof(a.etag))
+		memcpy(a.etag, m->answer->etag.data, sizeof(a.etag));
+	ht_ledger_keep(p->ledger, e, &a, p->env->now);
+}
+
+static struct predecessor *predecessor_of(struct ht_request_path *p, uint64_t incarnation)
+{
+	struct predecessor *pre = g_hash_table_lookup(p->predecessors, &incarnation);
+
+	if (pre)
+		return pre;
+	pre = calloc(1, sizeof(*pre));
+	if (!pre)
+		return NULL;
+	pre->incarnation = incarnation;
+	g_hash_table_insert(p->predecessors, &pre->incarnation, pre);
+	return pre;
+}
+
+static void take_entries(void *ctx, uint64_t peer, const Ht__LedgerEntries *m)
+{
+	struct ht_request_path *p = ctx;
+	struct predecessor *pre = predecessor_of(p, m->incarnation);
+	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
+	Ht__LedgerAck ack = HT__LEDGER_ACK__INIT;
+
+	if (!pre)
+		return;
+	/* A batch that was lost with a link leaves the copy incomplete for good. */
+	if (m->batch != pre->next)
+		pre->gap = true;
+	pre->next = m->batch + 1;
+	pre->clock = m->now_ms - p->env->now;
+	pre->received = p->env->now;
+	for (size_t i = 0; i < m->n_entries; i++)
+		take_entry(p, m->entries[i]);
+	pre->complete = (pre->complete || m->last) && !pre->gap;
+	p->env->emit(p->env, HT_EV_LEDGER_RECEIVED, 0, 0, 0, peer,
+		     "incarnation=%016llx entries=%zu complete=%d",
+		     (unsigned long long)m->incarnation, m->n_entries, pre->complete);
+	ack.batch = m->batch;
+	ack.last = m->last;
+	msg.kind_case = HT__PEER_MSG__KIND_LEDGER_ACK;
+	msg.ledger_ack = &ack;
+	p->env->send(p->env, peer, &msg);
+}
+
+static void take_ack(void *ctx, uint64_t peer, const Ht__LedgerAck *m)
+{
+	struct ht_request_path *p = ctx;
+	struct follower *f = follower_of(p, peer, false);
+
+	if (!f || m->batch < f->acked || m->batch >= f->sent)
+		return;
+	f->acked = m->batch + 1;
+	f->waiting_since = p->env->now;
+}
+
+bool ht_handover_complete(struct ht_request_path *p, uint64_t incarnation, ht_ms *clock)
+{
+	struct predecessor *pre = g_hash_table_lookup(p->predecessors, &incarnation);
+
+	if (!pre || !pre->complete)
+		return false;
+	if (clock)
+		*clock = p->env->now + pre->clock;
+	return true;
+}
+
+void ht_handover_peer_down(struct ht_request_path *p, uint64_t peer)
+{
+	struct follower *f = follower_of(p, peer, false);
+
+	if (!f)
+		return;
+	give_up(p, f, "link_down");
+	if (p->env->stopping && p->ledger_closed)
+		hand_over_all(p);
+}
+
+static gboolean too_old(void *key, void *value, void *ctx)
+{
+	const struct predecessor *pre = value;
+	const struct ht_request_path *p = ctx;
+
+	(void)key;
+	return p->env->now - pre->received > HT_LEDGER_KEEP;
+}
+
+void ht_handover_expire(struct ht_request_path *p)
+{
+	struct ht_list *pos, *tmp;
+
+	g_hash_table_foreach_remove(p->predecessors, too_old, p);
+	ht_list_for_each_safe(pos, tmp, &p->followers)
+	{
+		struct follower *f = ht_container_of(pos, struct follower, node);
+
+		if (f->acked < f->sent && p->env->now - f->waiting_since >= ACK_TIMEOUT)
+			give_up(p, f, "no_acknowledgement");
+	}
+}
+
+void ht_handover_publish(struct ht_request_path *p)
+{
+	p->ledger_if = (struct ht_ledger_if){
+		.ctx = p,
+		.hand_over = hand_over,
+		.hand_over_all = hand_over_all,
+		.handed_over = handed_over,
+		.entries = take_entries,
+		.ack = take_ack,
+	};
+	ht_registry_add(p->env->registry, "ledger", &p->ledger_if);
+}
--- /dev/null
+++ b/core/path.h
@@ -0,0 +1,248 @@
+/*
+ * Private interfaces of the request path: its parts share one context and are freed together.
+ * Only the files of the request path include this header.
+ */
+#ifndef HT_CORE_PATH_H
+#define HT_CORE_PATH_H
+
+#include "base/list.h"
+#include "core/flows.h"
+#include "core/ledger.h"
+#include "core/placement.h"
+#include "core/request.h"
+#include "core/retries.h"
+#include "core/services.h"
+#include "core/targets.h"
+#include "core/timers.h"
+
+#include <glib.h>
+
+/** A packet makes at most this many hops between instances, so that views that differ end. */
+#define HT_HOP_LIMIT 6
+
+/** Time taken off the deadline at each hop, so that the refusal reaches the ingress in time. */
+#define HT_HOP_ALLOWANCE 5
+
+/** CoAP carries the time to come back in whole seconds, so no shorter time can be given. */
+#define HT_RETRY_AFTER_MIN 1000
+
+/** 2.02: a cancellation was carried out. */
+#define HT_DELETED 66
+
+struct ht_request_path {
+	struct ht_env *env;
+	struct ht_config_if *config;
+	struct ht_membership_if *membership;
+	struct ht_ownership_if *ownership;
+	struct ht_timers *timers;
+	struct ht_flows *flows;
+	struct ht_ledger *ledger;
+	struct ht_retries *home_retries;
+	struct ht_retries *ingress_retries;
+	GHashTable *targets; /**< struct ht_target by id */
+	GHashTable *pending; /**< struct ht_pending by id */
+	GHashTable *jobs;    /**< struct ht_job by id */
+	struct ht_list parked;
+	struct ht_list hops;
+	uint64_t next_id;
+	uint32_t ticket_sequence;
+	bool ledger_closed;	   /**< handed over whole: postings run here no more */
+	struct ht_list followers;  /**< instances that got this incarnation's ledger */
+	GHashTable *predecessors;  /**< ledgers received, by incarnation */
+	struct ht_router_if router_if;
+	struct ht_targets_if targets_if;
+	struct ht_ledger_if ledger_if;
+	struct ht_tick_if tick_if;
+};
+
+/** Where the answer of a request goes: an ingress and its handle. */
+struct ht_waiter {
+	uint64_t ingress;
+	uint64_t ingress_id;
+};
+
+enum ht_job_state {
+	HT_JOB_NEW,
+	HT_JOB_PARKED, /**< waits for a claim or a configuration */
+	HT_JOB_HOP,    /**< forwarded; kept until its deadline in case it comes back */
+	HT_JOB_QUEUED,
+	HT_JOB_SENT,
+};
+
+/** A request at an instance that acts, or may come to act, as home. */
+struct ht_job {
+	struct ht_list node; /**< parked, hops, a target's queue or its requests in flight */
+	struct ht_timer timer;
+	uint64_t id;
+	struct ht_body *body;
+	struct ht_entry *entry; /**< its place in the ledger while queued or sent */
+	struct ht_waiter *waiters;
+	unsigned int waiter_count;
+	enum ht_job_state state;
+	ht_ms deadline;
+	ht_ms sent_at;
+	uint64_t target;
+	uint64_t sender; /**< instance that forwarded it; own id for the local ingress */
+	uint64_t hop_id; /**< the sender's handle, for Returned */
+	uint64_t hop_peer;
+	uint32_t flags; /**< ForwardFlag bits it arrived with */
+	uint32_t hop_flags;
+	uint64_t hop_target;
+	uint32_t hops_left;
+	uint64_t config_version;
+	double wait;	      /**< sender's estimate, with FORWARD_DEFLECTED */
+	unsigned int tried;   /**< bit per index of the row */
+	unsigned int asked;   /**< look-ups made so far */
+	bool waited;	      /**< has been parked once */
+	bool compared;	      /**< a deflection came back */
+	bool one_off;	      /**< placed for this request only: the flow stays */
+	bool stripped;	      /**< nobody waits for a Returned of it */
+	bool answered;	      /**< waiters are served; only the slot is still held */
+	enum ht_verdict floor; /**< least verdict that a refusal may give */
+};
+
+/** A caller's request at its ingress. */
+struct ht_pending {
+	struct ht_timer timer;
+	uint64_t id;
+	uint64_t handle;
+	struct ht_body *body;
+	ht_ms deadline;
+	ht_ms retry_at;
+	unsigned int attempts;
+	unsigned int outstanding; /**< bit per attempt */
+	uint64_t peers[8];	  /**< instance that each attempt went to */
+	unsigned int candidate;
+	bool forwarded; /**< some attempt left this instance and may have run */
+	enum ht_verdict worst; /**< of the attempts that were refused */
+	bool waited;
+	uint32_t flags;
+};
+
+/** Id of a request in events: hash of the ticket, or of flow and token. */
+uint64_t ht_request_event_id(const struct ht_body *body);
+
+/** Emits an event about a request. */
+#define ht_path_event(p, ev, body, target, instance, ...)                                          \
+	(p)->env->emit((p)->env, HT_EV_##ev, (body)->flow, ht_request_event_id(body), target,      \
+		       instance, __VA_ARGS__)
+
+static inline void ht_path_count(struct ht_request_path *p, enum ht_counter id)
+{
+	ht_count(&p->env->counters, id, 1);
+}
+
+/* router_home.c: requests at the home */
+struct ht_job *ht_job_new(struct ht_request_path *p, struct ht_body *body, uint64_t sender);
+bool ht_job_add_waiter(struct ht_job *job, uint64_t ingress, uint64_t ingress_id);
+void ht_job_free(struct ht_request_path *p, struct ht_job *job);
+/** Decides what happens to the job now: serve, look up, deflect, park, refuse. */
+void ht_home_decide(struct ht_request_path *p, struct ht_job *job);
+/** Takes the flow's next request as new: candidates in order, without further look-ups. */
+void ht_home_place(struct ht_request_path *p, struct ht_job *job);
+/** Accepts the job at a target of this instance: queue it, or issue a ticket. */
+void ht_home_accept(struct ht_request_path *p, struct ht_job *job, struct ht_target *t);
+/** Makes the job wait for a claim or a configuration, once, for claim_wait at most. */
+void ht_home_park(struct ht_request_path *p, struct ht_job *job);
+/** Runs the parked jobs that wait for @target, or all with 0. */
+void ht_home_resume(struct ht_request_path *p, uint64_t target);
+/** True when the target's home is here and it can queue the job within its deadline. */
+bool ht_home_can_queue(struct ht_request_path *p, const struct ht_job *job,
+		       const struct ht_target_conf *conf);
+/** Finds the place for a job that a target did not start; its posting is sealed first. */
+void ht_home_replace(struct ht_request_path *p, struct ht_job *job);
+
+/* router_hop.c: forwards between homes */
+bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
+		 uint32_t flags, double wait);
+void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
+		   double wait);
+void ht_hop_returned(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
+		     double wait);
+void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer);
+
+/* router_serve.c: queue, send, results */
+void ht_serve_enqueue(struct ht_request_path *p, struct ht_job *job, struct ht_target *t);
+void ht_serve_run(struct ht_request_path *p, struct ht_target *t);
+void ht_serve_flush(struct ht_request_path *p, struct ht_target *t);
+/** Removes a queued job; its waiters are told that it was not run. */
+void ht_serve_cancel_queued(struct ht_request_path *p, struct ht_job *job);
+void ht_serve_result(struct ht_request_path *p, const struct ht_target_answer *ans);
+void ht_serve_target_state(struct ht_request_path *p, uint64_t id, enum ht_target_state state);
+void ht_serve_owner_changed(struct ht_request_path *p, uint64_t id);
+void ht_serve_config_changed(struct ht_request_path *p);
+
+/* router_posting.c: tickets */
+void ht_posting_decide(struct ht_request_path *p, struct ht_job *job);
+/** Goes on with the job as a posting without a ticket. */
+void ht_posting_strip(struct ht_request_path *p, struct ht_job *job);
+/** Seals the job's ticket: it has not run and will not run. */
+void ht_posting_seal(struct ht_request_path *p, struct ht_job *job);
+/** Answers with a ticket of this incarnation (4.01) and frees the job. */
+void ht_posting_issue(struct ht_request_path *p, struct ht_job *job);
+
+/** Fills in a new ticket of this incarnation for the flow. */
+void ht_posting_ticket(struct ht_request_path *p, const struct ht_body *body,
+		       uint8_t raw[HT_TICKET_LEN]);
+
+/* handover.c: the ledger of an incarnation on its way to the next owners */
+void ht_handover_init(struct ht_request_path *p);
+void ht_handover_free(struct ht_request_path *p);
+/** Publishes "ledger". */
+void ht_handover_publish(struct ht_request_path *p);
+/** Tells the instances that got the ledger about a change of a posting. */
+void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e);
+/**
+ * True when the ledger of @incarnation was received whole. *@clock (may be NULL) is then an
+ * estimate of that incarnation's clock now.
+ */
+bool ht_handover_complete(struct ht_request_path *p, uint64_t incarnation, ht_ms *clock);
+void ht_handover_peer_down(struct ht_request_path *p, uint64_t peer);
+void ht_handover_expire(struct ht_request_path *p);
+
+/* router_cancel.c */
+void ht_cancel_decide(struct ht_request_path *p, struct ht_job *job);
+
+/* router_answer.c: answers to ingresses; all take the job's waiters */
+void ht_reply_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code,
+		     enum ht_verdict verdict, ht_ms retry_after, const char *why);
+void ht_reply_unavailable(struct ht_request_path *p, struct ht_job *job, const char *why);
+void ht_reply_may_have_run(struct ht_request_path *p, struct ht_job *job, const char *why);
+/** Answers all waiters from the kept answer, each request with its own block. */
+void ht_reply_entry(struct ht_request_path *p, struct ht_job *job, const struct ht_entry *e);
+/** Sends one answer to one ingress; @target is where it ran, or 0. */
+void ht_reply_send(struct ht_request_path *p, const struct ht_body *body, uint64_t target,
+		   const struct ht_waiter *to, const struct ht_answer *answer);
+
+/* router_ingress.c: requests at the ingress */
+void ht_ingress_request(struct ht_request_path *p, uint64_t handle, const struct ht_request *req);
+void ht_ingress_answer(struct ht_request_path *p, uint64_t id, const struct ht_answer *answer);
+void ht_ingress_returned(struct ht_request_path *p, struct ht_pending *pending,
+			 enum ht_return_reason reason);
+void ht_ingress_peer_down(struct ht_request_path *p, uint64_t peer,
+			  enum ht_peer_down_reason reason);
+void ht_ingress_config_changed(struct ht_request_path *p);
+void ht_pending_free(struct ht_request_path *p, struct ht_pending *pending);
+
+/** Ids are unique in the instance; job ids and pending ids share one sequence. */
+static inline uint64_t ht_path_id(struct ht_request_path *p)
+{
+	return ++p->next_id;
+}
+
+/** Id of a job's hop in Returned; the ids of an ingress end in the attempt's number instead. */
+static inline uint64_t ht_hop_id(const struct ht_job *job)
+{
+	return job->id << 3 | 7;
+}
+
+/** Fills @msg and @fwd with the request; both point into @body. */
+struct ht_forward_frame {
+	Ht__PeerMsg msg;
+	Ht__Forward forward;
+	Ht__RequestKey key;
+	Ht__Ticket ticket;
+};
+void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body);
+
+#endif
--- /dev/null
+++ b/core/router_home.c
@@ -0,0 +1,562 @@
+/* The home side: decides for each request where it is served. */
+#include "core/path.h"
+
+#include <stdlib.h>
+
+/* Number of earlier target sets that can be asked (config_if.previous_set). */
+#define PREVIOUS_SETS 4
+
+static void job_due(void *ctx, struct ht_timer *timer)
+{
+	struct ht_request_path *p = ctx;
+	struct ht_job *job = ht_container_of(timer, struct ht_job, timer);
+
+	if (job->state == HT_JOB_HOP) {
+		/* The answer went straight to the ingress, or it gives the verdict itself. */
+		ht_flows_confirm(p->flows, job->body->flow, job->hop_target);
+		ht_job_free(p, job);
+		return;
+	}
+	if (job->state == HT_JOB_PARKED && p->env->now < job->deadline) {
+		ht_list_del(&job->node);
+		job->state = HT_JOB_NEW;
+		ht_home_decide(p, job);
+		return;
+	}
+	ht_reply_unavailable(p, job, "deadline");
+	ht_job_free(p, job);
+}
+
+struct ht_job *ht_job_new(struct ht_request_path *p, struct ht_body *body, uint64_t sender)
+{
+	struct ht_job *job = calloc(1, sizeof(*job));
+
+	if (!job)
+		return NULL;
+	job->id = ht_path_id(p);
+	job->body = ht_body_get(body);
+	job->sender = sender;
+	job->timer.fire = job_due;
+	ht_list_init(&job->node);
+	g_hash_table_insert(p->jobs, &job->id, job);
+	return job;
+}
+
+bool ht_job_add_waiter(struct ht_job *job, uint64_t ingress, uint64_t ingress_id)
+{
+	struct ht_waiter *w = g_try_realloc(job->waiters, (job->waiter_count + 1) * sizeof(*w));
+
+	if (!w)
+		return false;
+	w[job->waiter_count++] = (struct ht_waiter){.ingress = ingress, .ingress_id = ingress_id};
+	job->waiters = w;
+	return true;
+}
+
+void ht_job_free(struct ht_request_path *p, struct ht_job *job)
+{
+	ht_timer_stop(&job->timer);
+	ht_list_del(&job->node);
+	if (job->entry)
+		job->entry->job = NULL;
+	g_hash_table_remove(p->jobs, &job->id);
+	ht_body_put(job->body);
+	g_free(job->waiters);
+	free(job);
+}
+
+void ht_home_park(struct ht_request_path *p, struct ht_job *job)
+{
+	ht_ms due = p->env->now + p->env->params.claim_wait;
+
+	job->waited = true;
+	job->state = HT_JOB_PARKED;
+	ht_list_add_tail(&p->parked, &job->node);
+	ht_path_event(p, REQUEST_PARKED, job->body, job->target, 0, "hops_left=%u", job->hops_left);
+	ht_timer_set(p->timers, &job->timer, due < job->deadline ? due : job->deadline);
+}
+
+void ht_home_resume(struct ht_request_path *p, uint64_t target)
+{
+	struct ht_list ready, *pos, *tmp;
+
+	ht_list_init(&ready);
+	ht_list_for_each_safe(pos, tmp, &p->parked)
+	{
+		struct ht_job *job = ht_container_of(pos, struct ht_job, node);
+
+		if (target && job->target != target)
+			continue;
+		ht_list_del(&job->node);
+		ht_list_add_tail(&ready, &job->node);
+	}
+	while (!ht_list_empty(&ready)) {
+		struct ht_job *job = ht_container_of(ready.next, struct ht_job, node);
+
+		ht_list_del(&job->node);
+		ht_timer_stop(&job->timer);
+		job->state = HT_JOB_NEW;
+		ht_home_decide(p, job);
+	}
+}
+
+static const struct ht_service_conf *service_of(struct ht_request_path *p,
+						const struct ht_job *job)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+
+	return cfg ? ht_config_service(cfg, job->body->service) : NULL;
+}
+
+static uint64_t home_of(struct ht_request_path *p, const struct ht_target_conf *t)
+{
+	return p->membership->home(p->membership->ctx, t->id, t->dc);
+}
+
+/* Estimated wait at a target whose home is this instance; INFINITY when it takes no work. */
+static double wait_at(struct ht_request_path *p, const struct ht_target_conf *conf)
+{
+	struct ht_target *t = g_hash_table_lookup(p->targets, &conf->id);
+	uint32_t owned = p->ownership->slots(p->ownership->ctx, conf->id);
+
+	if (!t || t->draining || conf->draining)
+		return INFINITY;
+	return ht_target_wait(t, ht_target_usable(t, owned, p->env->now));
+}
+
+/* True while a claim of the target may still be granted within claim_wait. */
+static bool claim_pending(struct ht_request_path *p, uint64_t target)
+{
+	switch (p->ownership->state(p->ownership->ctx, target)) {
+	case HT_OWNER_CLAIMING:
+	case HT_OWNER_RELEASING:
+		return true;
+	case HT_OWNER_NONE:
+		return p->membership->lease_valid(p->membership->ctx);
+	default:
+		return false;
+	}
+}
+
+/* Makes the job wait for its claim once; true when it now waits. */
+static bool park_for_claim(struct ht_request_path *p, struct ht_job *job)
+{
+	if (job->waited || p->ownership->slots(p->ownership->ctx, job->target) ||
+	    !claim_pending(p, job->target))
+		return false;
+	ht_home_park(p, job);
+	return true;
+}
+
+static bool set_flow(struct ht_request_path *p, struct ht_job *job, uint64_t target)
+{
+	bool evicted;
+
+	if (ht_flows_set(p->flows, job->body->flow, target, p->env->now, false, &evicted)) {
+		if (evicted)
+			ht_path_count(p, HT_C_flows_dropped);
+		return true;
+	}
+	ht_path_event(p, FLOW_TABLE_FULL, job->body, target, 0, "flows=%zu",
+		      ht_flows_count(p->flows));
+	ht_reply_unavailable(p, job, "flow_table_full");
+	ht_job_free(p, job);
+	return false;
+}
+
+/* Takes the job at @conf, whose home is this instance, and records the flow there. */
+static void take(struct ht_request_path *p, struct ht_job *job, const struct ht_target_conf *conf,
+		 bool record)
+{
+	struct ht_target *t = g_hash_table_lookup(p->targets, &conf->id);
+
+	job->target = conf->id;
+	if (record) {
+		if (!ht_flows_use(p->flows, job->body->flow, p->env->now, NULL))
+			ht_path_count(p, HT_C_flows_opened);
+		if (!set_flow(p, job, conf->id))
+			return;
+	}
+	ht_path_event(p, REQUEST_ACCEPTED, job->body, conf->id, 0, "recorded=%d", record);
+	ht_home_accept(p, job, t);
+}
+
+bool ht_home_can_queue(struct ht_request_path *p, const struct ht_job *job,
+		       const struct ht_target_conf *conf)
+{
+	const struct ht_target *t = g_hash_table_lookup(p->targets, &conf->id);
+	double wait = wait_at(p, conf);
+
+	if (home_of(p, conf) != p->env->self || !t)
+		return false;
+	return wait == 0 || (wait + t->service_time <= (double)(job->deadline - p->env->now) &&
+			     t->queued < p->env->params.queue_max);
+}
+
+void ht_home_accept(struct ht_request_path *p, struct ht_job *job, struct ht_target *t)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+
+	if (!ht_body_idempotent(job->body) && !job->body->has_ticket) {
+		/* No ticket for a posting that would be refused when it comes with it. */
+		if (p->ledger_closed ||
+		    !ht_home_can_queue(p, job, ht_config_target(cfg, t->id))) {
+			ht_reply_unavailable(p, job, "no_room_for_posting");
+			ht_job_free(p, job);
+			return;
+		}
+		ht_posting_issue(p, job);
+		return;
+	}
+	ht_serve_enqueue(p, job, t);
+}
+
+/*
+ * Tries the row's candidates @from on that were not tried yet. True when the job has gone to one
+ * of them; local ones are taken when their wait is below @wait.
+ */
+static bool deflect(struct ht_request_path *p, struct ht_job *job, const struct ht_row *row,
+		    double wait, bool record)
+{
+	for (unsigned int i = 0; i < row->count; i++) {
+		const struct ht_target_conf *conf = row->at[i];
+		uint64_t home = home_of(p, conf);
+
+		if (job->tried & 1U << i || conf->draining)
+			continue;
+		job->tried |= 1U << i;
+		if (home == p->env->self) {
+			if (wait_at(p, conf) < wait) {
+				take(p, job, conf, record);
+				return true;
+			}
+		} else if (home && job->hops_left &&
+			   ht_hop_send(p, job, home, conf->id,
+				       HT__FORWARD_FLAG__FORWARD_DEFLECTED, wait)) {
+			bool evicted;
+
+			ht_path_count(p, HT_C_deflections);
+			ht_path_event(p, REQUEST_DEFLECTED, job->body, conf->id, home, "wait=%.0f",
+				      wait);
+			if (record)
+				ht_flows_set(p->flows, job->body->flow, conf->id, p->env->now,
+					     true, &evicted);
+			return true;
+		}
+		/* One comparison is enough while waiting here is possible. */
+		if (wait < INFINITY)
+			return false;
+	}
+	return false;
+}
+
+static void refuse_hop_limit(struct ht_request_path *p, struct ht_job *job)
+{
+	ht_path_count(p, HT_C_hop_limit_reached);
+	ht_path_event(p, HOP_LIMIT, job->body, job->target, job->sender, "tried=%u", job->tried);
+	ht_reply_unavailable(p, job, "hop_limit");
+	ht_job_free(p, job);
+}
+
+/* No candidate is left: wait here when that is possible, otherwise refuse at once. */
+static void settle(struct ht_request_path *p, struct ht_job *job,
+		   const struct ht_target_conf *own, double wait)
+{
+	if (own && wait < INFINITY) {
+		take(p, job, own, !job->one_off);
+		return;
+	}
+	if (!job->hops_left) {
+		refuse_hop_limit(p, job);
+		return;
+	}
+	ht_reply_unavailable(p, job, "no_candidate");
+	ht_job_free(p, job);
+}
+
+void ht_home_place(struct ht_request_path *p, struct ht_job *job)
+{
+	const struct ht_service_conf *svc = service_of(p, job);
+	const struct ht_target_conf *own = NULL;
+	double wait = INFINITY;
+	struct ht_row row;
+
+	ht_placement_row(&row, svc, job->body->flow);
+	for (unsigned int i = 0; i < row.count && !own; i++) {
+		if (home_of(p, row.at[i]) != p->env->self)
+			continue;
+		if (row.at[i]->id == job->target)
+			own = row.at[i];
+	}
+	if (own) {
+		wait = wait_at(p, own);
+		job->tried |= 1U << ht_row_index(&row, own->id);
+		if (wait == 0 || (job->compared && wait < INFINITY)) {
+			take(p, job, own, !job->one_off);
+			return;
+		}
+	}
+	if (deflect(p, job, &row, wait, !job->one_off))
+		return;
+	settle(p, job, own, wait);
+}
+
+/* Asks the next earlier home that may know the flow; true when the job has gone there. */
+static bool look_up(struct ht_request_path *p, struct ht_job *job,
+		    const struct ht_service_conf *svc, const struct ht_row *row)
+{
+	ht_ms taken = p->ownership->taken_over_at(p->ownership->ctx, job->target);
+	bool recent = taken != HT_NEVER && p->env->now - taken < p->env->params.flow_idle;
+
+	while (job->asked < PREVIOUS_SETS + 2) {
+		unsigned int k = job->asked++;
+		const struct ht_target_conf *at = NULL;
+		const struct ht_service_conf *prev;
+		struct ht_row old;
+		uint64_t home = 0;
+		bool evicted;
+
+		if (k < PREVIOUS_SETS) {
+			prev = p->config->previous_set(p->config->ctx, svc->id, k);
+			ht_placement_row(&old, prev, job->body->flow);
+			at = old.count ? old.at[0] : NULL;
+			home = at ? home_of(p, at) : 0;
+		} else if (k == PREVIOUS_SETS && recent && p->ownership->former_owner) {
+			at = row->at[0];
+			home = p->ownership->former_owner(p->ownership->ctx, job->target);
+		} else if (k == PREVIOUS_SETS + 1 && recent && row->count > 1) {
+			at = row->at[1];
+			home = home_of(p, at);
+		}
+		if (!home || home == p->env->self || !job->hops_left)
+			continue;
+		if (!ht_hop_send(p, job, home, at->id,
+				 HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN, INFINITY))
+			continue;
+		ht_flows_set(p->flows, job->body->flow, at->id, p->env->now, true, &evicted);
+		ht_path_count(p, HT_C_lookups);
+		ht_path_event(p, FLOW_LOOKUP, job->body, at->id, home, "step=%u", k);
+		return true;
+	}
+	return false;
+}
+
+/* The target is the home of another instance, in this view. */
+static void misrouted(struct ht_request_path *p, struct ht_job *job, uint64_t home)
+{
+	if (!job->hops_left) {
+		refuse_hop_limit(p, job);
+		return;
+	}
+	if (home && home != job->sender &&
+	    ht_hop_send(p, job, home, job->target, job->flags, job->wait))
+		return;
+	if (home && !job->waited) {
+		ht_home_park(p, job);
+		return;
+	}
+	ht_hop_return(p, job, HT_RETURN_NOT_HOME, INFINITY);
+}
+
+/* A request of a flow that lives at @conf. */
+static void known(struct ht_request_path *p, struct ht_job *job, const struct ht_row *row,
+		  const struct ht_service_conf *svc, const struct ht_target_conf *conf)
+{
+	uint64_t home = home_of(p, conf);
+	uint32_t flag = HT__FORWARD_FLAG__FORWARD_MOVED;
+	bool tentative;
+	double wait;
+
+	if (home != p->env->self) {
+		ht_flows_use(p->flows, job->body->flow, p->env->now, &tentative);
+		if (tentative)
+			flag = HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN;
+		if (home && job->hops_left &&
+		    ht_hop_send(p, job, home, conf->id, flag, INFINITY))
+			return;
+		job->tried |= 1U << ht_row_index(row, conf->id);
+		job->one_off = true;
+		ht_home_place(p, job);
+		return;
+	}
+	job->target = conf->id;
+	if (park_for_claim(p, job))
+		return;
+	wait = wait_at(p, conf);
+	if (wait == INFINITY) {
+		/* Established flows move at a request boundary only. */
+		ht_flows_del(p->flows, job->body->flow);
+		ht_path_count(p, HT_C_flows_moved);
+		ht_path_event(p, FLOW_MOVED, job->body, conf->id, 0, "why=unavailable");
+		job->tried |= 1U << ht_row_index(row, conf->id);
+		ht_home_place(p, job);
+		return;
+	}
+	if (wait > 0 && svc->affinity == HT_AFFINITY_REQUEST && ht_body_idempotent(job->body)) {
+		job->tried |= 1U << ht_row_index(row, conf->id);
+		if (deflect(p, job, row, wait, false))
+			return;
+	}
+	take(p, job, conf, true);
+}
+
+/* Deflected, moved and retried requests: the sender has decided, this home takes or returns. */
+static void sent_here(struct ht_request_path *p, struct ht_job *job,
+		      const struct ht_target_conf *conf)
+{
+	uint64_t home = home_of(p, conf);
+	bool moved = job->flags & HT__FORWARD_FLAG__FORWARD_MOVED;
+	double wait;
+
+	if (home != p->env->self) {
+		misrouted(p, job, home);
+		return;
+	}
+	if (park_for_claim(p, job))
+		return;
+	wait = wait_at(p, conf);
+	if (wait == INFINITY) {
+		if (moved)
+			ht_flows_del(p->flows, job->body->flow);
+		ht_hop_return(p, job, HT_RETURN_UNAVAILABLE, wait);
+	} else if (job->flags & HT__FORWARD_FLAG__FORWARD_DEFLECTED && wait >= job->wait) {
+		ht_hop_return(p, job, HT_RETURN_LONGER_WAIT, wait);
+	} else {
+		take(p, job, conf, moved || !(job->flags & HT__FORWARD_FLAG__FORWARD_RETRY));
+	}
+}
+
+/* A look-up: serve the flow when it is known here, send it on, or say that it is not known. */
+static void looked_up(struct ht_request_path *p, struct ht_job *job,
+		      const struct ht_service_conf *svc, const struct ht_row *row)
+{
+	uint64_t target = ht_flows_use(p->flows, job->body->flow, p->env->now, NULL);
+	const struct ht_target_conf *conf = ht_service_target(svc, target);
+	uint64_t home = conf ? home_of(p, conf) : 0;
+
+	if (!conf || conf->draining || !home || home == job->sender ||
+	    (home == p->env->self && wait_at(p, conf) == INFINITY)) {
+		ht_hop_return(p, job, HT_RETURN_UNKNOWN_FLOW, INFINITY);
+		return;
+	}
+	known(p, job, row, svc, conf);
+}
+
+/* Answers a repeat from the ledger, or attaches it to the open request; true when done. */
+static bool repeated(struct ht_request_path *p, struct ht_job *job)
+{
+	struct ht_entry *e = ht_ledger_find(p->ledger, job->body);
+
+	if (!job->body->token_len)
+		e = NULL;
+	if ((!e || e->content != job->body->content) && job->body->block_num)
+		e = ht_ledger_find_blocks(p->ledger, job->body);
+	if (!e || e->content != job->body->content || p->env->now >= e->expires ||
+	    (e->evicted && job->body->block_num))
+		return false;
+	if (e->job && !e->job->answered) {
+		if (!ht_job_add_waiter(e->job, job->waiters[0].ingress, job->waiters[0].ingress_id))
+			return false;
+		ht_path_event(p, REQUEST_ATTACHED, job->body, e->job->target, 0, "waiters=%u",
+			      e->job->waiter_count);
+		ht_job_free(p, job);
+		return true;
+	}
+	if (e->state != HT_ENTRY_ANSWERED)
+		return false;
+	ht_path_count(p, HT_C_replays);
+	ht_path_event(p, REQUEST_REPLAYED, job->body, e->target, 0, "verdict=%s",
+		      ht_verdict_name(e->verdict));
+	ht_reply_entry(p, job, e);
+	ht_job_free(p, job);
+	return true;
+}
+
+/* The sender's configuration is newer: its change may concern this request. True when parked. */
+static bool behind(struct ht_request_path *p, struct ht_job *job)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+
+	if (cfg && job->config_version <= cfg->version)
+		return false;
+	if (!job->waited) {
+		ht_home_park(p, job);
+		return true;
+	}
+	ht_reply_unavailable(p, job, "configuration_behind");
+	ht_job_free(p, job);
+	return true;
+}
+
+static void decide_unplaced(struct ht_request_path *p, struct ht_job *job,
+			    const struct ht_service_conf *svc, const struct ht_row *row)
+{
+	uint64_t target = ht_flows_use(p->flows, job->body->flow, p->env->now, NULL);
+	const struct ht_target_conf *conf = ht_service_target(svc, target);
+	const struct ht_target_conf *own = ht_service_target(svc, job->target);
+	uint64_t home;
+
+	if (conf && !conf->draining) {
+		known(p, job, row, svc, conf);
+		return;
+	}
+	if (target) {
+		ht_flows_del(p->flows, job->body->flow);
+		ht_path_count(p, HT_C_flows_moved);
+		ht_path_event(p, FLOW_MOVED, job->body, target, 0, "why=target_left");
+		ht_home_place(p, job);
+		return;
+	}
+	if (!own) {
+		ht_path_count(p, HT_C_service_mismatch);
+		ht_hop_return(p, job, HT_RETURN_NOT_SERVED, INFINITY);
+		return;
+	}
+	home = home_of(p, own);
+	if (home != p->env->self && home) {
+		misrouted(p, job, home);
+		return;
+	}
+	if (home && park_for_claim(p, job))
+		return;
+	if (!look_up(p, job, svc, row))
+		ht_home_place(p, job);
+}
+
+void ht_home_decide(struct ht_request_path *p, struct ht_job *job)
+{
+	const struct ht_service_conf *svc = service_of(p, job);
+	const struct ht_target_conf *conf = ht_service_target(svc, job->target);
+	const uint32_t placed = HT__FORWARD_FLAG__FORWARD_DEFLECTED |
+				HT__FORWARD_FLAG__FORWARD_MOVED | HT__FORWARD_FLAG__FORWARD_RETRY;
+	struct ht_row row;
+
+	if (behind(p, job))
+		return;
+	if (job->body->cancel) {
+		ht_cancel_decide(p, job);
+		return;
+	}
+	if (job->body->has_ticket) {
+		ht_posting_decide(p, job);
+		return;
+	}
+	if (!svc) {
+		ht_path_count(p, HT_C_service_mismatch);
+		ht_hop_return(p, job, HT_RETURN_NOT_SERVED, INFINITY);
+		return;
+	}
+	if (ht_body_idempotent(job->body) && repeated(p, job))
+		return;
+	ht_placement_row(&row, svc, job->body->flow);
+	if (job->flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN) {
+		looked_up(p, job, svc, &row);
+	} else if (job->flags & placed) {
+		if (conf)
+			sent_here(p, job, conf);
+		else
+			ht_hop_return(p, job, HT_RETURN_NOT_SERVED, INFINITY);
+	} else {
+		decide_unplaced(p, job, svc, &row);
+	}
+}
--- /dev/null
+++ b/core/router_hop.c
@@ -0,0 +1,198 @@
+/* Forwards between homes, and what happens when one comes back. */
+#include "core/path.h"
+
+void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body)
+{
+	ht__peer_msg__init(&f->msg);
+	ht__forward__init(&f->forward);
+	ht__request_key__init(&f->key);
+	f->msg.kind_case = HT__PEER_MSG__KIND_FORWARD;
+	f->msg.forward = &f->forward;
+	f->forward.key = &f->key;
+	f->key.flow = body->flow;
+	f->key.token.data = (uint8_t *)body->token;
+	f->key.token.len = body->token_len;
+	if (body->has_ticket) {
+		ht_ticket_to_wire(&f->ticket, body->ticket);
+		f->key.ticket = &f->ticket;
+	}
+	f->forward.service = body->service;
+	f->forward.method = body->method;
+	f->forward.path = body->path;
+	f->forward.query = body->query;
+	f->forward.payload.data = body->payload;
+	f->forward.payload.len = body->payload_len;
+	f->forward.content_format = body->content_format;
+	f->forward.has_block = body->has_block;
+	f->forward.block_num = body->block_num;
+	f->forward.block_szx = body->block_szx;
+	f->forward.flags = body->cancel ? HT__FORWARD_FLAG__FORWARD_CANCEL : 0;
+}
+
+static uint32_t wire_wait(double wait)
+{
+	return wait < UINT32_MAX ? (uint32_t)wait : UINT32_MAX;
+}
+
+bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
+		 uint32_t flags, double wait)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+	struct ht_forward_frame f;
+
+	ht_forward_fill(&f, job->body);
+	f.forward.target = target;
+	f.forward.config_version = cfg ? cfg->version : 0;
+	f.forward.hops_left = job->hops_left - 1;
+	f.forward.flags |= flags;
+	if (job->floor != HT_NOT_RUN)
+		f.forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
+	f.forward.ingress = job->waiters[0].ingress;
+	f.forward.ingress_id = job->waiters[0].ingress_id;
+	f.forward.hop_id = ht_hop_id(job);
+	f.forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
+	f.forward.wait_ms = wire_wait(wait);
+	if (!p->env->send(p->env, peer, &f.msg))
+		return false;
+	ht_path_count(p, HT_C_forwards_sent);
+	ht_path_event(p, REQUEST_FORWARDED, job->body, target, peer, "flags=%u hops_left=%u", flags,
+		      f.forward.hops_left);
+	job->state = HT_JOB_HOP;
+	job->hop_peer = peer;
+	job->hop_target = target;
+	job->hop_flags = flags;
+	ht_list_del(&job->node);
+	ht_list_add_tail(&p->hops, &job->node);
+	ht_timer_set(p->timers, &job->timer, job->deadline);
+	return true;
+}
+
+static void return_local(struct ht_request_path *p, uint64_t hop_id, enum ht_return_reason reason)
+{
+	uint64_t key = hop_id >> 3;
+	struct ht_pending *w = g_hash_table_lookup(p->pending, &key);
+
+	if (!w || !(w->outstanding & 1U << (hop_id & 7)))
+		return;
+	w->outstanding &= ~(1U << (hop_id & 7));
+	ht_ingress_returned(p, w, reason);
+}
+
+void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
+		   double wait)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
+	Ht__Returned m = HT__RETURNED__INIT;
+	Ht__RequestKey key = HT__REQUEST_KEY__INIT;
+	uint64_t sender = job->sender, hop_id = job->hop_id;
+
+	if (job->stripped) {
+		ht_reply_unavailable(p, job, "no_home");
+		ht_job_free(p, job);
+		return;
+	}
+	ht_path_event(p, REQUEST_RETURNED, job->body, job->target, sender, "reason=%d wait=%u",
+		      (int)reason, wire_wait(wait));
+	key.flow = job->body->flow;
+	m.key = &key;
+	m.hop_id = hop_id;
+	m.reason = reason;
+	m.wait_ms = wire_wait(wait);
+	m.config_version = cfg ? cfg->version : 0;
+	msg.kind_case = HT__PEER_MSG__KIND_RETURNED;
+	msg.returned = &m;
+	if (sender != p->env->self)
+		p->env->send(p->env, sender, &msg);
+	ht_job_free(p, job);
+	if (sender == p->env->self)
+		return_local(p, hop_id, reason);
+}
+
+/* The flow is not where it was believed to be. */
+static void forget_hop(struct ht_request_path *p, struct ht_job *job)
+{
+	if (ht_flows_use(p->flows, job->body->flow, p->env->now, NULL) == job->hop_target)
+		ht_flows_del(p->flows, job->body->flow);
+}
+
+static void mark_tried(struct ht_request_path *p, struct ht_job *job)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+	struct ht_row row;
+
+	ht_placement_row(&row, cfg ? ht_config_service(cfg, job->body->service) : NULL,
+			 job->body->flow);
+	job->tried |= 1U << ht_row_index(&row, job->hop_target);
+}
+
+void ht_hop_returned(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
+		     double wait)
+{
+	uint32_t flags = job->hop_flags;
+
+	ht_timer_stop(&job->timer);
+	ht_list_del(&job->node);
+	job->state = HT_JOB_NEW;
+	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer,
+		      "reason=%d wait=%.0f", (int)reason, wait);
+	if (job->body->cancel || job->body->has_ticket) {
+		job->waited = true;
+		ht_home_decide(p, job);
+		return;
+	}
+	if (flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN) {
+		forget_hop(p, job);
+		ht_home_decide(p, job);
+		return;
+	}
+	mark_tried(p, job);
+	if (flags & HT__FORWARD_FLAG__FORWARD_DEFLECTED) {
+		ht_path_count(p, HT_C_deflections_returned);
+		job->compared = true;
+		forget_hop(p, job);
+	} else if (reason == HT_RETURN_UNAVAILABLE || reason == HT_RETURN_NOT_SERVED) {
+		forget_hop(p, job);
+	} else {
+		/* The views differ for a moment; the flow stays where it is. */
+		job->one_off = true;
+	}
+	ht_home_place(p, job);
+}
+
+/*
+ * Forwards to the peer may have been lost. Everything but a posting with its ticket may run
+ * again; that one is only looked up again.
+ */
+void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer)
+{
+	struct ht_list lost, *pos, *tmp;
+
+	ht_list_init(&lost);
+	ht_list_for_each_safe(pos, tmp, &p->hops)
+	{
+		struct ht_job *job = ht_container_of(pos, struct ht_job, node);
+
+		if (job->hop_peer != peer)
+			continue;
+		ht_list_del(&job->node);
+		ht_list_add_tail(&lost, &job->node);
+	}
+	while (!ht_list_empty(&lost)) {
+		struct ht_job *job = ht_container_of(lost.next, struct ht_job, node);
+
+		if (ht_body_idempotent(job->body) && !job->body->cancel) {
+			if (!ht_retries_spend(p->home_retries, job->body->service)) {
+				ht_path_count(p, HT_C_retries_denied);
+				ht_path_event(p, RETRY_DENIED, job->body, 0, peer, "why=budget");
+				ht_reply_may_have_run(p, job, "peer_down");
+				ht_job_free(p, job);
+				continue;
+			}
+			ht_path_count(p, HT_C_retries);
+			ht_path_event(p, REQUEST_RETRIED, job->body, 0, peer, "side=home why=peer_down");
+			job->floor = HT_MAY_HAVE_RUN;
+		}
+		ht_hop_returned(p, job, HT_RETURN_NOT_HOME, INFINITY);
+	}
+}
--- /dev/null
+++ b/core/targets.h
@@ -0,0 +1,57 @@
+/* Targets of which this instance is home: health, slots, queue and learned service time. */
+#ifndef HT_CORE_TARGETS_H
+#define HT_CORE_TARGETS_H
+
+#include "base/list.h"
+#include "rules/config.h"
+
+#include <math.h>
+
+/** Service time assumed before the first answer. */
+#define HT_SERVICE_TIME_INITIAL 20.0
+/** Answers after which a cold target gets one more slot. */
+#define HT_RAMP_ANSWERS 4
+/** Requests lost or timed out in sequence that make a target unhealthy. */
+#define HT_LOST_LIMIT 3
+/** Time after which an unhealthy target is probed with one request. */
+#define HT_PROBE_INTERVAL 1000
+
+struct ht_target {
+	uint64_t id;
+	struct ht_list queue;
+	struct ht_list sent;
+	uint32_t queued;
+	uint32_t in_flight;
+	uint32_t ramp; /**< slots usable while cold; at most the target's slots */
+	uint32_t ramp_answers;
+	uint32_t lost; /**< lost or timed out in sequence */
+	ht_ms probe_at;
+	double service_time; /**< mean, in ms */
+	bool opened;	     /**< connections were asked for */
+	bool up;
+	bool draining; /**< by its own signal */
+	bool misassigned;
+};
+
+struct ht_target *ht_target_new(uint64_t id);
+
+/** A new connection: the target counts as cold again. */
+void ht_target_connected(struct ht_target *t);
+/** An answer that took @ms. */
+void ht_target_answered(struct ht_target *t, ht_ms ms, uint32_t slots);
+/** A request was lost or timed out; true when the target has just become unhealthy. */
+bool ht_target_lost(struct ht_target *t, ht_ms now);
+
+/** False while it is down, misassigned, or unhealthy and not due for a probe. */
+bool ht_target_healthy(const struct ht_target *t, ht_ms now);
+
+/**
+ * Slots that may be used at @now out of @owned, the number that ownership grants: the cold ramp
+ * and the probe of an unhealthy target limit them.
+ */
+uint32_t ht_target_usable(const struct ht_target *t, uint32_t owned, ht_ms now);
+
+/** Estimated wait in ms until a new request starts: 0 with a free slot, INFINITY without slots. */
+double ht_target_wait(const struct ht_target *t, uint32_t usable);
+
+#endif
