--- a/core/flows.c
+++ b/core/flows.c
@@ -11,9 +11,9 @@
 struct entry {
 	uint64_t flow;
 	uint64_t target;
-	uint32_t chain;	      /* next entry of the bucket, or of the free list */
+	uint32_t chain;	       /* next entry of the bucket, or of the free list */
 	uint32_t newer, older; /* idle order */
-	uint32_t used : 31;   /* in ticks */
+	uint32_t used : 31;    /* in ticks */
 	uint32_t tentative : 1;
 };
 
@@ -167,8 +167,8 @@
 	return f->free != NONE || grow(f, f->capacity * 2);
 }
 
-bool ht_flows_set(struct ht_flows *flows, uint64_t flow, uint64_t target, ht_ms now,
-		  bool tentative, bool *evicted)
+bool ht_flows_set(struct ht_flows *flows, uint64_t flow, uint64_t target, ht_ms now, bool tentative,
+		  bool *evicted)
 {
 	uint32_t i = find(flows, flow);
 	uint32_t *b;
--- a/core/flows.h
+++ b/core/flows.h
@@ -28,8 +28,8 @@
  * HT_FLOW_EVICT_IDLE; otherwise the flow that has been idle longest makes room and *@evicted is
  * set.
  */
-bool ht_flows_set(struct ht_flows *flows, uint64_t flow, uint64_t target, ht_ms now,
-		  bool tentative, bool *evicted);
+bool ht_flows_set(struct ht_flows *flows, uint64_t flow, uint64_t target, ht_ms now, bool tentative,
+		  bool *evicted);
 /** The flow did not come back from @target within the time it had. */
 void ht_flows_confirm(struct ht_flows *flows, uint64_t flow, uint64_t target);
 void ht_flows_del(struct ht_flows *flows, uint64_t flow);
--- a/core/handover.c
+++ b/core/handover.c
@@ -69,8 +69,7 @@
 	struct ht_list *pos;
 	struct follower *f;
 
-	ht_list_for_each(pos, &p->followers)
-	{
+	ht_list_for_each (pos, &p->followers) {
 		f = ht_container_of(pos, struct follower, node);
 		if (f->peer == peer)
 			return f;
@@ -182,8 +181,8 @@
 	if (b->f && (b->count || last))
 		flush_batch(b, last);
 	if (b->f)
-		p->env->emit(p->env, HT_EV_LEDGER_SENT, 0, 0, target, f->peer,
-			     "batches=%u last=%d", f->sent, last);
+		p->env->emit(p->env, HT_EV_LEDGER_SENT, 0, 0, target, f->peer, "batches=%u last=%d",
+			     f->sent, last);
 	free(b);
 }
 
@@ -193,8 +192,7 @@
 
 	if (!e->posting || ht_list_empty(&p->followers))
 		return;
-	ht_list_for_each_safe(pos, tmp, &p->followers)
-	{
+	ht_list_for_each_safe (pos, tmp, &p->followers) {
 		struct batch *b = calloc(1, sizeof(*b));
 
 		if (!b)
@@ -238,15 +236,14 @@
 	while (cfg && g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct ht_target_conf *conf =
 			ht_config_target(cfg, ((struct ht_target *)value)->id);
-		uint64_t home = conf ? p->membership->home(p->membership->ctx, conf->id, conf->dc)
-				     : 0;
+		uint64_t home =
+			conf ? p->membership->home(p->membership->ctx, conf->id, conf->dc) : 0;
 
 		if (home && home != p->env->self)
 			follower_of(p, home, true);
 	}
 	p->ledger_closed = true;
-	ht_list_for_each_safe(pos, tmp, &p->followers)
-	{
+	ht_list_for_each_safe (pos, tmp, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
 		if (!f->last)
@@ -259,8 +256,7 @@
 	struct ht_request_path *p = ctx;
 	struct ht_list *pos;
 
-	ht_list_for_each(pos, &p->followers)
-	{
+	ht_list_for_each (pos, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
 		if (f->acked < f->sent)
@@ -391,8 +387,7 @@
 	struct ht_list *pos, *tmp;
 
 	g_hash_table_foreach_remove(p->predecessors, too_old, p);
-	ht_list_for_each_safe(pos, tmp, &p->followers)
-	{
+	ht_list_for_each_safe (pos, tmp, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
 		if (f->acked < f->sent && p->env->now - f->waiting_since >= ACK_TIMEOUT)
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -155,8 +155,7 @@
 	return e;
 }
 
-void ht_ledger_change(struct ht_ledger *l, struct ht_entry *e, enum ht_entry_state state,
-		      ht_ms now)
+void ht_ledger_change(struct ht_ledger *l, struct ht_entry *e, enum ht_entry_state state, ht_ms now)
 {
 	e->state = state;
 	e->changed = now;
@@ -231,8 +230,7 @@
 {
 	struct ht_list *pos;
 
-	ht_list_for_each(pos, &l->age)
-	{
+	ht_list_for_each (pos, &l->age) {
 		struct ht_entry *e = ht_container_of(pos, struct ht_entry, age);
 
 		if (e->posting)
--- a/core/path.h
+++ b/core/path.h
@@ -46,9 +46,9 @@
 	struct ht_list hops;
 	uint64_t next_id;
 	uint32_t ticket_sequence;
-	bool ledger_closed;	   /**< handed over whole: postings run here no more */
-	struct ht_list followers;  /**< instances that got this incarnation's ledger */
-	GHashTable *predecessors;  /**< ledgers received, by incarnation */
+	bool ledger_closed;	  /**< handed over whole: postings run here no more */
+	struct ht_list followers; /**< instances that got this incarnation's ledger */
+	GHashTable *predecessors; /**< ledgers received, by incarnation */
 	struct ht_router_if router_if;
 	struct ht_targets_if targets_if;
 	struct ht_ledger_if ledger_if;
@@ -90,14 +90,14 @@
 	uint64_t hop_target;
 	uint32_t hops_left;
 	uint64_t config_version;
-	double wait;	      /**< sender's estimate, with FORWARD_DEFLECTED */
-	unsigned int tried;   /**< bit per index of the row */
-	unsigned int asked;   /**< look-ups made so far */
-	bool waited;	      /**< has been parked once */
-	bool compared;	      /**< a deflection came back */
-	bool one_off;	      /**< placed for this request only: the flow stays */
-	bool stripped;	      /**< nobody waits for a Returned of it */
-	bool answered;	      /**< waiters are served; only the slot is still held */
+	double wait;	       /**< sender's estimate, with FORWARD_DEFLECTED */
+	unsigned int tried;    /**< bit per index of the row */
+	unsigned int asked;    /**< look-ups made so far */
+	bool waited;	       /**< has been parked once */
+	bool compared;	       /**< a deflection came back */
+	bool one_off;	       /**< placed for this request only: the flow stays */
+	bool stripped;	       /**< nobody waits for a Returned of it */
+	bool answered;	       /**< waiters are served; only the slot is still held */
 	enum ht_verdict floor; /**< least verdict that a refusal may give */
 };
 
@@ -113,7 +113,7 @@
 	unsigned int outstanding; /**< bit per attempt */
 	uint64_t peers[8];	  /**< instance that each attempt went to */
 	unsigned int candidate;
-	bool forwarded; /**< some attempt left this instance and may have run */
+	bool forwarded;	       /**< some attempt left this instance and may have run */
 	enum ht_verdict worst; /**< of the attempts that were refused */
 	bool waited;
 	uint32_t flags;
--- a/core/request.c
+++ b/core/request.c
@@ -11,8 +11,8 @@
 	uint64_t h = ht_hash_pair(b->method, ht_hash_str(b->path));
 
 	h = ht_hash_pair(h, ht_hash_str(b->query));
-	return ht_hash_pair(h, ht_hash(b->payload ? b->payload : (const uint8_t *)"",
-				       b->payload_len));
+	return ht_hash_pair(h,
+			    ht_hash(b->payload ? b->payload : (const uint8_t *)"", b->payload_len));
 }
 
 /* Takes copies of the variable parts of @req. */
--- a/core/router_answer.c
+++ b/core/router_answer.c
@@ -98,8 +98,9 @@
 	}
 	if (a.retry_after && a.retry_after < HT_RETRY_AFTER_MIN)
 		a.retry_after = HT_RETRY_AFTER_MIN;
-	ht_path_event(p, REQUEST_REFUSED, job->body, job->target, 0, "verdict=%s retry_after=%lld why=%s",
-		      ht_verdict_name(a.verdict), (long long)a.retry_after, why);
+	ht_path_event(p, REQUEST_REFUSED, job->body, job->target, 0,
+		      "verdict=%s retry_after=%lld why=%s", ht_verdict_name(a.verdict),
+		      (long long)a.retry_after, why);
 	send_all(p, job, &a);
 }
 
--- a/core/router_cancel.c
+++ b/core/router_cancel.c
@@ -45,8 +45,7 @@
 {
 	struct ht_list *pos;
 
-	ht_list_for_each(pos, list)
-	{
+	ht_list_for_each (pos, list) {
 		struct ht_job *job = ht_container_of(pos, struct ht_job, node);
 
 		if (same_token(job->body, body))
@@ -58,8 +57,7 @@
 static bool pass_on(struct ht_request_path *p, struct ht_job *job)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
-	const struct ht_service_conf *svc =
-		cfg ? ht_config_service(cfg, job->body->service) : NULL;
+	const struct ht_service_conf *svc = cfg ? ht_config_service(cfg, job->body->service) : NULL;
 	const struct ht_job *hop = find_waiting(&p->hops, job->body);
 	uint64_t flow_at = ht_flows_use(p->flows, job->body->flow, p->env->now, NULL);
 	const struct ht_target_conf *conf = ht_service_target(svc, flow_at ? flow_at : job->target);
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -81,8 +81,7 @@
 	struct ht_list ready, *pos, *tmp;
 
 	ht_list_init(&ready);
-	ht_list_for_each_safe(pos, tmp, &p->parked)
-	{
+	ht_list_for_each_safe (pos, tmp, &p->parked) {
 		struct ht_job *job = ht_container_of(pos, struct ht_job, node);
 
 		if (target && job->target != target)
@@ -100,8 +99,7 @@
 	}
 }
 
-static const struct ht_service_conf *service_of(struct ht_request_path *p,
-						const struct ht_job *job)
+static const struct ht_service_conf *service_of(struct ht_request_path *p, const struct ht_job *job)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
 
@@ -199,8 +197,7 @@
 
 	if (!ht_body_idempotent(job->body) && !job->body->has_ticket) {
 		/* No ticket for a posting that would be refused when it comes with it. */
-		if (p->ledger_closed ||
-		    !ht_home_can_queue(p, job, ht_config_target(cfg, t->id))) {
+		if (p->ledger_closed || !ht_home_can_queue(p, job, ht_config_target(cfg, t->id))) {
 			ht_reply_unavailable(p, job, "no_room_for_posting");
 			ht_job_free(p, job);
 			return;
@@ -231,16 +228,16 @@
 				return true;
 			}
 		} else if (home && job->hops_left &&
-			   ht_hop_send(p, job, home, conf->id,
-				       HT__FORWARD_FLAG__FORWARD_DEFLECTED, wait)) {
+			   ht_hop_send(p, job, home, conf->id, HT__FORWARD_FLAG__FORWARD_DEFLECTED,
+				       wait)) {
 			bool evicted;
 
 			ht_path_count(p, HT_C_deflections);
 			ht_path_event(p, REQUEST_DEFLECTED, job->body, conf->id, home, "wait=%.0f",
 				      wait);
 			if (record)
-				ht_flows_set(p->flows, job->body->flow, conf->id, p->env->now,
-					     true, &evicted);
+				ht_flows_set(p->flows, job->body->flow, conf->id, p->env->now, true,
+					     &evicted);
 			return true;
 		}
 		/* One comparison is enough while waiting here is possible. */
@@ -259,8 +256,8 @@
 }
 
 /* No candidate is left: wait here when that is possible, otherwise refuse at once. */
-static void settle(struct ht_request_path *p, struct ht_job *job,
-		   const struct ht_target_conf *own, double wait)
+static void settle(struct ht_request_path *p, struct ht_job *job, const struct ht_target_conf *own,
+		   double wait)
 {
 	if (own && wait < INFINITY) {
 		take(p, job, own, !job->one_off);
@@ -330,8 +327,8 @@
 		}
 		if (!home || home == p->env->self || !job->hops_left)
 			continue;
-		if (!ht_hop_send(p, job, home, at->id,
-				 HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN, INFINITY))
+		if (!ht_hop_send(p, job, home, at->id, HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN,
+				 INFINITY))
 			continue;
 		ht_flows_set(p->flows, job->body->flow, at->id, p->env->now, true, &evicted);
 		ht_path_count(p, HT_C_lookups);
@@ -371,8 +368,7 @@
 		ht_flows_use(p->flows, job->body->flow, p->env->now, &tentative);
 		if (tentative)
 			flag = HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN;
-		if (home && job->hops_left &&
-		    ht_hop_send(p, job, home, conf->id, flag, INFINITY))
+		if (home && job->hops_left && ht_hop_send(p, job, home, conf->id, flag, INFINITY))
 			return;
 		job->tried |= 1U << ht_row_index(row, conf->id);
 		job->one_off = true;
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -169,8 +169,7 @@
 	struct ht_list lost, *pos, *tmp;
 
 	ht_list_init(&lost);
-	ht_list_for_each_safe(pos, tmp, &p->hops)
-	{
+	ht_list_for_each_safe (pos, tmp, &p->hops) {
 		struct ht_job *job = ht_container_of(pos, struct ht_job, node);
 
 		if (job->hop_peer != peer)
@@ -190,7 +189,8 @@
 				continue;
 			}
 			ht_path_count(p, HT_C_retries);
-			ht_path_event(p, REQUEST_RETRIED, job->body, 0, peer, "side=home why=peer_down");
+			ht_path_event(p, REQUEST_RETRIED, job->body, 0, peer,
+				      "side=home why=peer_down");
 			job->floor = HT_MAY_HAVE_RUN;
 		}
 		ht_hop_returned(p, job, HT_RETURN_NOT_HOME, INFINITY);
--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -374,8 +374,7 @@
 	send_attempt(p, w);
 }
 
-void ht_ingress_peer_down(struct ht_request_path *p, uint64_t peer,
-			  enum ht_peer_down_reason reason)
+void ht_ingress_peer_down(struct ht_request_path *p, uint64_t peer, enum ht_peer_down_reason reason)
 {
 	if (reason == HT_PEER_GONE)
 		each_pending(p, went_to, peer, home_ended);
--- a/core/router_posting.c
+++ b/core/router_posting.c
@@ -110,8 +110,7 @@
 static struct ht_target *runnable(struct ht_request_path *p, struct ht_job *job)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
-	const struct ht_service_conf *svc =
-		cfg ? ht_config_service(cfg, job->body->service) : NULL;
+	const struct ht_service_conf *svc = cfg ? ht_config_service(cfg, job->body->service) : NULL;
 	uint64_t id = ht_flows_use(p->flows, job->body->flow, p->env->now, NULL);
 	const struct ht_target_conf *conf = ht_service_target(svc, id);
 	struct ht_row row;
@@ -174,8 +173,7 @@
 static bool pass_on(struct ht_request_path *p, struct ht_job *job, const struct ht_ticket *t)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
-	const struct ht_service_conf *svc =
-		cfg ? ht_config_service(cfg, job->body->service) : NULL;
+	const struct ht_service_conf *svc = cfg ? ht_config_service(cfg, job->body->service) : NULL;
 	uint64_t issuer_at = p->membership->by_incarnation(p->membership->ctx, t->incarnation);
 	uint64_t flow_at = ht_flows_use(p->flows, job->body->flow, p->env->now, NULL);
 	const struct ht_target_conf *conf;
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -179,8 +179,7 @@
 void ht_home_replace(struct ht_request_path *p, struct ht_job *job)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
-	const struct ht_service_conf *svc =
-		cfg ? ht_config_service(cfg, job->body->service) : NULL;
+	const struct ht_service_conf *svc = cfg ? ht_config_service(cfg, job->body->service) : NULL;
 	struct ht_row row;
 
 	ht_timer_stop(&job->timer);
@@ -308,8 +307,8 @@
 		.payload_len = ans->payload_len,
 		.content_format = ans->content_format,
 	};
-	uint64_t tag = ht_hash(ans->payload_len ? ans->payload : (const uint8_t *)"",
-			       ans->payload_len);
+	uint64_t tag =
+		ht_hash(ans->payload_len ? ans->payload : (const uint8_t *)"", ans->payload_len);
 
 	ht_target_answered(t, p->env->now - job->sent_at, conf ? conf->slots : 1);
 	ht_path_event(p, TARGET_ANSWERED, job->body, t->id, 0, "code=%u.%02u ms=%lld",
