core: mark the ledger complete only when no posting can run at the leaving instance

The planned stop asks for the hand-over before its targets are claimed. Closing the ledger at that moment refused postings until the claims; now changes are streamed and the mark follows when nothing is owned, queued or in flight.

--- a/core/handover.c
+++ b/core/handover.c
@@ -206,6 +206,20 @@
 	}
 }
 
+/* Sends every posting; later changes follow one by one, and the mark `last` at the end. */
+static void send_whole(struct ht_request_path *p, struct follower *f)
+{
+	uint64_t peer = f->peer;
+
+	send_ledger(p, f, 0, false);
+	f = follower_of(p, peer, false);
+	if (!f)
+		return;
+	f->whole = true;
+	if (p->ledger_closed)
+		send_ledger(p, f, 0, true);
+}
+
 /* While stopping, the receiver gets everything: any of the tickets may be asked for there. */
 static void hand_over(void *ctx, uint64_t target, uint64_t to)
 {
@@ -218,10 +232,7 @@
 		send_ledger(p, f, target, false);
 		return;
 	}
-	send_ledger(p, f, 0, false);
-	f = follower_of(p, to, false);
-	if (f)
-		f->whole = true;
+	send_whole(p, f);
 }
 
 static void hand_over_all(void *ctx)
@@ -242,13 +253,41 @@
 		if (home && home != p->env->self)
 			follower_of(p, home, true);
 	}
-	p->ledger_closed = true;
-	ht_list_for_each_safe (pos, tmp, &p->followers) {
+	p->handing_over = true;
+	ht_list_for_each_safe(pos, tmp, &p->followers)
+	{
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
-		if (!f->last)
-			send_ledger(p, f, 0, true);
+		if (!f->whole)
+			send_whole(p, f);
+	}
+}
+
+/* True when no posting can run here any more: nothing is owned, queued or in flight. */
+static bool all_released(struct ht_request_path *p)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init(&it, p->targets);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct ht_target *t = value;
+
+		if (t->queued || t->in_flight || p->ownership->slots(p->ownership->ctx, t->id))
+			return false;
 	}
+	return true;
+}
+
+void ht_handover_finish(struct ht_request_path *p)
+{
+	struct ht_list *pos, *tmp;
+
+	if (!p->handing_over || p->ledger_closed || !all_released(p))
+		return;
+	p->ledger_closed = true;
+	ht_list_for_each_safe(pos, tmp, &p->followers)
+		send_ledger(p, ht_container_of(pos, struct follower, node), 0, true);
 }
 
 static bool handed_over(void *ctx)
@@ -259,7 +298,7 @@
 	ht_list_for_each (pos, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
-		if (f->acked < f->sent)
+		if (f->acked < f->sent || (p->handing_over && !f->last))
 			return false;
 	}
 	return true;
@@ -369,7 +408,7 @@
 	if (!f)
 		return;
 	give_up(p, f, "link_down");
-	if (p->env->stopping && p->ledger_closed)
+	if (p->handing_over)
 		hand_over_all(p);
 }
 
--- a/core/path.c
+++ b/core/path.c
@@ -159,6 +159,7 @@
 	ht_flows_expire(p->flows, p->env->now);
 	ht_ledger_expire(p->ledger, p->env->now);
 	ht_handover_expire(p);
+	ht_handover_finish(p);
 }
 
 static void wake(void *ctx, ht_ms due)
--- a/core/path.h
+++ b/core/path.h
@@ -46,6 +46,7 @@
 	struct ht_list hops;
 	uint64_t next_id;
 	uint32_t ticket_sequence;
+	bool handing_over;
 	bool ledger_closed;	  /**< handed over whole: postings run here no more */
 	struct ht_list followers; /**< instances that got this incarnation's ledger */
 	GHashTable *predecessors; /**< ledgers received, by incarnation */
@@ -198,6 +199,8 @@
  */
 bool ht_handover_complete(struct ht_request_path *p, uint64_t incarnation, ht_ms *clock);
 void ht_handover_peer_down(struct ht_request_path *p, uint64_t peer);
+/** Closes the ledger and marks it complete once no posting can run here any more. */
+void ht_handover_finish(struct ht_request_path *p);
 void ht_handover_expire(struct ht_request_path *p);
 
 /* router_cancel.c */
