--- a/core/handover.c
+++ b/core/handover.c
@@ -254,8 +254,7 @@
 			follower_of(p, home, true);
 	}
 	p->handing_over = true;
-	ht_list_for_each_safe(pos, tmp, &p->followers)
-	{
+	ht_list_for_each_safe (pos, tmp, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
 		if (!f->whole)
@@ -286,7 +285,7 @@
 	if (!p->handing_over || p->ledger_closed || !all_released(p))
 		return;
 	p->ledger_closed = true;
-	ht_list_for_each_safe(pos, tmp, &p->followers)
+	ht_list_for_each_safe (pos, tmp, &p->followers)
 		send_ledger(p, ht_container_of(pos, struct follower, node), 0, true);
 }
 
--- a/core/path.h
+++ b/core/path.h
@@ -120,6 +120,9 @@
 	uint32_t flags;
 };
 
+/** The target in the configuration in force, or NULL. */
+const struct ht_target_conf *ht_path_target_conf(struct ht_request_path *p, uint64_t target);
+
 /** Id of a request in events: hash of the ticket, or of flow and token. */
 uint64_t ht_request_event_id(const struct ht_body *body);
 
@@ -153,6 +156,27 @@
 /** Finds the place for a job that a target did not start; its posting is sealed first. */
 void ht_home_replace(struct ht_request_path *p, struct ht_job *job);
 
+/* router_place.c: placement of a request at a target */
+const struct ht_service_conf *ht_place_service(struct ht_request_path *p, const struct ht_job *job);
+uint64_t ht_place_home(struct ht_request_path *p, const struct ht_target_conf *t);
+/** Estimated wait at a target whose home is this instance; INFINITY when it takes no work. */
+double ht_place_wait(struct ht_request_path *p, const struct ht_target_conf *conf);
+/** Makes the job wait for the claim of its target, once; true when it now waits. */
+bool ht_place_park(struct ht_request_path *p, struct ht_job *job);
+/** Takes the job at a target whose home is here; @record: the flow stays there. */
+void ht_place_take(struct ht_request_path *p, struct ht_job *job, const struct ht_target_conf *conf,
+		   bool record);
+/**
+ * Tries the row's candidates that were not tried yet. True when the job has gone to one of them;
+ * local ones are taken when their wait is below @wait.
+ */
+bool ht_place_deflect(struct ht_request_path *p, struct ht_job *job, const struct ht_row *row,
+		      double wait, bool record);
+void ht_place_hop_limit(struct ht_request_path *p, struct ht_job *job);
+/** Asks the next earlier home that may know the flow; true when the job has gone there. */
+bool ht_place_look_up(struct ht_request_path *p, struct ht_job *job,
+		      const struct ht_service_conf *svc, const struct ht_row *row);
+
 /* router_hop.c: forwards between homes */
 bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
 		 uint32_t flags, double wait);
@@ -168,6 +192,15 @@
 void ht_serve_flush(struct ht_request_path *p, struct ht_target *t);
 /** Removes a queued job; its waiters are told that it was not run. */
 void ht_serve_cancel_queued(struct ht_request_path *p, struct ht_job *job);
+/** Refuses the job as not run and keeps the refusal, so that a late copy does not run. */
+void ht_serve_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code, ht_ms retry_after,
+		     const char *why);
+/** Removes the ledger entry of an idempotent request that has no outcome. */
+void ht_serve_drop_entry(struct ht_request_path *p, struct ht_job *job);
+/** Finds a new place for the job; its other waiters follow and attach where they can. */
+void ht_serve_replace_all(struct ht_request_path *p, struct ht_job *job, bool hand_over);
+
+/* router_result.c: how requests at targets end */
 void ht_serve_result(struct ht_request_path *p, const struct ht_target_answer *ans);
 void ht_serve_target_state(struct ht_request_path *p, uint64_t id, enum ht_target_state state);
 void ht_serve_owner_changed(struct ht_request_path *p, uint64_t id);
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -3,9 +3,6 @@
 
 #include <stdlib.h>
 
-/* Number of earlier target sets that can be asked (config_if.previous_set). */
-#define PREVIOUS_SETS 4
-
 static void job_due(void *ctx, struct ht_timer *timer)
 {
 	struct ht_request_path *p = ctx;
@@ -99,250 +96,11 @@
 	}
 }
 
-static const struct ht_service_conf *service_of(struct ht_request_path *p, const struct ht_job *job)
-{
-	struct ht_config *cfg = p->config->current(p->config->ctx);
-
-	return cfg ? ht_config_service(cfg, job->body->service) : NULL;
-}
-
-static uint64_t home_of(struct ht_request_path *p, const struct ht_target_conf *t)
-{
-	return p->membership->home(p->membership->ctx, t->id, t->dc);
-}
-
-/* Estimated wait at a target whose home is this instance; INFINITY when it takes no work. */
-static double wait_at(struct ht_request_path *p, const struct ht_target_conf *conf)
-{
-	struct ht_target *t = g_hash_table_lookup(p->targets, &conf->id);
-	uint32_t owned = p->ownership->slots(p->ownership->ctx, conf->id);
-
-	if (!t || t->draining || conf->draining)
-		return INFINITY;
-	return ht_target_wait(t, ht_target_usable(t, owned, p->env->now));
-}
-
-/* True while a claim of the target may still be granted within claim_wait. */
-static bool claim_pending(struct ht_request_path *p, uint64_t target)
-{
-	switch (p->ownership->state(p->ownership->ctx, target)) {
-	case HT_OWNER_CLAIMING:
-	case HT_OWNER_RELEASING:
-		return true;
-	case HT_OWNER_NONE:
-		return p->membership->lease_valid(p->membership->ctx);
-	default:
-		return false;
-	}
-}
-
-/* Makes the job wait for its claim once; true when it now waits. */
-static bool park_for_claim(struct ht_request_path *p, struct ht_job *job)
-{
-	if (job->waited || p->ownership->slots(p->ownership->ctx, job->target) ||
-	    !claim_pending(p, job->target))
-		return false;
-	ht_home_park(p, job);
-	return true;
-}
-
-static bool set_flow(struct ht_request_path *p, struct ht_job *job, uint64_t target)
-{
-	bool evicted;
-
-	if (ht_flows_set(p->flows, job->body->flow, target, p->env->now, false, &evicted)) {
-		if (evicted)
-			ht_path_count(p, HT_C_flows_dropped);
-		return true;
-	}
-	ht_path_event(p, FLOW_TABLE_FULL, job->body, target, 0, "flows=%zu",
-		      ht_flows_count(p->flows));
-	ht_reply_unavailable(p, job, "flow_table_full");
-	ht_job_free(p, job);
-	return false;
-}
-
-/* Takes the job at @conf, whose home is this instance, and records the flow there. */
-static void take(struct ht_request_path *p, struct ht_job *job, const struct ht_target_conf *conf,
-		 bool record)
-{
-	struct ht_target *t = g_hash_table_lookup(p->targets, &conf->id);
-
-	job->target = conf->id;
-	if (record) {
-		if (!ht_flows_use(p->flows, job->body->flow, p->env->now, NULL))
-			ht_path_count(p, HT_C_flows_opened);
-		if (!set_flow(p, job, conf->id))
-			return;
-	}
-	ht_path_event(p, REQUEST_ACCEPTED, job->body, conf->id, 0, "recorded=%d", record);
-	ht_home_accept(p, job, t);
-}
-
-bool ht_home_can_queue(struct ht_request_path *p, const struct ht_job *job,
-		       const struct ht_target_conf *conf)
-{
-	const struct ht_target *t = g_hash_table_lookup(p->targets, &conf->id);
-	double wait = wait_at(p, conf);
-
-	if (home_of(p, conf) != p->env->self || !t)
-		return false;
-	return wait == 0 || (wait + t->service_time <= (double)(job->deadline - p->env->now) &&
-			     t->queued < p->env->params.queue_max);
-}
-
-void ht_home_accept(struct ht_request_path *p, struct ht_job *job, struct ht_target *t)
-{
-	struct ht_config *cfg = p->config->current(p->config->ctx);
-
-	if (!ht_body_idempotent(job->body) && !job->body->has_ticket) {
-		/* No ticket for a posting that would be refused when it comes with it. */
-		if (p->ledger_closed || !ht_home_can_queue(p, job, ht_config_target(cfg, t->id))) {
-			ht_reply_unavailable(p, job, "no_room_for_posting");
-			ht_job_free(p, job);
-			return;
-		}
-		ht_posting_issue(p, job);
-		return;
-	}
-	ht_serve_enqueue(p, job, t);
-}
-
-/*
- * Tries the row's candidates @from on that were not tried yet. True when the job has gone to one
- * of them; local ones are taken when their wait is below @wait.
- */
-static bool deflect(struct ht_request_path *p, struct ht_job *job, const struct ht_row *row,
-		    double wait, bool record)
-{
-	for (unsigned int i = 0; i < row->count; i++) {
-		const struct ht_target_conf *conf = row->at[i];
-		uint64_t home = home_of(p, conf);
-
-		if (job->tried & 1U << i || conf->draining)
-			continue;
-		job->tried |= 1U << i;
-		if (home == p->env->self) {
-			if (wait_at(p, conf) < wait) {
-				take(p, job, conf, record);
-				return true;
-			}
-		} else if (home && job->hops_left &&
-			   ht_hop_send(p, job, home, conf->id, HT__FORWARD_FLAG__FORWARD_DEFLECTED,
-				       wait)) {
-			bool evicted;
-
-			ht_path_count(p, HT_C_deflections);
-			ht_path_event(p, REQUEST_DEFLECTED, job->body, conf->id, home, "wait=%.0f",
-				      wait);
-			if (record)
-				ht_flows_set(p->flows, job->body->flow, conf->id, p->env->now, true,
-					     &evicted);
-			return true;
-		}
-		/* One comparison is enough while waiting here is possible. */
-		if (wait < INFINITY)
-			return false;
-	}
-	return false;
-}
-
-static void refuse_hop_limit(struct ht_request_path *p, struct ht_job *job)
-{
-	ht_path_count(p, HT_C_hop_limit_reached);
-	ht_path_event(p, HOP_LIMIT, job->body, job->target, job->sender, "tried=%u", job->tried);
-	ht_reply_unavailable(p, job, "hop_limit");
-	ht_job_free(p, job);
-}
-
-/* No candidate is left: wait here when that is possible, otherwise refuse at once. */
-static void settle(struct ht_request_path *p, struct ht_job *job, const struct ht_target_conf *own,
-		   double wait)
-{
-	if (own && wait < INFINITY) {
-		take(p, job, own, !job->one_off);
-		return;
-	}
-	if (!job->hops_left) {
-		refuse_hop_limit(p, job);
-		return;
-	}
-	ht_reply_unavailable(p, job, "no_candidate");
-	ht_job_free(p, job);
-}
-
-void ht_home_place(struct ht_request_path *p, struct ht_job *job)
-{
-	const struct ht_service_conf *svc = service_of(p, job);
-	const struct ht_target_conf *own = NULL;
-	double wait = INFINITY;
-	struct ht_row row;
-
-	ht_placement_row(&row, svc, job->body->flow);
-	for (unsigned int i = 0; i < row.count && !own; i++) {
-		if (home_of(p, row.at[i]) != p->env->self)
-			continue;
-		if (row.at[i]->id == job->target)
-			own = row.at[i];
-	}
-	if (own) {
-		wait = wait_at(p, own);
-		job->tried |= 1U << ht_row_index(&row, own->id);
-		if (wait == 0 || (job->compared && wait < INFINITY)) {
-			take(p, job, own, !job->one_off);
-			return;
-		}
-	}
-	if (deflect(p, job, &row, wait, !job->one_off))
-		return;
-	settle(p, job, own, wait);
-}
-
-/* Asks the next earlier home that may know the flow; true when the job has gone there. */
-static bool look_up(struct ht_request_path *p, struct ht_job *job,
-		    const struct ht_service_conf *svc, const struct ht_row *row)
-{
-	ht_ms taken = p->ownership->taken_over_at(p->ownership->ctx, job->target);
-	bool recent = taken != HT_NEVER && p->env->now - taken < p->env->params.flow_idle;
-
-	while (job->asked < PREVIOUS_SETS + 2) {
-		unsigned int k = job->asked++;
-		const struct ht_target_conf *at = NULL;
-		const struct ht_service_conf *prev;
-		struct ht_row old;
-		uint64_t home = 0;
-		bool evicted;
-
-		if (k < PREVIOUS_SETS) {
-			prev = p->config->previous_set(p->config->ctx, svc->id, k);
-			ht_placement_row(&old, prev, job->body->flow);
-			at = old.count ? old.at[0] : NULL;
-			home = at ? home_of(p, at) : 0;
-		} else if (k == PREVIOUS_SETS && recent && p->ownership->former_owner) {
-			at = row->at[0];
-			home = p->ownership->former_owner(p->ownership->ctx, job->target);
-		} else if (k == PREVIOUS_SETS + 1 && recent && row->count > 1) {
-			at = row->at[1];
-			home = home_of(p, at);
-		}
-		if (!home || home == p->env->self || !job->hops_left)
-			continue;
-		if (!ht_hop_send(p, job, home, at->id, HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN,
-				 INFINITY))
-			continue;
-		ht_flows_set(p->flows, job->body->flow, at->id, p->env->now, true, &evicted);
-		ht_path_count(p, HT_C_lookups);
-		ht_path_event(p, FLOW_LOOKUP, job->body, at->id, home, "step=%u", k);
-		return true;
-	}
-	return false;
-}
-
 /* The target is the home of another instance, in this view. */
 static void misrouted(struct ht_request_path *p, struct ht_job *job, uint64_t home)
 {
 	if (!job->hops_left) {
-		refuse_hop_limit(p, job);
+		ht_place_hop_limit(p, job);
 		return;
 	}
 	if (home && home != job->sender &&
@@ -359,7 +117,7 @@
 static void known(struct ht_request_path *p, struct ht_job *job, const struct ht_row *row,
 		  const struct ht_service_conf *svc, const struct ht_target_conf *conf)
 {
-	uint64_t home = home_of(p, conf);
+	uint64_t home = ht_place_home(p, conf);
 	uint32_t flag = HT__FORWARD_FLAG__FORWARD_MOVED;
 	bool tentative;
 	double wait;
@@ -376,9 +134,9 @@
 		return;
 	}
 	job->target = conf->id;
-	if (park_for_claim(p, job))
+	if (ht_place_park(p, job))
 		return;
-	wait = wait_at(p, conf);
+	wait = ht_place_wait(p, conf);
 	if (wait == INFINITY) {
 		/* Established flows move at a request boundary only. */
 		ht_flows_del(p->flows, job->body->flow);
@@ -390,17 +148,17 @@
 	}
 	if (wait > 0 && svc->affinity == HT_AFFINITY_REQUEST && ht_body_idempotent(job->body)) {
 		job->tried |= 1U << ht_row_index(row, conf->id);
-		if (deflect(p, job, row, wait, false))
+		if (ht_place_deflect(p, job, row, wait, false))
 			return;
 	}
-	take(p, job, conf, true);
+	ht_place_take(p, job, conf, true);
 }
 
 /* Deflected, moved and retried requests: the sender has decided, this home takes or returns. */
 static void sent_here(struct ht_request_path *p, struct ht_job *job,
 		      const struct ht_target_conf *conf)
 {
-	uint64_t home = home_of(p, conf);
+	uint64_t home = ht_place_home(p, conf);
 	bool moved = job->flags & HT__FORWARD_FLAG__FORWARD_MOVED;
 	double wait;
 
@@ -408,9 +166,9 @@
 		misrouted(p, job, home);
 		return;
 	}
-	if (park_for_claim(p, job))
+	if (ht_place_park(p, job))
 		return;
-	wait = wait_at(p, conf);
+	wait = ht_place_wait(p, conf);
 	if (wait == INFINITY) {
 		if (moved)
 			ht_flows_del(p->flows, job->body->flow);
@@ -418,7 +176,8 @@
 	} else if (job->flags & HT__FORWARD_FLAG__FORWARD_DEFLECTED && wait >= job->wait) {
 		ht_hop_return(p, job, HT_RETURN_LONGER_WAIT, wait);
 	} else {
-		take(p, job, conf, moved || !(job->flags & HT__FORWARD_FLAG__FORWARD_RETRY));
+		ht_place_take(p, job, conf,
+			      moved || !(job->flags & HT__FORWARD_FLAG__FORWARD_RETRY));
 	}
 }
 
@@ -428,10 +187,10 @@
 {
 	uint64_t target = ht_flows_use(p->flows, job->body->flow, p->env->now, NULL);
 	const struct ht_target_conf *conf = ht_service_target(svc, target);
-	uint64_t home = conf ? home_of(p, conf) : 0;
+	uint64_t home = conf ? ht_place_home(p, conf) : 0;
 
 	if (!conf || conf->draining || !home || home == job->sender ||
-	    (home == p->env->self && wait_at(p, conf) == INFINITY)) {
+	    (home == p->env->self && ht_place_wait(p, conf) == INFINITY)) {
 		ht_hop_return(p, job, HT_RETURN_UNKNOWN_FLOW, INFINITY);
 		return;
 	}
@@ -508,20 +267,20 @@
 		ht_hop_return(p, job, HT_RETURN_NOT_SERVED, INFINITY);
 		return;
 	}
-	home = home_of(p, own);
+	home = ht_place_home(p, own);
 	if (home != p->env->self && home) {
 		misrouted(p, job, home);
 		return;
 	}
-	if (home && park_for_claim(p, job))
+	if (home && ht_place_park(p, job))
 		return;
-	if (!look_up(p, job, svc, row))
+	if (!ht_place_look_up(p, job, svc, row))
 		ht_home_place(p, job);
 }
 
 void ht_home_decide(struct ht_request_path *p, struct ht_job *job)
 {
-	const struct ht_service_conf *svc = service_of(p, job);
+	const struct ht_service_conf *svc = ht_place_service(p, job);
 	const struct ht_target_conf *conf = ht_service_target(svc, job->target);
 	const uint32_t placed = HT__FORWARD_FLAG__FORWARD_DEFLECTED |
 				HT__FORWARD_FLAG__FORWARD_MOVED | HT__FORWARD_FLAG__FORWARD_RETRY;
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -1,10 +1,6 @@
 /* Queue, slots and results of the targets of which this instance is home. */
-#include "base/hash.h"
 #include "core/path.h"
 
-#include <stdlib.h>
-#include <string.h>
-
 /* A target that never reports a result must not hold its slot for ever. */
 #define RESULT_MARGIN 1000
 
@@ -27,7 +23,7 @@
 	return ht_target_usable(t, p->ownership->slots(p->ownership->ctx, t->id), p->env->now);
 }
 
-static const struct ht_target_conf *conf_of(struct ht_request_path *p, uint64_t target)
+const struct ht_target_conf *ht_path_target_conf(struct ht_request_path *p, uint64_t target)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
 
@@ -35,8 +31,8 @@
 }
 
 /* The refusal is kept until the time it gives, so that a late copy of it does not run. */
-static void refuse_kept(struct ht_request_path *p, struct ht_job *job, uint8_t code,
-			ht_ms retry_after, const char *why)
+void ht_serve_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code, ht_ms retry_after,
+		     const char *why)
 {
 	struct ht_entry *e = job->entry;
 	struct ht_answer a = {.code = code, .retry_after = retry_after};
@@ -65,7 +61,7 @@
 }
 
 /* Idempotent requests that did not start leave no entry behind. */
-static void drop_entry(struct ht_request_path *p, struct ht_job *job)
+void ht_serve_drop_entry(struct ht_request_path *p, struct ht_job *job)
 {
 	struct ht_entry *e = job->entry;
 
@@ -91,13 +87,13 @@
 		job->entry->target = t->id;
 	}
 	if (wait > 0 && (wait + t->service_time > (double)rest || rest <= 0)) {
-		refuse_kept(p, job, HT_SERVICE_UNAVAILABLE, (ht_ms)(wait + t->service_time),
-			    "deadline_cannot_be_met");
+		ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, (ht_ms)(wait + t->service_time),
+				"deadline_cannot_be_met");
 		ht_job_free(p, job);
 		return;
 	}
 	if (wait > 0 && t->queued >= p->env->params.queue_max) {
-		refuse_kept(p, job, HT_TOO_MANY_REQUESTS, (ht_ms)wait, "queue_full");
+		ht_serve_refuse(p, job, HT_TOO_MANY_REQUESTS, (ht_ms)wait, "queue_full");
 		ht_job_free(p, job);
 		return;
 	}
@@ -158,7 +154,7 @@
 {
 	while (t->queued && !t->draining && t->in_flight < usable(p, t)) {
 		struct ht_job *job = ht_container_of(t->queue.next, struct ht_job, node);
-		const struct ht_target_conf *conf = conf_of(p, t->id);
+		const struct ht_target_conf *conf = ht_path_target_conf(p, t->id);
 		struct ht_config *cfg = p->config->current(p->config->ctx);
 
 		if (!conf || conf->draining || conf->service != job->body->service)
@@ -166,8 +162,8 @@
 		unqueue(t, job);
 		/* Work that cannot finish in time would take a slot from work that can. */
 		if ((double)(job->deadline - p->env->now) < t->service_time && t->queued) {
-			refuse_kept(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN,
-				    "deadline_cannot_be_met");
+			ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN,
+					"deadline_cannot_be_met");
 			ht_job_free(p, job);
 			continue;
 		}
@@ -185,7 +181,7 @@
 	ht_timer_stop(&job->timer);
 	job->state = HT_JOB_NEW;
 	if (p->env->now >= job->deadline) {
-		refuse_kept(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN, "deadline");
+		ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN, "deadline");
 		ht_job_free(p, job);
 		return;
 	}
@@ -195,7 +191,7 @@
 		ht_posting_strip(p, job);
 		return;
 	}
-	drop_entry(p, job);
+	ht_serve_drop_entry(p, job);
 	ht_placement_row(&row, svc, job->body->flow);
 	job->tried |= 1U << ht_row_index(&row, job->target);
 	ht_home_place(p, job);
@@ -204,12 +200,12 @@
 /* The target's home has changed: the request goes there with its flow. */
 static bool hand_over_job(struct ht_request_path *p, struct ht_job *job)
 {
-	const struct ht_target_conf *conf = conf_of(p, job->target);
+	const struct ht_target_conf *conf = ht_path_target_conf(p, job->target);
 	uint64_t home = conf ? p->membership->home(p->membership->ctx, conf->id, conf->dc) : 0;
 
 	if (!home || home == p->env->self || !job->hops_left || job->body->has_ticket)
 		return false;
-	drop_entry(p, job);
+	ht_serve_drop_entry(p, job);
 	if (!ht_hop_send(p, job, home, conf->id, HT__FORWARD_FLAG__FORWARD_MOVED, INFINITY))
 		return false;
 	ht_path_event(p, QUEUE_HANDED_OVER, job->body, conf->id, home, "hops_left=%u",
@@ -239,7 +235,7 @@
 }
 
 /* Finds a new place for the job; the other waiters follow and attach to it where they can. */
-static void replace_all(struct ht_request_path *p, struct ht_job *job, bool hand_over)
+void ht_serve_replace_all(struct ht_request_path *p, struct ht_job *job, bool hand_over)
 {
 	struct ht_list copies;
 
@@ -274,7 +270,7 @@
 		ht_list_del(&job->node);
 		ht_timer_stop(&job->timer);
 		job->state = HT_JOB_NEW;
-		replace_all(p, job, true);
+		ht_serve_replace_all(p, job, true);
 	}
 }
 
@@ -283,148 +279,10 @@
 	struct ht_target *t = g_hash_table_lookup(p->targets, &job->target);
 
 	unqueue(t, job);
-	refuse_kept(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN, "cancelled");
-	ht_job_free(p, job);
-}
-
-static void free_slot(struct ht_request_path *p, struct ht_target *t, struct ht_job *job)
-{
-	ht_list_del(&job->node);
-	ht_timer_stop(&job->timer);
-	t->in_flight--;
-	if (p->ownership->state(p->ownership->ctx, t->id) == HT_OWNER_RELEASING)
-		p->ownership->request_ended(p->ownership->ctx, t->id);
-}
-
-static void take_answer(struct ht_request_path *p, struct ht_target *t, struct ht_job *job,
-			const struct ht_target_answer *ans)
-{
-	const struct ht_target_conf *conf = conf_of(p, t->id);
-	struct ht_answer a = {
-		.code = ans->code,
-		.verdict = HT_RAN,
-		.payload = ans->payload,
-		.payload_len = ans->payload_len,
-		.content_format = ans->content_format,
-	};
-	uint64_t tag =
-		ht_hash(ans->payload_len ? ans->payload : (const uint8_t *)"", ans->payload_len);
-
-	ht_target_answered(t, p->env->now - job->sent_at, conf ? conf->slots : 1);
-	ht_path_event(p, TARGET_ANSWERED, job->body, t->id, 0, "code=%u.%02u ms=%lld",
-		      ans->code / 32U, ans->code % 32U, (long long)(p->env->now - job->sent_at));
-	memcpy(a.etag, &tag, sizeof(tag));
-	if (job->body->has_ticket && !p->env->stopping) {
-		a.has_ticket = true;
-		ht_posting_ticket(p, job->body, a.ticket);
-	}
-	if (job->entry) {
-		ht_ledger_keep(p->ledger, job->entry, &a, p->env->now);
-		ht_handover_update(p, job->entry);
-		if (!job->answered)
-			ht_reply_entry(p, job, job->entry);
-	}
-	ht_job_free(p, job);
-}
-
-/* Refused or never written: it did not run. */
-static void take_refusal(struct ht_request_path *p, struct ht_target *t, struct ht_job *job,
-			 const struct ht_target_answer *ans)
-{
-	bool free_move = ans->draining || ans->result == HT_TARGET_UNSENT;
-
-	ht_path_event(p, TARGET_REFUSED, job->body, t->id, 0, "result=%d draining=%d",
-		      (int)ans->result, ans->draining);
-	if (job->entry)
-		ht_ledger_change(p->ledger, job->entry, HT_ENTRY_OPEN, p->env->now);
-	if (ans->draining)
-		ht_serve_target_state(p, t->id, HT_TARGET_DRAINING);
-	if (job->answered) {
-		if (job->entry && job->entry->posting)
-			ht_posting_seal(p, job);
-		ht_job_free(p, job);
-		return;
-	}
-	if (free_move || ht_retries_spend(p->home_retries, job->body->service)) {
-		ht_path_count(p, HT_C_retries);
-		ht_path_event(p, REQUEST_RETRIED, job->body, t->id, 0, "side=home why=refused");
-		replace_all(p, job, false);
-		return;
-	}
-	ht_path_count(p, HT_C_retries_denied);
-	ht_path_event(p, RETRY_DENIED, job->body, t->id, 0, "why=budget");
-	refuse_kept(p, job, HT_SERVICE_UNAVAILABLE, ans->retry_after, "target_refused");
-	ht_job_free(p, job);
-}
-
-static bool retry_lost(struct ht_request_path *p, struct ht_job *job)
-{
-	struct ht_target *t = g_hash_table_lookup(p->targets, &job->target);
-
-	if (!ht_body_idempotent(job->body) || job->answered)
-		return false;
-	if ((double)(job->deadline - p->env->now) < (t ? t->service_time : 1) ||
-	    !ht_retries_spend(p->home_retries, job->body->service)) {
-		ht_path_count(p, HT_C_retries_denied);
-		ht_path_event(p, RETRY_DENIED, job->body, job->target, 0, "why=budget_or_deadline");
-		return false;
-	}
-	ht_path_count(p, HT_C_retries);
-	ht_path_event(p, REQUEST_RETRIED, job->body, job->target, 0, "side=home why=lost");
-	job->floor = HT_MAY_HAVE_RUN;
-	job->flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
-	job->one_off = true;
-	replace_all(p, job, false);
-	return true;
-}
-
-/* Lost or timed out: it may have run. */
-static void take_loss(struct ht_request_path *p, struct ht_target *t, struct ht_job *job,
-		      const struct ht_target_answer *ans)
-{
-	if (ht_target_lost(t, p->env->now)) {
-		ht_path_event(p, TARGET_UNHEALTHY, job->body, t->id, 0, "lost=%u", t->lost);
-		ht_serve_flush(p, t);
-	}
-	ht_path_event(p, TARGET_LOST, job->body, t->id, 0, "result=%d", (int)ans->result);
-	if (retry_lost(p, job))
-		return;
-	if (job->entry && job->entry->posting) {
-		ht_ledger_change(p->ledger, job->entry, HT_ENTRY_UNKNOWN, p->env->now);
-		ht_handover_update(p, job->entry);
-	} else {
-		drop_entry(p, job);
-	}
-	if (!job->answered)
-		ht_reply_may_have_run(p, job, "target_lost");
+	ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN, "cancelled");
 	ht_job_free(p, job);
 }
 
-void ht_serve_result(struct ht_request_path *p, const struct ht_target_answer *ans)
-{
-	struct ht_job *job = g_hash_table_lookup(p->jobs, &ans->id);
-	struct ht_target *t = job ? g_hash_table_lookup(p->targets, &job->target) : NULL;
-
-	if (!t || job->state != HT_JOB_SENT)
-		return;
-	free_slot(p, t, job);
-	switch (ans->result) {
-	case HT_TARGET_ANSWERED:
-		take_answer(p, t, job, ans);
-		break;
-	case HT_TARGET_REFUSED:
-	case HT_TARGET_UNSENT:
-		take_refusal(p, t, job, ans);
-		break;
-	default:
-		take_loss(p, t, job, ans);
-		break;
-	}
-	ht_serve_run(p, t);
-	if (!t->in_flight && !p->ownership->slots(p->ownership->ctx, t->id))
-		ht_serve_owner_changed(p, t->id);
-}
-
 static void serve_due(void *ctx, struct ht_timer *timer)
 {
 	struct ht_request_path *p = ctx;
@@ -434,7 +292,7 @@
 	if (job->state == HT_JOB_QUEUED) {
 		if (t)
 			unqueue(t, job);
-		refuse_kept(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN, "deadline");
+		ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN, "deadline");
 		ht_job_free(p, job);
 	} else if (job->state == HT_JOB_SENT && !job->answered) {
 		/* The slot stays taken until the target's result; the caller waits no longer. */
@@ -502,7 +360,7 @@
 
 void ht_serve_owner_changed(struct ht_request_path *p, uint64_t id)
 {
-	const struct ht_target_conf *conf = conf_of(p, id);
+	const struct ht_target_conf *conf = ht_path_target_conf(p, id);
 	enum ht_owner_state state = p->ownership->state(p->ownership->ctx, id);
 	uint32_t slots = p->ownership->slots(p->ownership->ctx, id);
 	bool ours = conf && (slots || state == HT_OWNER_OWNED || state == HT_OWNER_HOLDING);
@@ -535,7 +393,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		all[count++] = value;
 	for (unsigned int i = 0; i < count; i++) {
-		const struct ht_target_conf *conf = conf_of(p, all[i]->id);
+		const struct ht_target_conf *conf = ht_path_target_conf(p, all[i]->id);
 
 		if (!conf || conf->draining)
 			ht_serve_flush(p, all[i]);
