wire: a home says where a looked-up or deflected flow lives

The sender of a look-up knew only the home that it had asked, not the target: when that home serves several targets, or the target asked for has left, the remembered exception was wrong. Returned now carries the target with the reason HT_RETURN_TAKEN.

--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1868,7 +1868,7 @@
   (ProtobufCMessageInit) ht__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__returned__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ht__returned__field_descriptors[6] =
 {
   {
     "key",
@@ -1930,18 +1930,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Returned, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__returned__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   1,   /* field[1] = hop_id */
   0,   /* field[0] = key */
   2,   /* field[2] = reason */
+  5,   /* field[5] = target */
   3,   /* field[3] = wait_ms */
 };
 static const ProtobufCIntRange ht__returned__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__returned__descriptor =
 {
@@ -1951,7 +1964,7 @@
   "Ht__Returned",
   "ht",
   sizeof(Ht__Returned),
-  5,
+  6,
   ht__returned__field_descriptors,
   ht__returned__field_indices_by_name,
   1,  ht__returned__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -268,7 +268,7 @@
 
 
 /*
- * A Forward that was not taken.
+ * A Forward that was not taken, or (reason HT_RETURN_TAKEN) a deflection or look-up that was.
  */
 struct  Ht__Returned
 {
@@ -281,10 +281,14 @@
   uint32_t reason;
   uint32_t wait_ms;
   uint64_t config_version;
+  /*
+   * with HT_RETURN_TAKEN: where the flow lives
+   */
+  uint64_t target;
 };
 #define HT__RETURNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__returned__descriptor) \
-    , NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Ht__ClaimedTarget
