core: flows keep their target while target sets and homes change

Before: a flow found by a look-up was remembered at the target that was asked for; after the earlier sets expired it moved (test target_sets_change), and a tentative exception was lost when its home changed (homes_change).

--- a/core/path.c
+++ b/core/path.c
@@ -80,7 +80,11 @@
 	p->config->seen(p->config->ctx, peer, m->config_version);
 	if ((m->hop_id & 7) == 7) {
 		job = g_hash_table_lookup(p->jobs, &id);
-		if (job && job->state == HT_JOB_HOP && job->hop_peer == peer)
+		if (!job || job->state != HT_JOB_HOP || job->hop_peer != peer)
+			return;
+		if (m->reason == HT_RETURN_TAKEN)
+			ht_hop_was_taken(p, job, m->target);
+		else
 			ht_hop_returned(p, job, (enum ht_return_reason)m->reason,
 					m->wait_ms == UINT32_MAX ? INFINITY : m->wait_ms);
 		return;
--- a/core/path.h
+++ b/core/path.h
@@ -97,6 +97,7 @@
 	bool waited;	       /**< has been parked once */
 	bool compared;	       /**< a deflection came back */
 	bool one_off;	       /**< placed for this request only: the flow stays */
+	bool tentative;	       /**< asks whether the flow was taken where it was deflected to */
 	bool stripped;	       /**< nobody waits for a Returned of it */
 	bool answered;	       /**< waiters are served; only the slot is still held */
 	enum ht_verdict floor; /**< least verdict that a refusal may give */
@@ -182,6 +183,9 @@
 		 uint32_t flags, double wait);
 void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
 		   double wait);
+/** Tells the sender of a deflection or look-up where the flow lives; it hears no more. */
+void ht_hop_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target);
+void ht_hop_was_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target);
 void ht_hop_returned(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
 		     double wait);
 void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer);
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -124,8 +124,10 @@
 
 	if (home != p->env->self) {
 		ht_flows_use(p->flows, job->body->flow, p->env->now, &tentative);
-		if (tentative)
+		if (tentative) {
 			flag = HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN;
+			job->tentative = true;
+		}
 		if (home && job->hops_left && ht_hop_send(p, job, home, conf->id, flag, INFINITY))
 			return;
 		job->tried |= 1U << ht_row_index(row, conf->id);
@@ -148,6 +150,7 @@
 	}
 	if (wait > 0 && svc->affinity == HT_AFFINITY_REQUEST && ht_body_idempotent(job->body)) {
 		job->tried |= 1U << ht_row_index(row, conf->id);
+		job->one_off = true;
 		if (ht_place_deflect(p, job, row, wait, false))
 			return;
 	}
@@ -176,8 +179,11 @@
 	} else if (job->flags & HT__FORWARD_FLAG__FORWARD_DEFLECTED && wait >= job->wait) {
 		ht_hop_return(p, job, HT_RETURN_LONGER_WAIT, wait);
 	} else {
-		ht_place_take(p, job, conf,
-			      moved || !(job->flags & HT__FORWARD_FLAG__FORWARD_RETRY));
+		bool record = moved || !(job->flags & HT__FORWARD_FLAG__FORWARD_RETRY);
+
+		if (job->flags & HT__FORWARD_FLAG__FORWARD_DEFLECTED && record)
+			ht_hop_taken(p, job, conf->id);
+		ht_place_take(p, job, conf, record);
 	}
 }
 
@@ -194,6 +200,7 @@
 		ht_hop_return(p, job, HT_RETURN_UNKNOWN_FLOW, INFINITY);
 		return;
 	}
+	ht_hop_taken(p, job, target);
 	known(p, job, row, svc, conf);
 }
 
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -78,13 +78,29 @@
 	ht_ingress_returned(p, w, reason);
 }
 
-void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
-		   double wait)
+static void send_returned(struct ht_request_path *p, const struct ht_job *job,
+			  enum ht_return_reason reason, double wait, uint64_t target)
 {
 	struct ht_config *cfg = p->config->current(p->config->ctx);
 	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
 	Ht__Returned m = HT__RETURNED__INIT;
 	Ht__RequestKey key = HT__REQUEST_KEY__INIT;
+
+	key.flow = job->body->flow;
+	m.key = &key;
+	m.hop_id = job->hop_id;
+	m.reason = reason;
+	m.wait_ms = wire_wait(wait);
+	m.config_version = cfg ? cfg->version : 0;
+	m.target = target;
+	msg.kind_case = HT__PEER_MSG__KIND_RETURNED;
+	msg.returned = &m;
+	p->env->send(p->env, job->sender, &msg);
+}
+
+void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
+		   double wait)
+{
 	uint64_t sender = job->sender, hop_id = job->hop_id;
 
 	if (job->stripped) {
@@ -94,21 +110,36 @@
 	}
 	ht_path_event(p, REQUEST_RETURNED, job->body, job->target, sender, "reason=%d wait=%u",
 		      (int)reason, wire_wait(wait));
-	key.flow = job->body->flow;
-	m.key = &key;
-	m.hop_id = hop_id;
-	m.reason = reason;
-	m.wait_ms = wire_wait(wait);
-	m.config_version = cfg ? cfg->version : 0;
-	msg.kind_case = HT__PEER_MSG__KIND_RETURNED;
-	msg.returned = &m;
 	if (sender != p->env->self)
-		p->env->send(p->env, sender, &msg);
+		send_returned(p, job, reason, wait, 0);
 	ht_job_free(p, job);
 	if (sender == p->env->self)
 		return_local(p, hop_id, reason);
 }
 
+void ht_hop_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target)
+{
+	if (job->stripped)
+		return;
+	if (job->sender != p->env->self && (job->hop_id & 7) == 7)
+		send_returned(p, job, HT_RETURN_TAKEN, 0, target);
+	job->stripped = true;
+	job->sender = p->env->self;
+	job->flags &= ~(uint32_t)(HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN |
+				  HT__FORWARD_FLAG__FORWARD_DEFLECTED);
+}
+
+/* The copy stays until its deadline in case the peer ends. */
+void ht_hop_was_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target)
+{
+	bool evicted;
+
+	job->hop_flags = HT__FORWARD_FLAG__FORWARD_MOVED;
+	job->hop_target = target;
+	if (!job->one_off)
+		ht_flows_set(p->flows, job->body->flow, target, p->env->now, false, &evicted);
+}
+
 /* The flow is not where it was believed to be. */
 static void forget_hop(struct ht_request_path *p, struct ht_job *job)
 {
@@ -142,7 +173,9 @@
 		return;
 	}
 	if (flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN) {
-		forget_hop(p, job);
+		if (job->tentative)
+			forget_hop(p, job);
+		job->tentative = false;
 		ht_home_decide(p, job);
 		return;
 	}
--- a/core/router_place.c
+++ b/core/router_place.c
@@ -216,7 +216,6 @@
 		const struct ht_service_conf *prev;
 		struct ht_row old;
 		uint64_t home = 0;
-		bool evicted;
 
 		if (k < PREVIOUS_SETS) {
 			prev = p->config->previous_set(p->config->ctx, svc->id, k);
@@ -235,7 +234,6 @@
 		if (!ht_hop_send(p, job, home, at->id, HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN,
 				 INFINITY))
 			continue;
-		ht_flows_set(p->flows, job->body->flow, at->id, p->env->now, true, &evicted);
 		ht_path_count(p, HT_C_lookups);
 		ht_path_event(p, FLOW_LOOKUP, job->body, at->id, home, "step=%u", k);
 		return true;
--- a/tests/core/path_net.h
+++ b/tests/core/path_net.h
@@ -38,6 +38,7 @@
 	bool dead;
 	bool no_lease;
 	ht_ms taken_over[TARGETS];
+	int view[TARGETS];  /* home in this node's view, or -2: as in the net */
 	int state[TARGETS]; /* enum ht_owner_state, or -1: owned when home */
 	unsigned int seen;
 	unsigned int events[2000];
@@ -81,6 +82,8 @@
 	bool cut[NODES][NODES];
 	uint64_t seed;
 	struct ht_config *cfg;
+	struct ht_config *old[16];
+	int old_count;
 	unsigned int sends; /* frames sent in all */
 };
 
@@ -216,7 +219,8 @@
 static uint64_t fake_home(void *ctx, uint64_t target, const char *dc)
 {
 	struct node *n = ctx;
-	int home = n->net->home[target_index(target)];
+	int t = target_index(target);
+	int home = n->view[t] == -2 ? n->net->home[t] : n->view[t];
 
 	(void)dc;
 	return home < 0 || n->net->nodes[home].dead ? 0 : node_id(home);
@@ -333,8 +337,10 @@
 
 	*n = (struct node){.net = net, .cfg = net->cfg};
 	memset(n->state, 0xff, sizeof(n->state));
-	for (int t = 0; t < TARGETS; t++)
+	for (int t = 0; t < TARGETS; t++) {
 		n->taken_over[t] = HT_NEVER;
+		n->view[t] = -2;
+	}
 	n->ops = (struct ht_core_ops){.answer = op_answer,
 				      .send_target = op_send_target,
 				      .cancel_target = op_cancel_target,
@@ -429,6 +435,8 @@
 	}
 	for (int i = 0; i < net->frame_count; i++)
 		free(net->frames[i].data);
+	for (int i = 0; i < net->old_count; i++)
+		ht_config_put(net->old[i]);
 	ht_config_put(net->cfg);
 	free(net);
 }
@@ -538,6 +546,47 @@
 	n->router->request(n->router->ctx, handle, &req);
 }
 
+/* The configuration of node @i becomes @cfg; the net keeps a reference until it is freed. */
+static inline void adopt(struct net *net, int i, struct ht_config *cfg)
+{
+	struct node *n = &net->nodes[i];
+	const struct ht_service_conf *old = ht_config_service(n->cfg, ht_hash_str("svc"));
+	const struct ht_service_conf *now = ht_config_service(cfg, ht_hash_str("svc"));
+
+	if (old->target_set != now->target_set) {
+		memmove(&n->prev[1], &n->prev[0], 3 * sizeof(n->prev[0]));
+		n->prev[0] = old;
+	}
+	n->cfg = cfg;
+	for (int t = 0; t < TARGETS; t++)
+		if (net->home[t] == i && ht_config_target(cfg, target_id(t)) &&
+		    !g_hash_table_lookup(n->path->targets, &(uint64_t){target_id(t)}))
+			target_up(net, i, t);
+	n->targets->config_changed(n->targets->ctx);
+}
+
+/* All nodes adopt @cfg, which becomes the net's. */
+static inline void adopt_all(struct net *net, struct ht_config *cfg)
+{
+	ck_assert_int_lt(net->old_count, 16);
+	net->old[net->old_count++] = net->cfg;
+	net->cfg = cfg;
+	for (int i = 0; i < net->node_count; i++)
+		adopt(net, i, cfg);
+}
+
+/* Target @t gets the home @to as by a planned change, at this moment. */
+static inline void move_home(struct net *net, int t, int to)
+{
+	struct node *from = &net->nodes[net->home[t]];
+
+	net->home[t] = to;
+	net->nodes[to].taken_over[t] = net->now;
+	target_up(net, to, t);
+	if (!from->dead)
+		from->targets->owner_changed(from->targets->ctx, target_id(t));
+}
+
 /* The last request sent to a target; NULL when there is none that is open. */
 static inline struct sent *last_sent(struct net *net)
 {
