--- a/core/path.h
+++ b/core/path.h
@@ -98,6 +98,7 @@
 	bool compared;	       /**< a deflection came back */
 	bool one_off;	       /**< placed for this request only: the flow stays */
 	bool tentative;	       /**< asks whether the flow was taken where it was deflected to */
+	bool replaced;	       /**< left a target: that one is not tried again */
 	bool stripped;	       /**< nobody waits for a Returned of it */
 	bool answered;	       /**< waiters are served; only the slot is still held */
 	enum ht_verdict floor; /**< least verdict that a refusal may give */
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -311,7 +311,9 @@
 	if (ht_body_idempotent(job->body) && repeated(p, job))
 		return;
 	ht_placement_row(&row, svc, job->body->flow);
-	if (job->flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN) {
+	if (job->replaced) {
+		ht_home_place(p, job);
+	} else if (job->flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN) {
 		looked_up(p, job, svc, &row);
 	} else if (job->flags & placed) {
 		if (conf)
--- a/core/router_result.c
+++ b/core/router_result.c
@@ -65,6 +65,8 @@
 	if (free_move || ht_retries_spend(p->home_retries, job->body->service)) {
 		ht_path_count(p, HT_C_retries);
 		ht_path_event(p, REQUEST_RETRIED, job->body, t->id, 0, "side=home why=refused");
+		/* A target that only sheds load keeps its flows. */
+		job->one_off = !ans->draining;
 		ht_serve_replace_all(p, job, false);
 		return;
 	}
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -171,13 +171,19 @@
 	}
 }
 
-/* A request that did not start at its target finds another place. */
-void ht_home_replace(struct ht_request_path *p, struct ht_job *job)
+static void exclude_target(struct ht_request_path *p, struct ht_job *job)
 {
-	struct ht_config *cfg = p->config->current(p->config->ctx);
-	const struct ht_service_conf *svc = cfg ? ht_config_service(cfg, job->body->service) : NULL;
 	struct ht_row row;
 
+	ht_placement_row(&row, ht_place_service(p, job), job->body->flow);
+	job->tried |= 1U << ht_row_index(&row, job->target);
+	job->target = 0;
+	job->replaced = true;
+}
+
+/* A request that did not start at its target finds another place. */
+void ht_home_replace(struct ht_request_path *p, struct ht_job *job)
+{
 	ht_timer_stop(&job->timer);
 	job->state = HT_JOB_NEW;
 	if (p->env->now >= job->deadline) {
@@ -188,12 +194,12 @@
 	if (job->body->has_ticket) {
 		ht_posting_seal(p, job);
 		detach_entry(job);
+		exclude_target(p, job);
 		ht_posting_strip(p, job);
 		return;
 	}
 	ht_serve_drop_entry(p, job);
-	ht_placement_row(&row, svc, job->body->flow);
-	job->tried |= 1U << ht_row_index(&row, job->target);
+	exclude_target(p, job);
 	ht_home_place(p, job);
 }
 
