--- a/core/services.h
+++ b/core/services.h
@@ -14,6 +14,7 @@
 	HT_RETURN_NOT_HOME = 3,	   /**< the receiver does not own the target */
 	HT_RETURN_NOT_SERVED = 4,  /**< its newer configuration has no such target in the service */
 	HT_RETURN_UNAVAILABLE = 5, /**< target down, draining, misassigned or full */
+	HT_RETURN_TAKEN = 6, /**< a deflection or look-up was taken; names the flow's target */
 };
 
 /** Registry name "env": what every service gets from the core. */
@@ -92,6 +93,8 @@
 	uint32_t (*slots)(void *ctx, uint64_t target);
 	/** When the target was last taken over from another owner, or HT_NEVER. */
 	ht_ms (*taken_over_at)(void *ctx, uint64_t target);
+	/** Live instance that the target was taken over from, or 0. May be NULL. */
+	uint64_t (*former_owner)(void *ctx, uint64_t target);
 	/** One own request to a target in the state releasing has ended. */
 	void (*request_ended)(void *ctx, uint64_t target);
 };
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1881,7 +1881,7 @@
   (ProtobufCMessageInit) ht__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__returned__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ht__returned__field_descriptors[6] =
 {
   {
     "key",
@@ -1943,18 +1943,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Returned, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__returned__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   1,   /* field[1] = hop_id */
   0,   /* field[0] = key */
   2,   /* field[2] = reason */
+  5,   /* field[5] = target */
   3,   /* field[3] = wait_ms */
 };
 static const ProtobufCIntRange ht__returned__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__returned__descriptor =
 {
@@ -1964,7 +1977,7 @@
   "Ht__Returned",
   "ht",
   sizeof(Ht__Returned),
-  5,
+  6,
   ht__returned__field_descriptors,
   ht__returned__field_indices_by_name,
   1,  ht__returned__number_ranges,
@@ -2304,7 +2317,7 @@
   (ProtobufCMessageInit) ht__ledger_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[5] =
 {
   {
     "incarnation",
@@ -2354,17 +2367,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "now_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__LedgerEntries, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__ledger_entries__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   1,   /* field[1] = entries */
   0,   /* field[0] = incarnation */
   2,   /* field[2] = last */
+  4,   /* field[4] = now_ms */
 };
 static const ProtobufCIntRange ht__ledger_entries__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ht__ledger_entries__descriptor =
 {
@@ -2374,7 +2400,7 @@
   "Ht__LedgerEntries",
   "ht",
   sizeof(Ht__LedgerEntries),
-  4,
+  5,
   ht__ledger_entries__field_descriptors,
   ht__ledger_entries__field_indices_by_name,
   1,  ht__ledger_entries__number_ranges,
