--- a/tests/standins/test_standins.c
+++ b/tests/standins/test_standins.c
@@ -297,7 +297,8 @@
 	static const char *const ips[] = {"127.0.0.11", "127.0.0.12", "127.0.0.13"};
 	int platform = start_platform(), port = free_port(SOCK_DGRAM);
 	int fds[3], got[3] = {0}, at, caller = bound(SOCK_DGRAM, "127.0.0.1", 0);
-	struct sockaddr_in service = address("127.0.0.1", port), from, first = {.sin_port = 0};
+	struct sockaddr_in service = address("127.0.0.1", port), from = {.sin_port = 0},
+			   first = from;
 	socklen_t len = sizeof(from);
 	char args[128], buf[8];
 
