--- a/standins/caller.c
+++ b/standins/caller.c
@@ -69,6 +69,7 @@
 struct flow {
 	struct caller *caller;
 	const char *service;
+	guint number; /* part of the request ids, so that journals show where a flow went */
 	struct ev_io io;
 	struct ht_list calls;
 	ht_ms not_before; /* Max-Age of the last refusal */
@@ -280,7 +281,7 @@
 		method = COAP_REQUEST_POST;
 	else if (g_rand_double(c->rand) < opt.pattern_share)
 		path = "pattern";
-	g_snprintf(id, sizeof(id), "%s-%d", opt.prefix, c->sent++);
+	g_snprintf(id, sizeof(id), "%s-f%u-%d", opt.prefix, flow->number, c->sent++);
 	start_call(flow, id, path, method);
 }
 
@@ -331,6 +332,7 @@
 	struct flow *flow = g_new0(struct flow, 1);
 	int fd = socket(addr->ss.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
+	flow->number = c->flows->len;
 	g_ptr_array_add(c->flows, flow);
 	flow->caller = c;
 	flow->service = name;
--- a/tests/standins/test_standins.c
+++ b/tests/standins/test_standins.c
@@ -365,11 +365,11 @@
 		   port_of(fd), records);
 	start("caller", args);
 	answer_caller(fd, NULL);
-	answer_caller(fd, "almacen stock r-999\n");
-	answer_caller(fd, "taller-docs stock r-2\n");
+	answer_caller(fd, "almacen stock r-f0-999\n");
+	answer_caller(fd, "taller-docs stock r-f0-2\n");
 	ck_assert_int_eq(waitpid(children[0], NULL, 0), children[0]);
 	child_count = 0;
-	ck_assert_int_eq(count_lines(records, "\"r-0\"", "\"body_ok\":true"), 1);
+	ck_assert_int_eq(count_lines(records, "\"r-f0-0\"", "\"body_ok\":true"), 1);
 	ck_assert_int_eq(count_lines(records, "\"code\":205", "\"body_ok\":false"), 2);
 	close(fd);
 }
