wire: carry the peer and admin address in Hello

An instance that accepts a link knows only the ephemeral port of the dialer. Without the listening address it can neither redial nor prove by a refused connection that the process ended.

--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -952,7 +952,7 @@
   assert(message->base.descriptor == &ht__peer_msg__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ht__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ht__hello__field_descriptors[9] =
 {
   {
     "wire_version",
@@ -1038,20 +1038,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_address",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Hello, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin_address",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Hello, admin_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__hello__field_indices_by_name[] = {
+  8,   /* field[8] = admin_address */
   6,   /* field[6] = config_version */
   2,   /* field[2] = dc */
   3,   /* field[3] = incarnation */
   1,   /* field[1] = name */
   5,   /* field[5] = nonce */
+  7,   /* field[7] = peer_address */
   4,   /* field[4] = size */
   0,   /* field[0] = wire_version */
 };
 static const ProtobufCIntRange ht__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ht__hello__descriptor =
 {
@@ -1061,7 +1087,7 @@
   "Ht__Hello",
   "ht",
   sizeof(Ht__Hello),
-  7,
+  9,
   ht__hello__field_descriptors,
   ht__hello__field_indices_by_name,
   1,  ht__hello__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -88,10 +88,15 @@
    */
   ProtobufCBinaryData nonce;
   uint64_t config_version;
+  /*
+   * where this instance accepts links, as IP:PORT
+   */
+  char *peer_address;
+  char *admin_address;
 };
 #define HT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
