--- a/daemon/target_conn.h
+++ b/daemon/target_conn.h
@@ -14,8 +14,9 @@
 #define HT_CONN_SILENT_MS 1000
 
 enum ht_conn_state {
-	HT_CONN_OPENING,  /**< TCP connect and capability exchange */
-	HT_CONN_CHECKING, /**< health asked for */
+	HT_CONN_OPENING,   /**< TCP connect and capability exchange */
+	HT_CONN_CONNECTED, /**< health must be asked for, outside of libcoap's handler */
+	HT_CONN_CHECKING,  /**< health asked for */
 	HT_CONN_UP,
 	HT_CONN_CLOSED, /**< ended; freed by the next sweep */
 };
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -291,9 +291,10 @@
 	switch (event) {
 	case COAP_EVENT_SESSION_CONNECTED:
 		ht_target_conn_received(conn, now);
+		/* libcoap would block in coap_send() until this handler has returned. */
 		if (conn->state == HT_CONN_OPENING) {
-			conn->state = HT_CONN_CHECKING;
-			send_health(conn, now);
+			conn->state = HT_CONN_CONNECTED;
+			feed_sweep(((struct target *)conn->target)->pool);
 		}
 		break;
 	case COAP_EVENT_TCP_CLOSED:
@@ -359,6 +360,20 @@
 	}
 }
 
+static void check_connected(struct target *t, ht_ms now)
+{
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &t->conns) {
+		struct ht_target_conn *conn = ht_container_of(pos, struct ht_target_conn, node);
+
+		if (conn->state != HT_CONN_CONNECTED)
+			continue;
+		conn->state = HT_CONN_CHECKING;
+		send_health(conn, now);
+	}
+}
+
 static void target_free(struct target *t)
 {
 	g_hash_table_remove(t->pool->by_id, &t->id);
@@ -373,6 +388,7 @@
 		target_free(t);
 		return;
 	}
+	check_connected(t, now);
 	open_missing(t, now);
 	report_state(t);
 }
--- a/wire/frame.c
+++ b/wire/frame.c
@@ -29,12 +29,14 @@
 
 bool ht_buffer_append(struct ht_buffer *buf, const void *data, size_t len)
 {
-	uint8_t *to = ht_buffer_reserve(buf, len);
+	uint8_t *to;
 
+	if (!len)
+		return true;
+	to = ht_buffer_reserve(buf, len);
 	if (!to)
 		return false;
-	if (len)
-		memcpy(to, data, len);
+	memcpy(to, data, len);
 	buf->end += len;
 	return true;
 }
