--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -160,21 +160,12 @@
 
 static void report_state(struct target *t)
 {
-	static const enum ht_event_number events[] = {
-		[HT_TARGET_UP] = HT_EV_TARGET_UP,
-		[HT_TARGET_DOWN] = HT_EV_TARGET_DOWN,
-		[HT_TARGET_DRAINING] = HT_EV_TARGET_DRAINING,
-		[HT_TARGET_MISASSIGNED] = HT_EV_TARGET_MISASSIGNED,
-	};
 	struct ht_target_pool *pool = t->pool;
-	char text[HT_ADDR_TEXT];
 	int state = current_state(t);
 
 	if (!t->wanted || state < 0 || state == t->reported)
 		return;
 	t->reported = state;
-	ht_log_event(pool->p.log, events[state], t->id, 0, "address=%s service=%s",
-		     ht_addr_format(&t->addr, text), t->service);
 	pool->p.ops->state(pool->p.ctx, t->id, (enum ht_target_state)state);
 }
 
