--- a/core/ownership.c
+++ b/core/ownership.c
@@ -240,7 +240,7 @@
 			t->next_claim = o->env->now;
 			continue;
 		}
-		o->env->emit(o->env, HT_EV_TARGET_LOST, 0, 0, t->id, 0, "%s", "");
+		o->env->emit(o->env, HT_EV_OWNERSHIP_LOST, 0, 0, t->id, 0, "%s", "");
 		ht_claim_drop(o, t);
 		ht_owned_set_state(o, t, HT_OWNER_NONE);
 		if (is_home(o, t))
--- a/core/router_result.c
+++ b/core/router_result.c
@@ -105,7 +105,7 @@
 		ht_path_event(p, TARGET_UNHEALTHY, job->body, t->id, 0, "lost=%u", t->lost);
 		ht_serve_flush(p, t);
 	}
-	ht_path_event(p, TARGET_LOST, job->body, t->id, 0, "result=%d", (int)ans->result);
+	ht_path_event(p, REQUEST_LOST, job->body, t->id, 0, "result=%d", (int)ans->result);
 	if (retry_lost(p, job))
 		return;
 	if (job->entry && job->entry->posting) {
