--- a/core/claims.c
+++ b/core/claims.c
@@ -49,6 +49,7 @@
 	t->vote_count = 0;
 	t->self_vote = false;
 	t->taken_over = false;
+	t->former_owner = 0;
 	t->blocker = 0;
 	t->released_by = 0;
 	t->next_claim = HT_NEVER;
@@ -290,6 +291,8 @@
 
 	if (in->was_owner || in->hold_ms)
 		t->taken_over = true;
+	if (in->was_owner)
+		t->former_owner = peer;
 	if (in->in_flight)
 		borrow(o, t, peer, in->in_flight);
 	/* Only the votes that made the majority can tell of a dead owner. */
--- a/core/config_service.h
+++ b/core/config_service.h
@@ -3,6 +3,7 @@
 #define HT_CORE_CONFIG_SERVICE_H
 
 #include "core/control.h"
+#include "rules/rules.h"
 
 #define HT_PREVIOUS_SETS 4
 /* Changes kept to answer pulls with differences; a peer further behind gets the whole text. */
@@ -23,6 +24,20 @@
 	ht_ms replaced_at;
 };
 
+struct ht_kept_change {
+	uint64_t from, to;
+	char change_id[40];
+	struct ht_rules_diff diff;
+};
+
+/* A whole text that comes in several messages. */
+struct ht_assembly {
+	uint64_t peer, version;
+	uint32_t next, parts;
+	char *text;
+	size_t len;
+};
+
 struct ht_config_service {
 	struct ht_env *env;
 	struct ht_config_if iface;
@@ -31,10 +46,13 @@
 	struct ht_config *current;
 	struct ht_previous_set *previous; /* newest first */
 	size_t previous_count;
+	struct ht_kept_change kept[HT_KEPT_CHANGES]; /* oldest first */
+	size_t kept_count;
 	uint64_t wanted_version, wanted_peer;
 	uint64_t older_logged;
 	bool want_whole; /* the last difference did not fit */
 	ht_ms pull_until;
+	struct ht_assembly assembly;
 };
 
 /** Puts a newer configuration in force; @source names where it came from. */
--- a/core/core.c
+++ b/core/core.c
@@ -34,8 +34,8 @@
 
 /* In the order in which the services were constructed. */
 static const char *const tick_names[] = {
-	"membership.tick", "config.tick", "ownership.tick", "router.tick", "targets.tick",
-	"ledger.tick",	   "path.tick",	  "relay.tick",	    "stop.tick",
+	"membership.tick", "config.tick",	"ownership.tick", "router.tick", "targets.tick",
+	"ledger.tick",	   "request_path.tick", "relay.tick",	  "stop.tick",
 };
 
 void ht_core_params_default(struct ht_core_params *p)
--- a/core/owned.h
+++ b/core/owned.h
@@ -36,6 +36,7 @@
 	struct ht_vote *votes;
 	size_t vote_count, vote_capacity;
 	bool self_vote, taken_over;
+	uint64_t former_owner; /* live instance that handed the target over, or 0 */
 	ht_ms hold_until, taken_over_at;
 	struct ht_borrow borrows[HT_BORROWERS];
 
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -117,6 +117,16 @@
 	return t ? t->taken_over_at : HT_NEVER;
 }
 
+static uint64_t former_owner(void *ctx, uint64_t target)
+{
+	const struct ht_ownership *o = ctx;
+	const struct ht_owned *t = ht_owned_find(o, target);
+
+	if (!t || !t->former_owner || o->members->dead(o->members->ctx, t->former_owner))
+		return 0;
+	return t->former_owner;
+}
+
 static void request_ended(void *ctx, uint64_t target)
 {
 	struct ht_ownership *o = ctx;
@@ -240,7 +250,7 @@
 			t->next_claim = o->env->now;
 			continue;
 		}
-		o->env->emit(o->env, HT_EV_TARGET_LOST, 0, 0, t->id, 0, "%s", "");
+		o->env->emit(o->env, HT_EV_OWNERSHIP_LOST, 0, 0, t->id, 0, "%s", "");
 		ht_claim_drop(o, t);
 		ht_owned_set_state(o, t, HT_OWNER_NONE);
 		if (is_home(o, t))
@@ -306,6 +316,7 @@
 		.state = state_of,
 		.slots = slots_of,
 		.taken_over_at = taken_over_at,
+		.former_owner = former_owner,
 		.request_ended = request_ended,
 	};
 	o->tick = (struct ht_tick_if){.ctx = o, .tick = tick};
