--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -1,19 +1,101 @@
 /* The table of commands with their help texts, from which the manual page is made too. */
 #include "ctl/ctl.h"
 
+static const char check_help[] =
+	"Prints every fault of FILE with line, column and a hint. With --platform the file\n"
+	"is also checked against the accepted rules: an address may not go to another\n"
+	"service in the change that takes it away, nor within 60 s after.\n"
+	"\n"
+	"Exit status: 0 no faults, 1 the platform was not read, 2 faults.\n"
+	"\n"
+	"Rules:\n"
+	"  service NAME region REGION address IP:PORT [deadline MS] [affinity flow|request]  # "
+	"...\n"
+	"  target SERVICE NAME dc DC address IP:PORT [slots N] [connections N] [weight W]  # ...\n"
+	"  share SERVICE DC WEIGHT  # ...\n"
+	"  drain SERVICE TARGET  # ...\n"
+	"\n"
+	"One rule per line, in any order. The comment behind '#' says who asked for the rule\n"
+	"and is required; blank lines and lines with only a comment are allowed. A service\n"
+	"has deadline 5000 and affinity flow unless given, a target slots 3, connections 2000\n"
+	"and weight 1. A share multiplies the weights of the service's targets in one data\n"
+	"centre. With affinity request, idempotent requests of one flow may go to different\n"
+	"targets.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl check litoral.rules\n"
+	"  hickoryctl --platform 127.0.0.1:7400 check litoral.rules\n";
+
+static const char diff_help[] =
+	"Prints removed (-) and added (+) lines from the accepted rules to FILE.\n"
+	"\n"
+	"Exit status: 0 done, 1 the platform was not read, 2 faults in FILE.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl --platform 127.0.0.1:7400 diff litoral.rules\n";
+
+static const char apply_help[] =
+	"Checks FILE, writes it to the platform and prints the difference. The new version\n"
+	"is above the platform's and above every version that instances report. When FILE\n"
+	"starts with the line '# base version N', as printed by show, and a newer version\n"
+	"was accepted since, the change is refused with the difference; after success that\n"
+	"line is brought up to date. A lost answer is settled by reading back the change id.\n"
+	"\n"
+	"Exit status: 0 accepted or nothing to change, 1 failed and nothing changed,\n"
+	"2 faults in FILE, 3 another change was accepted first, 4 outcome not known.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl --platform 127.0.0.1:7400 show > litoral.rules\n"
+	"  hickoryctl --platform 127.0.0.1:7400 apply litoral.rules\n";
+
+static const char show_help[] =
+	"Prints the accepted rules with their comments. The first line names the version;\n"
+	"keep it in the file, so that apply sees when another change came in between.\n"
+	"\n"
+	"Exit status: 0 done, 1 the platform was not read or holds no rules.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl --platform 127.0.0.1:7400 show > litoral.rules\n"
+	"  hickoryctl --platform 127.0.0.1:7400 show --json\n";
+
+static const char status_help[] =
+	"Asks every instance of the platform's list, or those named by --admin when the\n"
+	"platform is down.\n"
+	"\n"
+	"Exit status: 0 done, 1 no list of instances, 5 some instances were not reached,\n"
+	"each is named.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl --platform 127.0.0.1:7400 status\n"
+	"  hickoryctl status --admin 127.0.0.1:7301 --admin 127.0.0.1:7302\n";
+
+static const char drain_help[] =
+	"Adds 'drain SERVICE TARGET' with the comment to the accepted rules, by the path of\n"
+	"apply. The target gets no new work 3 s after its data centre knows the rule. When\n"
+	"another change comes in between, the rule is added to that one instead.\n"
+	"\n"
+	"Exit status: as for apply.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl -p 127.0.0.1:7400 drain almacen almacen-3 --comment 'Ines: new disk'\n";
+
+static const char timeline_help[] =
+	"Reads the event ring of every instance and orders the events by hybrid logical\n"
+	"clock. Filters are combined. docs/events.md explains the numbers.\n"
+	"\n"
+	"Exit status: 0 done, 1 no list of instances, 2 bad filter, 5 some instances were\n"
+	"not reached, each is named.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl --platform 127.0.0.1:7400 timeline\n"
+	"  hickoryctl --platform 127.0.0.1:7400 timeline --target 127.0.2.1:7001\n"
+	"  hickoryctl timeline --admin 127.0.0.1:7301 --number 1001\n";
+
 const struct ht_ctl_command ht_ctl_commands[] = {
 	{.name = "check",
 	 .arguments = "FILE",
 	 .summary = "Check a rules file without changing anything",
-	 .description =
-		 "Prints every fault of FILE with line, column and a hint. With --platform the "
-		 "file "
-		 "is\nalso checked against the accepted rules: an address may not go to another "
-		 "service in the\nchange that takes it away, nor within 60 s after.\n\n"
-		 "Exit status: 0 no faults, 1 the platform was not read, 2 faults.\n\n"
-		 "Examples:\n"
-		 "  hickoryctl check litoral.rules\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 check litoral.rules\n",
+	 .description = check_help,
 	 .options = "",
 	 .min_args = 1,
 	 .max_args = 1,
@@ -21,11 +103,7 @@
 	{.name = "diff",
 	 .arguments = "FILE",
 	 .summary = "Print what a rules file would change",
-	 .description =
-		 "Prints removed (-) and added (+) lines from the accepted rules to FILE.\n\n"
-		 "Exit status: 0 done, 1 the platform was not read, 2 faults in FILE.\n\n"
-		 "Examples:\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 diff litoral.rules\n",
+	 .description = diff_help,
 	 .options = "",
 	 .min_args = 1,
 	 .max_args = 1,
@@ -34,19 +112,7 @@
 	{.name = "apply",
 	 .arguments = "FILE",
 	 .summary = "Make a rules file the accepted configuration",
-	 .description =
-		 "Checks FILE, writes it to the platform and prints the difference. The new "
-		 "version "
-		 "is above\nthe platform's and above every version that instances report. When "
-		 "FILE starts with the\nline '# base version N', as printed by show, and a newer "
-		 "version was accepted since, the\nchange is refused with the difference; after "
-		 "success that line is brought up to date.\nA lost answer is settled by reading "
-		 "back the change id.\n\n"
-		 "Exit status: 0 accepted or nothing to change, 1 failed and nothing changed, 2 "
-		 "faults in\nFILE, 3 another change was accepted first, 4 outcome not known.\n\n"
-		 "Examples:\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 show > litoral.rules\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 apply litoral.rules\n",
+	 .description = apply_help,
 	 .options = " admin ",
 	 .min_args = 1,
 	 .max_args = 1,
@@ -55,42 +121,21 @@
 	{.name = "show",
 	 .arguments = "",
 	 .summary = "Print the accepted rules",
-	 .description = "Prints the accepted rules with their comments. The first line names the "
-			"version; keep it\nin the file, so that apply sees when another change "
-			"came in between.\n\n"
-			"Exit status: 0 done, 1 the platform was not read or holds no rules.\n\n"
-			"Examples:\n"
-			"  hickoryctl --platform 127.0.0.1:7400 show > litoral.rules\n"
-			"  hickoryctl --platform 127.0.0.1:7400 show --json\n",
+	 .description = show_help,
 	 .options = "",
 	 .needs_platform = true,
 	 .run = ht_ctl_show},
 	{.name = "status",
 	 .arguments = "",
 	 .summary = "Print versions, targets and summed counters of all instances",
-	 .description =
-		 "Asks every instance of the platform's list, or those named by --admin when the "
-		 "platform\nis down.\n\n"
-		 "Exit status: 0 done, 1 no list of instances, 5 some instances were not reached, "
-		 "each is\nnamed.\n\n"
-		 "Examples:\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 status\n"
-		 "  hickoryctl status --admin 127.0.0.1:7301 --admin 127.0.0.1:7302\n",
+	 .description = status_help,
 	 .options = " admin ",
 	 .needs_platform = true,
 	 .run = ht_ctl_status},
 	{.name = "drain",
 	 .arguments = "SERVICE TARGET",
 	 .summary = "Add a drain rule for a target",
-	 .description =
-		 "Adds 'drain SERVICE TARGET' with the comment to the accepted rules, by the path "
-		 "of "
-		 "apply.\nThe target gets no new work 3 s after its data centre knows the rule. "
-		 "When another change\ncomes in between, the rule is added to that one instead.\n\n"
-		 "Exit status: as for apply.\n\n"
-		 "Examples:\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 drain almacen a3 --comment 'Ines: new "
-		 "disk'\n",
+	 .description = drain_help,
 	 .options = " comment admin ",
 	 .min_args = 2,
 	 .max_args = 2,
@@ -99,15 +144,7 @@
 	{.name = "timeline",
 	 .arguments = "",
 	 .summary = "Merge the newest events of all instances, causes before effects",
-	 .description =
-		 "Reads the event ring of every instance and orders the events by hybrid logical "
-		 "clock.\nFilters are combined. docs/events.md explains the numbers.\n\n"
-		 "Exit status: 0 done, 1 no list of instances, 2 bad filter, 5 some instances were "
-		 "not\nreached, each is named.\n\n"
-		 "Examples:\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 timeline\n"
-		 "  hickoryctl --platform 127.0.0.1:7400 timeline --target 127.0.2.1:7001\n"
-		 "  hickoryctl timeline --admin 127.0.0.1:7301 --number 1001\n",
+	 .description = timeline_help,
 	 .options = " admin flow request target instance number ",
 	 .needs_platform = true,
 	 .run = ht_ctl_timeline},
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -77,8 +77,8 @@
 		 "Only events of this target, by id or address", "ID|IP:PORT"},
 		{"instance", 0, 0, G_OPTION_ARG_STRING, &ctl->instance,
 		 "Only events of or about this instance", "NAME"},
-		{"number", 'n', 0, G_OPTION_ARG_INT, &ctl->number,
-		 "Only events with this number, or with 0 all", "N"},
+		{"number", 'n', 0, G_OPTION_ARG_INT, &ctl->number, "Only events with this number",
+		 "N"},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
