--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -952,7 +952,7 @@
   assert(message->base.descriptor == &ht__peer_msg__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ht__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ht__hello__field_descriptors[9] =
 {
   {
     "wire_version",
@@ -1038,20 +1038,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_address",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Hello, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin_address",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Hello, admin_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__hello__field_indices_by_name[] = {
+  8,   /* field[8] = admin_address */
   6,   /* field[6] = config_version */
   2,   /* field[2] = dc */
   3,   /* field[3] = incarnation */
   1,   /* field[1] = name */
   5,   /* field[5] = nonce */
+  7,   /* field[7] = peer_address */
   4,   /* field[4] = size */
   0,   /* field[0] = wire_version */
 };
 static const ProtobufCIntRange ht__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ht__hello__descriptor =
 {
@@ -1061,7 +1087,7 @@
   "Ht__Hello",
   "ht",
   sizeof(Ht__Hello),
-  7,
+  9,
   ht__hello__field_descriptors,
   ht__hello__field_indices_by_name,
   1,  ht__hello__number_ranges,
@@ -1106,7 +1132,7 @@
   (ProtobufCMessageInit) ht__hello_proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ht__heartbeat__field_descriptors[7] =
 {
   {
     "sequence",
@@ -1180,19 +1206,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Heartbeat, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__heartbeat__field_indices_by_name[] = {
   5,   /* field[5] = busy */
   3,   /* field[3] = config_version */
   1,   /* field[1] = echo */
   2,   /* field[2] = echo_incarnation */
+  6,   /* field[6] = lease_ms */
   4,   /* field[4] = leaving */
   0,   /* field[0] = sequence */
 };
 static const ProtobufCIntRange ht__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ht__heartbeat__descriptor =
 {
@@ -1202,7 +1241,7 @@
   "Ht__Heartbeat",
   "ht",
   sizeof(Ht__Heartbeat),
-  6,
+  7,
   ht__heartbeat__field_descriptors,
   ht__heartbeat__field_indices_by_name,
   1,  ht__heartbeat__number_ranges,
@@ -1868,7 +1907,7 @@
   (ProtobufCMessageInit) ht__answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__returned__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ht__returned__field_descriptors[6] =
 {
   {
     "key",
@@ -1930,18 +1969,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Returned, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__returned__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
   1,   /* field[1] = hop_id */
   0,   /* field[0] = key */
   2,   /* field[2] = reason */
+  5,   /* field[5] = target */
   3,   /* field[3] = wait_ms */
 };
 static const ProtobufCIntRange ht__returned__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__returned__descriptor =
 {
@@ -1951,14 +2003,14 @@
   "Ht__Returned",
   "ht",
   sizeof(Ht__Returned),
-  5,
+  6,
   ht__returned__field_descriptors,
   ht__returned__field_indices_by_name,
   1,  ht__returned__number_ranges,
   (ProtobufCMessageInit) ht__returned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[6] =
 {
   {
     "target",
@@ -2008,9 +2060,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holder",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimedTarget, holder),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimedTarget, hold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__claimed_target__field_indices_by_name[] = {
   2,   /* field[2] = granted */
+  5,   /* field[5] = hold_ms */
+  4,   /* field[4] = holder */
   1,   /* field[1] = in_flight */
   0,   /* field[0] = target */
   3,   /* field[3] = was_owner */
@@ -2018,7 +2096,7 @@
 static const ProtobufCIntRange ht__claimed_target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__claimed_target__descriptor =
 {
@@ -2028,7 +2106,7 @@
   "Ht__ClaimedTarget",
   "ht",
   sizeof(Ht__ClaimedTarget),
-  4,
+  6,
   ht__claimed_target__field_descriptors,
   ht__claimed_target__field_indices_by_name,
   1,  ht__claimed_target__number_ranges,
@@ -2265,7 +2343,7 @@
   (ProtobufCMessageInit) ht__ledger_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[5] =
 {
   {
     "incarnation",
@@ -2315,17 +2393,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "now_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SFIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__LedgerEntries, now_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__ledger_entries__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   1,   /* field[1] = entries */
   0,   /* field[0] = incarnation */
   2,   /* field[2] = last */
+  4,   /* field[4] = now_ms */
 };
 static const ProtobufCIntRange ht__ledger_entries__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ht__ledger_entries__descriptor =
 {
@@ -2335,7 +2426,7 @@
   "Ht__LedgerEntries",
   "ht",
   sizeof(Ht__LedgerEntries),
-  4,
+  5,
   ht__ledger_entries__field_descriptors,
   ht__ledger_entries__field_indices_by_name,
   1,  ht__ledger_entries__number_ranges,
@@ -2469,7 +2560,7 @@
   (ProtobufCMessageInit) ht__config_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__config_data__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ht__config_data__field_descriptors[8] =
 {
   {
     "from_version",
@@ -2543,11 +2634,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ConfigData, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ConfigData, parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__config_data__field_indices_by_name[] = {
   4,   /* field[4] = added */
   2,   /* field[2] = change_id */
   0,   /* field[0] = from_version */
+  6,   /* field[6] = part */
+  7,   /* field[7] = parts */
   3,   /* field[3] = removed */
   5,   /* field[5] = text_hash */
   1,   /* field[1] = version */
@@ -2555,7 +2672,7 @@
 static const ProtobufCIntRange ht__config_data__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ht__config_data__descriptor =
 {
@@ -2565,7 +2682,7 @@
   "Ht__ConfigData",
   "ht",
   sizeof(Ht__ConfigData),
-  6,
+  8,
   ht__config_data__field_descriptors,
   ht__config_data__field_indices_by_name,
   1,  ht__config_data__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -88,10 +88,15 @@
    */
   ProtobufCBinaryData nonce;
   uint64_t config_version;
+  /*
+   * where this instance accepts links, as IP:PORT
+   */
+  char *peer_address;
+  char *admin_address;
 };
 #define HT__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -125,10 +130,14 @@
    * asks for no takeover of new targets
    */
   protobuf_c_boolean busy;
+  /*
+   * the sender counts echoes of this sequence for so long
+   */
+  uint32_t lease_ms;
 };
 #define HT__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -268,7 +277,7 @@
 
 
 /*
- * A Forward that was not taken.
+ * A Forward that was not taken, or (reason HT_RETURN_TAKEN) a deflection or look-up that was.
  */
 struct  Ht__Returned
 {
@@ -281,10 +290,14 @@
   uint32_t reason;
   uint32_t wait_ms;
   uint64_t config_version;
+  /*
+   * with HT_RETURN_TAKEN: where the flow lives
+   */
+  uint64_t target;
 };
 #define HT__RETURNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__returned__descriptor) \
-    , NULL, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Ht__ClaimedTarget
@@ -303,10 +316,19 @@
    * replies
    */
   protobuf_c_boolean was_owner;
+  /*
+   * Replies: incarnation whose earlier grant is in the way. Claims: incarnation that has granted
+   * the target to the claimant.
+   */
+  uint64_t holder;
+  /*
+   * replies: requests of a dead owner may still run for so long
+   */
+  uint32_t hold_ms;
 };
 #define HT__CLAIMED_TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claimed_target__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -374,10 +396,14 @@
   Ht__LedgerEntry **entries;
   protobuf_c_boolean last;
   uint32_t batch;
+  /*
+   * the incarnation's clock, for the age of its tickets
+   */
+  int64_t now_ms;
 };
 #define HT__LEDGER_ENTRIES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__ledger_entries__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Ht__LedgerAck
@@ -428,10 +454,18 @@
    * hash of the whole text at version
    */
   uint64_t text_hash;
+  /*
+   * index among the messages that make up one difference
+   */
+  uint32_t part;
+  /*
+   * their number; 0 is the same as 1
+   */
+  uint32_t parts;
 };
 #define HT__CONFIG_DATA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__config_data__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Ht__Instance
@@ -453,6 +487,9 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * Without instances and with equal revisions: asks for the whole list.
+ */
 struct  Ht__LiveList
 {
   ProtobufCMessage base;
