core: request path passes lint

A follower that is given up is reported by return value instead of being looked up again; lists are freed by a walk that the analyzer can follow.

--- a/core/handover.c
+++ b/core/handover.c
@@ -55,12 +55,10 @@
 
 void ht_handover_free(struct ht_request_path *p)
 {
-	while (!ht_list_empty(&p->followers)) {
-		struct follower *f = ht_container_of(p->followers.next, struct follower, node);
+	struct ht_list *pos, *next;
 
-		ht_list_del(&f->node);
-		free(f);
-	}
+	ht_list_for_each_safe (pos, next, &p->followers)
+		free(ht_container_of(pos, struct follower, node));
 	g_hash_table_destroy(p->predecessors);
 }
 
@@ -90,8 +88,8 @@
 	free(f);
 }
 
-/* False when the follower was given up. */
-static bool flush_batch(struct batch *b, bool last)
+/* Leaves @b without a follower when that was given up. */
+static void flush_batch(struct batch *b, bool last)
 {
 	struct ht_request_path *p = b->p;
 	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
@@ -109,13 +107,12 @@
 	if (!p->env->send(p->env, b->f->peer, &msg)) {
 		give_up(p, b->f, "not_sent");
 		b->f = NULL;
-		return false;
+		return;
 	}
 	if (b->f->sent == b->f->acked)
 		b->f->waiting_since = p->env->now;
 	b->f->sent++;
 	b->f->last = b->f->last || last;
-	return true;
 }
 
 static void fill_answer(struct batch *b, size_t i, const struct ht_entry *e)
@@ -165,13 +162,15 @@
 		flush_batch(b, false);
 }
 
-static void send_ledger(struct ht_request_path *p, struct follower *f, uint64_t target, bool last)
+/* False when the follower was given up. */
+static bool send_ledger(struct ht_request_path *p, struct follower *f, uint64_t target, bool last)
 {
 	struct batch *b = calloc(1, sizeof(*b));
+	bool taken;
 
 	if (!b) {
 		give_up(p, f, "memory");
-		return;
+		return false;
 	}
 	b->p = p;
 	b->f = f;
@@ -183,7 +182,9 @@
 	if (b->f)
 		p->env->emit(p->env, HT_EV_LEDGER_SENT, 0, 0, target, f->peer, "batches=%u last=%d",
 			     f->sent, last);
+	taken = b->f != NULL;
 	free(b);
+	return taken;
 }
 
 void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e)
@@ -200,7 +201,7 @@
 		b->p = p;
 		b->f = ht_container_of(pos, struct follower, node);
 		add_entry(b, (struct ht_entry *)e);
-		if (b->count)
+		if (b->f && b->count)
 			flush_batch(b, false);
 		free(b);
 	}
@@ -209,11 +210,7 @@
 /* Sends every posting; later changes follow one by one, and the mark `last` at the end. */
 static void send_whole(struct ht_request_path *p, struct follower *f)
 {
-	uint64_t peer = f->peer;
-
-	send_ledger(p, f, 0, false);
-	f = follower_of(p, peer, false);
-	if (!f)
+	if (!send_ledger(p, f, 0, false))
 		return;
 	f->whole = true;
 	if (p->ledger_closed)
--- a/core/ledger.c
+++ b/core/ledger.c
@@ -34,10 +34,12 @@
 
 void ht_ledger_free(struct ht_ledger *l)
 {
+	struct ht_list *pos, *next;
+
 	if (!l)
 		return;
-	while (!ht_list_empty(&l->age))
-		ht_ledger_remove(l, ht_container_of(l->age.next, struct ht_entry, age));
+	ht_list_for_each_safe (pos, next, &l->age)
+		ht_ledger_remove(l, ht_container_of(pos, struct ht_entry, age));
 	g_hash_table_destroy(l->entries);
 	g_hash_table_destroy(l->blocks);
 	free(l);
@@ -177,11 +179,16 @@
 
 static void evict(struct ht_ledger *l)
 {
+	struct ht_list *pos, *next;
+
 	/* The newest answer is still to be sent, so it stays whatever its size. */
 	while (l->bytes > l->max_bytes && l->kept.next != l->kept.prev)
 		evict_body(l, ht_container_of(l->kept.next, struct ht_entry, kept));
-	while (l->bare_count > HT_LEDGER_BARE_MAX)
-		ht_ledger_remove(l, ht_container_of(l->bare.next, struct ht_entry, kept));
+	ht_list_for_each_safe (pos, next, &l->bare) {
+		if (l->bare_count <= HT_LEDGER_BARE_MAX)
+			break;
+		ht_ledger_remove(l, ht_container_of(pos, struct ht_entry, kept));
+	}
 }
 
 void ht_ledger_keep(struct ht_ledger *l, struct ht_entry *e, const struct ht_answer *answer,
@@ -213,8 +220,10 @@
 
 void ht_ledger_expire(struct ht_ledger *l, ht_ms now)
 {
-	while (!ht_list_empty(&l->age)) {
-		struct ht_entry *e = ht_container_of(l->age.next, struct ht_entry, age);
+	struct ht_list *pos, *next;
+
+	ht_list_for_each_safe (pos, next, &l->age) {
+		struct ht_entry *e = ht_container_of(pos, struct ht_entry, age);
 
 		if (now - e->changed < HT_LEDGER_KEEP)
 			return;
--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -320,7 +320,7 @@
 static void each_pending(struct ht_request_path *p, bool (*match)(struct ht_pending *, uint64_t),
 			 uint64_t arg, void (*act)(struct ht_request_path *, struct ht_pending *))
 {
-	g_autofree uint64_t *ids = g_new(uint64_t, g_hash_table_size(p->pending) + 1);
+	uint64_t *ids = g_new(uint64_t, g_hash_table_size(p->pending) + 1);
 	unsigned int count = 0;
 	GHashTableIter it;
 	void *value;
@@ -335,6 +335,7 @@
 		if (w)
 			act(p, w);
 	}
+	g_free(ids);
 }
 
 static bool went_to(struct ht_pending *w, uint64_t peer)
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -391,8 +391,7 @@
 {
 	GHashTableIter it;
 	void *value;
-	g_autofree struct ht_target **all =
-		g_new(struct ht_target *, g_hash_table_size(p->targets) + 1);
+	struct ht_target **all = g_new(struct ht_target *, g_hash_table_size(p->targets) + 1);
 	unsigned int count = 0;
 
 	g_hash_table_iter_init(&it, p->targets);
@@ -405,6 +404,7 @@
 			ht_serve_flush(p, all[i]);
 		ht_serve_owner_changed(p, all[i]->id);
 	}
+	g_free(all);
 	ht_home_resume(p, 0);
 	ht_ingress_config_changed(p);
 }
--- a/tests/core/test_path_once.c
+++ b/tests/core/test_path_once.c
@@ -323,6 +323,7 @@
 	struct net *net = three();
 	uint64_t flow = flow_at(net->cfg, 1, -1);
 	char body[2501], whole[4096] = "";
+	size_t len = 0;
 
 	for (int i = 0; i < 2500; i++)
 		body[i] = (char)('a' + i % 26);
@@ -344,7 +345,8 @@
 		ck_assert_uint_eq(net->got[b + 1].a.block_num, (unsigned int)b);
 		ck_assert_int_eq(net->got[b + 1].a.block_more, b < 2);
 		ck_assert_mem_eq(net->got[b + 1].a.etag, net->got[1].a.etag, 8);
-		strcat(whole, net->got[b + 1].payload);
+		len += (size_t)snprintf(whole + len, sizeof(whole) - len, "%s",
+					net->got[b + 1].payload);
 	}
 	ck_assert_str_eq(whole, body);
 	ck_assert_int_eq(net->sent_count, 1);
