daemon: send the own proof before closing over a wrong one

With two different keys, the side that saw the wrong proof first closed before its own proof was written, so only one of the two operators saw the fault.

--- a/daemon/peer_session.c
+++ b/daemon/peer_session.c
@@ -67,6 +67,8 @@
 static void on_proof(struct ht_peer_session *s, const Ht__HelloProof *proof)
 {
 	if (!s->hello_seen || s->proven || !ht_proof_check(proof, s->key, &s->other, &s->own)) {
+		/* The own proof may still wait; with it the other side can report the fault too. */
+		ht_link_flush(s->link);
 		end(s, HT_LINK_UNPROVEN, "proof of the shared key is wrong");
 		return;
 	}
