Model: a restarted voter must wait for the leases it has forgotten

Cause: the ownership model had no restart, while the code already keeps a restarted instance from voting. Before: NO_WAIT could not be shown to matter.

--- a/model/ownership.pml
+++ b/model/ownership.pml
@@ -14,6 +14,7 @@
  *   NO_VOID     a grant stays valid after the lease from its granter has lapsed
  *   NO_RECORD   granters forget whom they granted to
  *   NO_MAJORITY one grant is enough
+ *   NO_WAIT     a restarted instance, which has forgotten its grants, votes at once
  * The margin between lease and death is for clocks of different rate, which are not modelled.
  */
 #ifndef LEASE
@@ -29,6 +30,8 @@
 bit grants[N * N]; /* ix(i, p): i holds p's grant */
 byte need[N * N];  /* possible owners that must have released before that grant counts */
 byte record[N];	   /* possible owners as p knows them, as a mask */
+byte voteless[N];  /* time for which a restarted instance does not vote */
+bit restarted = 0; /* one restart is enough, and keeps the number of states small */
 
 #define live(v, x) ((v) == (x) || heard[ix(v, x)] > 0)
 #define home(v) (live(v, 0) -> 0 : (live(v, 1) -> 1 : 2))
@@ -118,6 +121,12 @@
 			:: else
 			fi
 		}
+		for (k : 0 .. 2) {
+			if
+			:: voteless[k] > 0 -> voteless[k]--
+			:: else
+			fi
+		}
 		k = 0
 	}
 	od
@@ -154,7 +163,7 @@
 	}
 	/* the own vote, by the same rule as for others */
 	:: atomic {
-		home(i) == i && !grants[ix(i, i)] ->
+		home(i) == i && !grants[ix(i, i)] && voteless[i] == 0 ->
 		grant(i, i);
 		grants[ix(i, i)] = 1
 	}
@@ -162,7 +171,7 @@
 	:: atomic {
 		pick();
 		if
-		:: p != i && home(p) == p && home(i) == p && !reply[ix(p, i)] && !grants[ix(p, i)] ->
+		:: p != i && home(p) == p && home(i) == p && voteless[i] == 0 && !reply[ix(p, i)] && !grants[ix(p, i)] ->
 			give_up();
 			grant(i, p);
 			reply[ix(p, i)] = 1
@@ -199,6 +208,22 @@
 		fi;
 		p = 0
 	}
+	/* restart: nothing is kept; leases that the earlier process granted go on with their holders */
+	:: atomic {
+		!restarted ->
+		restarted = 1;
+		give_up();
+		record[i] = 0;
+		lease[ix(i, 0)] = 0;
+		lease[ix(i, 1)] = 0;
+		lease[ix(i, 2)] = 0;
+		heard[ix(i, 0)] = 0;
+		heard[ix(i, 1)] = 0;
+		heard[ix(i, 2)] = 0;
+#ifndef NO_WAIT
+		voteless[i] = LEASE + 1
+#endif
+	}
 	od
 }
 
