--- a/core/relay.c
+++ b/core/relay.c
@@ -13,7 +13,7 @@
 #define WATCH_SPACING_MS 50
 #define STATUS_INTERVAL_MS 10000
 #define BACKOFF_MIN_MS 500
-#define BACKOFF_MAX_MS 5000
+#define BACKOFF_MAX_MS 3000 /* with jitter 4.5 s, so a change spreads within 8 s of an outage */
 
 struct ht_relay {
 	struct ht_env *env;
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -395,14 +395,14 @@
 	return cfg;
 }
 
-/* Takes over the reference to @cfg. */
+/* Takes over the reference to @cfg. Targets keep their index, also when they are taken out. */
 static inline void net_set_head(struct net *net, struct ht_config *cfg)
 {
 	ht_config_put(net->head);
 	net->head = cfg;
-	net->target_count = 0;
-	for (size_t i = 0; i < cfg->target_count && i < MAX_TARGETS; i++)
-		net->targets[net->target_count++] = cfg->targets[i].id;
+	for (size_t i = 0; i < cfg->target_count && net->target_count < MAX_TARGETS; i++)
+		if (target_index(net, cfg->targets[i].id) < 0)
+			net->targets[net->target_count++] = cfg->targets[i].id;
 }
 
 static inline struct net *net_new(uint64_t seed)
