--- a/core/path.c
+++ b/core/path.c
@@ -196,7 +196,7 @@
 	p->tick_if = (struct ht_tick_if){.ctx = p, .tick = path_tick};
 	ht_registry_add(p->env->registry, "router", &p->router_if);
 	ht_registry_add(p->env->registry, "targets", &p->targets_if);
-	ht_registry_add(p->env->registry, "path.tick", &p->tick_if);
+	ht_registry_add(p->env->registry, "request_path.tick", &p->tick_if);
 	ht_handover_publish(p);
 }
 
--- a/tests/core/path_net.h
+++ b/tests/core/path_net.h
@@ -380,7 +380,7 @@
 	n->router = ht_registry_find(n->env.registry, "router");
 	n->targets = ht_registry_find(n->env.registry, "targets");
 	n->ledger = ht_registry_find(n->env.registry, "ledger");
-	n->tick = ht_registry_find(n->env.registry, "path.tick");
+	n->tick = ht_registry_find(n->env.registry, "request_path.tick");
 }
 
 /* Tells node @i that target @t is up and warm, with @answers answers of 10 ms. */
