--- /dev/null
+++ b/tests/core/core_net.h
@@ -0,0 +1,690 @@
+/*
+ * Complete cores in one process: an in-memory network with 1 ms latency, a platform, targets that
+ * run requests, and callers that repeat a request through another instance when theirs has ended.
+ * Checks on the way: one answer for each request and at its deadline at the latest, at most one
+ * run of a posting, no run after "not run", the request's own body, slots.
+ */
+#ifndef HT_TESTS_CORE_CORE_NET_H
+#define HT_TESTS_CORE_CORE_NET_H
+
+#include "base/hash.h"
+#include "core/core.h"
+#include "core/services.h"
+#include "rules/rules.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NODES 5
+#define TARGETS 8
+#define SLOTS 3
+#define CALLS 20000
+#define RUNS 65536
+
+struct net;
+
+struct node {
+	struct net *net;
+	int index;
+	char name[16];
+	struct ht_core *core;
+	uint64_t incarnation;
+	ht_ms timer;
+	bool frozen, leaving, stopped;
+	bool open[TARGETS];
+	ht_ms up_at[TARGETS]; /* when the connection is there */
+};
+
+struct packet {
+	int from, to;
+	uint64_t incarnation;
+	ht_ms due;
+	uint8_t *data;
+	size_t len;
+};
+
+/* One request of a caller, with all its repeats. */
+struct call {
+	uint64_t flow;
+	int node;
+	uint64_t incarnation;
+	ht_ms sent, deadline; /* of the present attempt */
+	bool posting, has_ticket, open, done;
+	uint8_t ticket[HT_TICKET_LEN];
+	int attempts, runs, ticket_rounds;
+	bool lost_ingress;
+	uint8_t code;
+	enum ht_verdict verdict;
+	ht_ms done_at;
+	int target; /* of the last run */
+};
+
+struct run {
+	int node, target, call;
+	uint64_t incarnation, id;
+	ht_ms end, deadline;
+	bool over;
+};
+
+struct net {
+	ht_ms now;
+	uint64_t seed;
+	struct node nodes[NODES];
+	int count;
+	bool cut[NODES][NODES];
+	struct packet *packets;
+	size_t packet_count;
+	struct ht_config *head;
+	uint64_t revision;
+	struct call *calls;
+	int call_count;
+	struct run *runs;
+	int run_count, run_first;
+	int first, last, draining; /* targets configured */
+	ht_ms service_ms;
+	int refuse_percent, lose_percent;
+	int extra_slots; /* allowed above SLOTS: for isolated instances */
+	int peak;
+	struct {
+		int node;
+		uint64_t incarnation, known;
+		enum ht_platform_call kind;
+	} watch[64];
+	int watch_count;
+};
+
+static inline uint64_t rnd(struct net *net, uint64_t bound)
+{
+	net->seed = net->seed * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (net->seed >> 33) % bound;
+}
+
+static inline int target_of(uint64_t id)
+{
+	char text[HT_ADDR_TEXT];
+
+	for (int i = 0; i < TARGETS; i++) {
+		snprintf(text, sizeof(text), "127.0.0.1:%d", 9000 + i);
+		if (ht_hash_str(text) == id)
+			return i;
+	}
+	ck_abort_msg("unknown target");
+	return -1;
+}
+
+static inline struct node *node_by_id(struct net *net, uint64_t id)
+{
+	for (int i = 0; i < net->count; i++)
+		if (ht_instance_id(net->nodes[i].name) == id)
+			return &net->nodes[i];
+	return NULL;
+}
+
+static bool op_send(void *ctx, uint64_t peer, const Ht__PeerMsg *msg)
+{
+	struct node *n = ctx, *to = node_by_id(n->net, peer);
+	struct packet *p;
+
+	if (!to || !to->core)
+		return false;
+	n->net->packets = realloc(n->net->packets, (n->net->packet_count + 1) * sizeof(*p));
+	p = &n->net->packets[n->net->packet_count++];
+	*p = (struct packet){.from = n->index,
+			     .to = to->index,
+			     .incarnation = to->incarnation,
+			     .due = n->net->now + 1,
+			     .len = ht__peer_msg__get_packed_size(msg)};
+	p->data = malloc(p->len + 1);
+	ht__peer_msg__pack(msg, p->data);
+	return true;
+}
+
+static void op_timer(void *ctx, ht_ms due)
+{
+	((struct node *)ctx)->timer = due;
+}
+
+static void op_platform(void *ctx, enum ht_platform_call call, uint64_t known, const char *body)
+{
+	struct node *n = ctx;
+	struct net *net = n->net;
+
+	(void)body;
+	if (call == HT_PLATFORM_WRITE_STATUS)
+		return;
+	ck_assert_int_lt(net->watch_count, 64);
+	net->watch[net->watch_count].node = n->index;
+	net->watch[net->watch_count].incarnation = n->incarnation;
+	net->watch[net->watch_count].known = known;
+	net->watch[net->watch_count++].kind = call;
+}
+
+static void op_event(void *ctx, const struct ht_event *ev)
+{
+	const struct node *n = ctx;
+
+	if (getenv("HT_TEST_TRACE")) {
+		printf("%lld ", (long long)n->net->now);
+		fflush(stdout);
+		ht_event_log(ev, n->name, HT_DEBUG);
+	}
+}
+
+static void op_stopped(void *ctx)
+{
+	((struct node *)ctx)->stopped = true;
+}
+
+static void op_open(void *ctx, const struct ht_target_conf *conf, const char *service)
+{
+	struct node *n = ctx;
+	int t = target_of(conf->id);
+
+	ck_assert_str_eq(service, "svc");
+	n->open[t] = true;
+	n->up_at[t] = n->net->now + 2;
+}
+
+static void op_close(void *ctx, uint64_t target)
+{
+	struct node *n = ctx;
+
+	n->open[target_of(target)] = false;
+	n->up_at[target_of(target)] = 0;
+}
+
+static void op_cancel(void *ctx, uint64_t target, uint64_t id)
+{
+	(void)ctx;
+	(void)target;
+	(void)id;
+}
+
+static inline int busy_slots(const struct net *net, int t)
+{
+	int busy = 0;
+
+	for (int i = net->run_first; i < net->run_count; i++)
+		busy += !net->runs[i].over && net->runs[i].target == t;
+	return busy;
+}
+
+/* The target starts the request, refuses it, or loses it with its connection. */
+static void op_send_target(void *ctx, const struct ht_target_request *req)
+{
+	struct node *n = ctx;
+	struct net *net = n->net;
+	struct run *r = &net->runs[net->run_count];
+	int id = atoi(req->query + 3), busy;
+
+	ck_assert_int_lt(net->run_count, RUNS);
+	ck_assert_str_eq(req->service_name, "svc");
+	net->run_count++;
+	*r = (struct run){.node = n->index,
+			  .target = target_of(req->target),
+			  .call = id,
+			  .incarnation = n->incarnation,
+			  .id = req->id,
+			  .deadline = net->now + req->deadline};
+	r->end = net->now + 1 + net->service_ms / 2 + (ht_ms)rnd(net, (uint64_t)net->service_ms);
+	if (rnd(net, 100) < (uint64_t)net->refuse_percent) {
+		r->call = -1; /* refused: it does not run */
+		r->end = net->now + 1;
+		return;
+	}
+	net->calls[id].runs++;
+	net->calls[id].target = r->target;
+	ck_assert_msg(!net->calls[id].posting || net->calls[id].runs <= 1,
+		      "posting %d ran twice at %lld", id, (long long)net->now);
+	ck_assert_msg(!net->calls[id].done || net->calls[id].verdict != HT_NOT_RUN ||
+			      net->calls[id].lost_ingress,
+		      "call %d ran at %lld after 'not run'", id, (long long)net->now);
+	busy = busy_slots(net, r->target);
+	if (busy > net->peak)
+		net->peak = busy;
+	ck_assert_msg(busy <= SLOTS + net->extra_slots, "target %d has %d requests at %lld",
+		      r->target, busy, (long long)net->now);
+}
+
+static void op_answer(void *ctx, uint64_t handle, const struct ht_answer *a);
+
+static const struct ht_core_ops core_ops = {
+	.send_peer = op_send,
+	.answer = op_answer,
+	.send_target = op_send_target,
+	.cancel_target = op_cancel,
+	.open_target = op_open,
+	.close_target = op_close,
+	.arm_timer = op_timer,
+	.platform = op_platform,
+	.log_event = op_event,
+	.stopped = op_stopped,
+};
+
+static inline struct ht_instance_info node_info(const struct node *n)
+{
+	struct ht_instance_info info = {.size = 1};
+
+	snprintf(info.name, sizeof(info.name), "%s", n->name);
+	snprintf(info.dc, sizeof(info.dc), "dc");
+	snprintf(info.peer_address, sizeof(info.peer_address), "127.0.0.1:%d", 7000 + n->index);
+	return info;
+}
+
+static inline void link_nodes(struct net *net, int a, int b)
+{
+	struct node *x = &net->nodes[a], *y = &net->nodes[b];
+	struct ht_instance_info ix = node_info(x), iy = node_info(y);
+
+	if (!x->core || !y->core)
+		return;
+	ht_core_advance(x->core, net->now);
+	ht_core_advance(y->core, net->now);
+	ht_core_peer_up(x->core, &iy, y->incarnation);
+	ht_core_peer_up(y->core, &ix, x->incarnation);
+}
+
+static inline void node_start(struct net *net, int i)
+{
+	struct node *n = &net->nodes[i];
+	struct ht_core_params params;
+
+	ht_core_params_default(&params);
+	*n = (struct node){.net = net, .index = i, .timer = HT_NEVER};
+	snprintf(n->name, sizeof(n->name), "n%d", i);
+	n->incarnation = ht_hash_pair(++net->seed, 7) | 1;
+	params.ops = &core_ops;
+	params.ctx = n;
+	params.self = node_info(n);
+	params.incarnation = n->incarnation;
+	params.seed = net->seed;
+	params.now = net->now;
+	memcpy(params.ticket_key, &n->incarnation, 8);
+	n->core = ht_core_new(&params);
+	ck_assert_ptr_nonnull(n->core);
+	net->revision++;
+	for (int k = 0; k < net->count; k++)
+		if (k != i)
+			link_nodes(net, i, k);
+}
+
+/* A request of call @id goes out; @node must run. */
+static inline void call_send(struct net *net, int id, int node)
+{
+	struct call *c = &net->calls[id];
+	struct node *n = &net->nodes[node];
+	char query[16];
+	struct ht_request req = {.service = ht_hash_str("svc"),
+				 .flow = c->flow,
+				 .method = c->posting ? HT_POST : HT_GET,
+				 .path = "item",
+				 .query = query,
+				 .deadline = c->deadline,
+				 .token_len = 4};
+
+	snprintf(query, sizeof(query), "id=%d", id);
+	memcpy(req.token, &id, 4);
+	req.has_ticket = c->has_ticket;
+	memcpy(req.ticket, c->ticket, HT_TICKET_LEN);
+	c->node = node;
+	c->incarnation = n->incarnation;
+	c->sent = net->now;
+	c->open = true;
+	c->attempts++;
+	ht_core_advance(n->core, net->now);
+	ht_core_request(n->core, (uint64_t)id, &req);
+}
+
+static inline int new_call(struct net *net, int node, uint64_t flow, bool posting, ht_ms deadline)
+{
+	int id = net->call_count++;
+
+	ck_assert_int_lt(net->call_count, CALLS);
+	net->calls[id] = (struct call){
+		.flow = flow, .posting = posting, .deadline = deadline, .target = -1};
+	call_send(net, id, node);
+	return id;
+}
+
+static void op_answer(void *ctx, uint64_t handle, const struct ht_answer *a)
+{
+	struct node *n = ctx;
+	struct net *net = n->net;
+	struct call *c = &net->calls[handle];
+	char want[32];
+
+	ck_assert_msg(c->open && c->node == n->index, "call %d answered twice", (int)handle);
+	ck_assert_msg(net->now <= c->sent + c->deadline + 1 || n->frozen,
+		      "call %d answered %lld ms late", (int)handle,
+		      (long long)(net->now - c->sent - c->deadline));
+	c->open = false;
+	if (a->code == HT_UNAUTHORIZED) {
+		ck_assert(a->has_ticket && c->posting);
+		memcpy(c->ticket, a->ticket, HT_TICKET_LEN);
+		c->has_ticket = true;
+		c->ticket_rounds++;
+		return;
+	}
+	c->done = true;
+	c->done_at = net->now;
+	c->code = a->code;
+	c->verdict = a->verdict;
+	if (a->verdict == HT_RAN)
+		ck_assert_int_gt(c->runs, 0);
+	if (a->code == HT_CONTENT) {
+		snprintf(want, sizeof(want), "answer %d", (int)handle);
+		ck_assert_uint_eq(a->payload_len, strlen(want));
+		ck_assert_mem_eq(a->payload, want, strlen(want));
+	}
+	if (a->verdict == HT_NOT_RUN) {
+		ck_assert_msg(c->runs == 0 || c->lost_ingress, "call %d: 'not run' after a run",
+			      (int)handle);
+		ck_assert_int_ge((int)a->retry_after, 1000);
+	}
+}
+
+static inline struct ht_config *net_config(struct net *net, uint64_t version)
+{
+	struct ht_rules_errors errors = {0};
+	struct ht_config *cfg;
+	char text[4096];
+	size_t len;
+
+	len = (size_t)snprintf(text, sizeof(text),
+			       "service svc region r address 127.0.0.1:8000 deadline 3000 # test\n");
+	for (int i = net->first; i <= net->last; i++)
+		len += (size_t)snprintf(text + len, sizeof(text) - len,
+					"target svc t%d dc dc address 127.0.0.1:%d # test\n", i,
+					9000 + i);
+	if (net->draining >= net->first && net->draining <= net->last)
+		len += (size_t)snprintf(text + len, sizeof(text) - len, "drain svc t%d # test\n",
+					net->draining);
+	cfg = ht_rules_parse(text, len, &errors);
+	ck_assert_ptr_nonnull(cfg);
+	cfg->version = version;
+	return cfg;
+}
+
+static inline void set_targets(struct net *net, int first, int last, int draining)
+{
+	uint64_t version = net->head ? net->head->version + 1 : 1;
+
+	net->first = first;
+	net->last = last;
+	net->draining = draining;
+	ht_config_put(net->head);
+	net->head = net_config(net, version);
+}
+
+static inline void answer_list(struct net *net, struct node *n)
+{
+	struct ht_instance_info list[NODES];
+	int count = 0;
+
+	for (int i = 0; i < net->count; i++) {
+		if (!net->nodes[i].core)
+			continue;
+		list[count] = node_info(&net->nodes[i]);
+		list[count++].leaving = net->nodes[i].leaving;
+	}
+	ht_core_live_list(n->core, net->revision, list, count);
+}
+
+static inline void platform_step(struct net *net)
+{
+	for (int i = 0; i < net->watch_count;) {
+		struct node *n = &net->nodes[net->watch[i].node];
+		enum ht_platform_call kind = net->watch[i].kind;
+		bool gone = !n->core || n->incarnation != net->watch[i].incarnation;
+		bool waits = kind == HT_PLATFORM_WATCH_HEAD &&
+			     net->head->version == net->watch[i].known;
+
+		if (!gone && (waits || n->frozen)) {
+			i++;
+			continue;
+		}
+		memmove(&net->watch[i], &net->watch[i + 1],
+			(size_t)(net->watch_count - i - 1) * sizeof(net->watch[0]));
+		net->watch_count--;
+		if (gone)
+			continue;
+		ht_core_advance(n->core, net->now);
+		if (kind == HT_PLATFORM_READ_LIVE)
+			answer_list(net, n);
+		else
+			ht_core_platform_config(n->core, net->head);
+	}
+}
+
+static inline void deliver(struct net *net)
+{
+	size_t kept = 0, count = net->packet_count;
+	struct packet *batch = net->packets;
+
+	net->packets = NULL;
+	net->packet_count = 0;
+	for (size_t i = 0; i < count; i++) {
+		struct packet p = batch[i];
+		struct node *to = &net->nodes[p.to];
+		Ht__PeerMsg *msg;
+
+		if (!to->core || to->incarnation != p.incarnation) {
+			free(p.data);
+			continue;
+		}
+		if (p.due > net->now || to->frozen || net->cut[p.from][p.to]) {
+			batch[kept++] = p;
+			continue;
+		}
+		msg = ht__peer_msg__unpack(NULL, p.len, p.data);
+		ck_assert_ptr_nonnull(msg);
+		ht_core_advance(to->core, net->now);
+		ht_core_peer_msg(to->core, ht_instance_id(net->nodes[p.from].name), msg);
+		ht__peer_msg__free_unpacked(msg, NULL);
+		free(p.data);
+	}
+	batch = realloc(batch, (kept + net->packet_count + 1) * sizeof(*batch));
+	if (net->packet_count)
+		memcpy(batch + kept, net->packets, net->packet_count * sizeof(*batch));
+	free(net->packets);
+	net->packets = batch;
+	net->packet_count += kept;
+}
+
+static inline void end_run(struct net *net, struct run *r)
+{
+	struct node *n = &net->nodes[r->node];
+	char body[32];
+	struct ht_target_answer ans = {.id = r->id, .code = HT_CONTENT};
+
+	if (!n->core || n->incarnation != r->incarnation)
+		return;
+	snprintf(body, sizeof(body), "answer %d", r->call);
+	ans.payload = (const uint8_t *)body;
+	ans.payload_len = strlen(body);
+	if (r->call < 0)
+		ans.result = HT_TARGET_REFUSED;
+	else if (r->end > r->deadline)
+		ans.result = HT_TARGET_TIMEOUT;
+	else if (rnd(net, 100) < (uint64_t)net->lose_percent)
+		ans.result = HT_TARGET_LOST;
+	ht_core_advance(n->core, net->now);
+	ht_core_target_answer(n->core, &ans);
+}
+
+static inline void targets_step(struct net *net)
+{
+	for (int i = net->run_first; i < net->run_count; i++) {
+		struct run *r = &net->runs[i];
+		const struct node *n = &net->nodes[r->node];
+		ht_ms end = r->end < r->deadline ? r->end : r->deadline;
+		bool alive = n->core && n->incarnation == r->incarnation;
+
+		if (r->over || net->now < end || (n->frozen && alive))
+			continue;
+		r->over = true;
+		end_run(net, r);
+	}
+	while (net->run_first < net->run_count && net->runs[net->run_first].over)
+		net->run_first++;
+	for (int i = 0; i < net->count; i++) {
+		struct node *n = &net->nodes[i];
+
+		for (int t = 0; n->core && !n->frozen && t < TARGETS; t++) {
+			char text[HT_ADDR_TEXT];
+
+			if (!n->up_at[t] || net->now < n->up_at[t])
+				continue;
+			n->up_at[t] = 0;
+			snprintf(text, sizeof(text), "127.0.0.1:%d", 9000 + t);
+			ht_core_advance(n->core, net->now);
+			ht_core_target_state(n->core, ht_hash_str(text), HT_TARGET_UP);
+		}
+	}
+}
+
+static inline int any_node(struct net *net)
+{
+	for (;;) {
+		int i = (int)rnd(net, (uint64_t)net->count);
+
+		if (net->nodes[i].core && !net->nodes[i].frozen)
+			return i;
+	}
+}
+
+/* Callers whose instance has ended, or who got a ticket, send again. */
+static inline void callers_step(struct net *net)
+{
+	for (int id = net->call_count > 3000 ? net->call_count - 3000 : 0; id < net->call_count;
+	     id++) {
+		struct call *c = &net->calls[id];
+		const struct node *n = &net->nodes[c->node];
+
+		if (c->done)
+			continue;
+		if (c->open && n->core && n->incarnation == c->incarnation) {
+			ck_assert_msg(n->frozen || net->now <= c->sent + c->deadline + 5,
+				      "call %d has no answer", id);
+			continue;
+		}
+		if (c->open) {
+			c->lost_ingress = !c->posting;
+			c->open = false;
+		}
+		if (c->attempts < 12)
+			call_send(net, id, any_node(net));
+		else
+			c->done = true, c->verdict = HT_MAY_HAVE_RUN;
+	}
+}
+
+static inline void node_end(struct net *net, int i)
+{
+	struct node *n = &net->nodes[i];
+	uint64_t incarnation = n->incarnation;
+
+	ht_core_free(n->core);
+	n->core = NULL;
+	net->revision++;
+	for (int k = 0; k < net->count; k++) {
+		struct node *o = &net->nodes[k];
+
+		if (!o->core || o->frozen)
+			continue;
+		ht_core_advance(o->core, net->now);
+		ht_core_peer_down(o->core, ht_instance_id(n->name), incarnation, HT_PEER_GONE);
+	}
+}
+
+static inline void net_step(struct net *net)
+{
+	net->now++;
+	targets_step(net);
+	deliver(net);
+	platform_step(net);
+	for (int i = 0; i < net->count; i++) {
+		struct node *n = &net->nodes[i];
+
+		if (n->core && !n->frozen && n->timer <= net->now) {
+			n->timer = HT_NEVER;
+			ht_core_advance(n->core, net->now);
+		}
+		if (n->core && n->stopped) {
+			for (int c = 0; c < net->call_count; c++)
+				ck_assert(!net->calls[c].open || net->calls[c].node != i ||
+					  net->calls[c].incarnation != n->incarnation);
+			node_end(net, i);
+		}
+	}
+	callers_step(net);
+}
+
+static inline void net_run(struct net *net, ht_ms ms)
+{
+	for (ht_ms end = net->now + ms; net->now < end;)
+		net_step(net);
+}
+
+static inline void node_stop(struct net *net, int i)
+{
+	struct node *n = &net->nodes[i];
+
+	n->leaving = true;
+	net->revision++;
+	ht_core_advance(n->core, net->now);
+	ht_core_stop(n->core);
+}
+
+static inline struct net *net_new(uint64_t seed, int nodes, int targets)
+{
+	struct net *net = calloc(1, sizeof(*net));
+
+	net->now = 1000000;
+	net->seed = seed;
+	net->count = nodes;
+	net->service_ms = 20;
+	net->calls = calloc(CALLS, sizeof(*net->calls));
+	net->runs = calloc(RUNS, sizeof(*net->runs));
+	set_targets(net, 0, targets - 1, -1);
+	for (int i = 0; i < nodes; i++)
+		node_start(net, i);
+	net_run(net, 6000);
+	return net;
+}
+
+static inline void net_free(struct net *net)
+{
+	for (int i = 0; i < net->count; i++)
+		ht_core_free(net->nodes[i].core);
+	for (size_t i = 0; i < net->packet_count; i++)
+		free(net->packets[i].data);
+	free(net->packets);
+	ht_config_put(net->head);
+	free(net->calls);
+	free(net->runs);
+	free(net);
+}
+
+/* @per_s new requests a second over @flows flows for @ms; a third are postings. */
+static inline void load(struct net *net, ht_ms ms, int per_s, uint64_t flows)
+{
+	for (ht_ms end = net->now + ms; net->now < end;) {
+		if (rnd(net, 1000) < (uint64_t)per_s)
+			new_call(net, any_node(net), 1 + rnd(net, flows), rnd(net, 3) == 0, 2000);
+		net_step(net);
+	}
+}
+
+static inline int count_verdict(const struct net *net, enum ht_verdict v)
+{
+	int count = 0;
+
+	for (int i = 0; i < net->call_count; i++)
+		count += net->calls[i].done && net->calls[i].verdict == v;
+	return count;
+}
+
+#endif
--- /dev/null
+++ b/tests/core/test_cores.c
@@ -0,0 +1,181 @@
+/* Complete cores together: planned changes break nothing, failures leave honest verdicts. */
+#include "tests/core/core_net.h"
+
+static void all_ran(struct net *net)
+{
+	net_run(net, 2500);
+	for (int i = 0; i < net->call_count; i++) {
+		ck_assert_msg(net->calls[i].done, "call %d is open", i);
+		ck_assert_msg(net->calls[i].verdict == HT_RAN, "call %d: verdict %s code %d", i,
+			      ht_verdict_name(net->calls[i].verdict), net->calls[i].code);
+	}
+}
+
+/* Guards against refusals or doubled runs at moderate load without any failure. */
+START_TEST(ordinary_day)
+{
+	struct net *net = net_new(1, 3, 6);
+
+	load(net, 5000, 300, 200);
+	all_ran(net);
+	ck_assert_int_gt(net->call_count, 1000);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against requests that a planned stop interrupts, and postings that it loses. */
+START_TEST(planned_stop)
+{
+	struct net *net = net_new(2, 4, 6);
+
+	load(net, 2000, 200, 200);
+	node_stop(net, 1);
+	load(net, 8000, 200, 200);
+	ck_assert_ptr_null(net->nodes[1].core);
+	node_start(net, 1);
+	load(net, 4000, 200, 200);
+	all_ran(net);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against established flows that move when instances and targets change together. */
+START_TEST(flows_survive_planned_changes)
+{
+	struct net *net = net_new(3, 4, 4);
+	int first[60], moved = 0;
+
+	for (int i = 0; i < 60; i++) {
+		first[i] = new_call(net, i % 4, (uint64_t)i + 1, false, 2000);
+		net_run(net, 40);
+	}
+	set_targets(net, 0, 5, -1);
+	node_stop(net, 2);
+	net_run(net, 9000);
+	node_start(net, 2);
+	net_run(net, 3000);
+	set_targets(net, 0, 7, -1);
+	net_run(net, 9000);
+	for (int i = 0; i < 60; i++) {
+		int id = new_call(net, (i + 1) % 4, (uint64_t)i + 1, false, 2000);
+
+		net_run(net, 80);
+		ck_assert(net->calls[id].done);
+		moved += net->calls[id].target != net->calls[first[i]].target;
+	}
+	ck_assert_int_eq(moved, 0);
+	all_ran(net);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against new work at a drained target after 3 s. */
+START_TEST(drained_target_is_idle)
+{
+	struct net *net = net_new(4, 3, 6);
+	int runs;
+
+	load(net, 2000, 200, 100);
+	set_targets(net, 0, 5, 2);
+	load(net, 3000, 200, 100);
+	runs = net->run_count;
+	load(net, 3000, 200, 100);
+	for (int i = runs; i < net->run_count; i++)
+		ck_assert_int_ne(net->runs[i].target, 2);
+	all_ran(net);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against goodput that collapses, or late answers, at twice the capacity. */
+START_TEST(overload)
+{
+	struct net *net = net_new(5, 3, 4);
+	int ran, capacity;
+
+	/* 12 slots of some 21 ms: 570 requests a second. */
+	net->service_ms = 20;
+	load(net, 6000, 990, 5000);
+	net_run(net, 3000);
+	ran = count_verdict(net, HT_RAN);
+	capacity = 6000 * 12 / 21;
+	ck_assert_int_gt(ran * 10, capacity * 8);
+	ck_assert_int_eq(count_verdict(net, HT_MAY_HAVE_RUN), 0);
+	net_free(net);
+}
+END_TEST
+
+static void one_failure(struct net *net)
+{
+	int i = any_node(net), running = 0, k;
+
+	for (k = 0; k < net->count; k++)
+		running += net->nodes[k].core && !net->nodes[k].frozen && !net->nodes[k].leaving;
+	switch (rnd(net, 8)) {
+	case 0:
+		if (running > 3)
+			node_end(net, i);
+		break;
+	case 1:
+		if (running > 3 && !net->nodes[i].leaving)
+			node_stop(net, i);
+		break;
+	case 2:
+		set_targets(net, (int)rnd(net, 2), 5 + (int)rnd(net, 3), (int)rnd(net, 8));
+		break;
+	case 3:
+		net->refuse_percent = (int)rnd(net, 10);
+		net->lose_percent = (int)rnd(net, 5);
+		break;
+	case 4:
+		k = (int)rnd(net, (uint64_t)net->count);
+		net->cut[i][k] = net->cut[k][i] = true;
+		net_run(net, (ht_ms)rnd(net, 1500));
+		net->cut[i][k] = net->cut[k][i] = false;
+		break;
+	default:
+		for (k = 0; k < net->count; k++)
+			if (!net->nodes[k].core)
+				node_start(net, k);
+		break;
+	}
+}
+
+/* Guards against a wrong verdict or a second run under failures in any order. */
+START_TEST(random_failures)
+{
+	struct net *net = net_new(1000 + (uint64_t)_i, 5, 7);
+
+	net->service_ms = 40;
+	for (int round = 0; round < 25; round++) {
+		one_failure(net);
+		load(net, 1 + (ht_ms)rnd(net, 2000), 150, 100);
+	}
+	net_run(net, 5000);
+	for (int i = 0; i < net->call_count; i++)
+		ck_assert_msg(net->calls[i].done, "call %d is open", i);
+	ck_assert_int_gt(count_verdict(net, HT_RAN) * 10, net->call_count * 8);
+	net_free(net);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("cores");
+	TCase *tc = tcase_create("all");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_test(tc, ordinary_day);
+	tcase_add_test(tc, planned_stop);
+	tcase_add_test(tc, flows_survive_planned_changes);
+	tcase_add_test(tc, drained_target_is_idle);
+	tcase_add_test(tc, overload);
+	tcase_add_loop_test(tc, random_failures, 0, 12);
+	tcase_set_timeout(tc, 100);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed != 0;
+}
