--- a/mk/demo.mk
+++ b/mk/demo.mk
@@ -1,3 +1,3 @@
 .PHONY: demo
 demo: all
-	python3 scripts/demo.py
+	PYTHONDONTWRITEBYTECODE=1 python3 scripts/demo.py
--- a/mk/prove.mk
+++ b/mk/prove.mk
@@ -1,3 +1,3 @@
 .PHONY: prove
 prove: all
-	python3 scripts/prove.py
+	PYTHONDONTWRITEBYTECODE=1 python3 scripts/prove.py
