--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -342,11 +342,12 @@
         return time.monotonic() - self.applied
 
     def homes(self):
-        """Target name to the instances that say they own it, with the state they give."""
+        """Target name to the instances that hold connections to it: (name, state, slots)."""
         homes = {}
         for inst in self.live():
             for row in (inst.status() or {}).get("targets", []):
-                homes.setdefault(row["name"], []).append((inst.name, row["state"]))
+                homes.setdefault(row["name"], []).append((inst.name, row["state"],
+                                                           row["slots"]))
         return homes
 
     def wait_targets(self, limit_s):
@@ -354,7 +355,9 @@
 
         def all_up():
             homes = self.homes()
-            return names <= {n for n, rows in homes.items() if any(s == "up" for _, s in rows)}
+            # A new home has no slots until its takeover hold has passed.
+            return names <= {n for n, rows in homes.items()
+                             if any(state == "up" and slots for _, state, slots in rows)}
         try:
             wait_until("all targets up at a home", limit_s, all_up, 0.3)
         except HarnessError as e:
--- a/scripts/proofs.py
+++ b/scripts/proofs.py
@@ -37,7 +37,7 @@
 def busiest(dep):
     """The live instance that is home of most targets."""
     homes = dep.homes()
-    count = {i.name: sum(i.name == n for rows in homes.values() for n, _ in rows)
+    count = {i.name: sum(i.name == row[0] for rows in homes.values() for row in rows)
              for i in dep.live()}
     return dep.find(max(count, key=count.get))
 
