--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -95,14 +95,6 @@
         except subprocess.TimeoutExpired:
             return None
 
-    def end(self, limit_s=2.0):
-        if self.alive():
-            self.signal(signal.SIGCONT)
-            self.signal(signal.SIGTERM)
-            if self.wait(limit_s) is None:
-                self.signal(signal.SIGKILL)
-                self.wait(5)
-
 
 class Instance:
     def __init__(self, dep, dc, number):
@@ -252,11 +244,11 @@
 
     def __exit__(self, kind, *_):
         self.monitor.stopping.set()
-        for process in reversed(self.processes):
-            process.signal(signal.SIGCONT)
-            process.signal(signal.SIGTERM)
-        for process in reversed(self.processes):
-            process.end(0.5)
+        # A planned stop of all instances at once is no subject of a run, and takes seconds.
+        for process in self.processes:
+            process.signal(signal.SIGKILL)
+        for process in self.processes:
+            process.wait(5)
         self.guard.close()
         if self.keep:
             print(f"kept {self.dir}", file=sys.stderr)
@@ -318,10 +310,10 @@
         return path
 
     def apply(self, expect=(0,)):
+        self.applied = time.monotonic()
         status, out = self.ctl("apply", self.write_rules())
         if status not in expect:
             raise HarnessError(f"hickoryctl apply: exit status {status}: {out.strip()[-600:]}")
-        self.applied = time.monotonic()
         return status, out
 
     def head_version(self):
