Keep the hold of a dead owner with the target, whoever claims next

A leaving instance still counted itself for the majority. After: each voter keeps the end of the hold per target and tells it with every grant. Ownership looks at its targets only when something is due.

--- a/core/claims.c
+++ b/core/claims.c
@@ -53,6 +53,9 @@
 	t->blocker = 0;
 	t->released_by = 0;
 	t->next_claim = HT_NEVER;
+	/* The hold that other voters told of counts for the next claim too. */
+	if (t->hold_until > t->quiet_until)
+		t->quiet_until = t->hold_until;
 	t->hold_until = 0;
 }
 
@@ -264,8 +267,9 @@
 	return n;
 }
 
-void ht_borrow_expire(struct ht_ownership *o, struct ht_owned *t)
+ht_ms ht_borrow_expire(struct ht_ownership *o, struct ht_owned *t)
 {
+	ht_ms next = HT_NEVER;
 	bool changed = false;
 
 	for (int i = 0; i < HT_BORROWERS; i++) {
@@ -273,15 +277,16 @@
 
 		if (b->count == 0)
 			continue;
-		if (o->env->now < b->until) {
-			o->env->wake_at(o->env, b->until);
-			continue;
+		if (o->env->now >= b->until) {
+			b->count = 0;
+			changed = true;
+		} else if (b->until < next) {
+			next = b->until;
 		}
-		b->count = 0;
-		changed = true;
 	}
 	if (changed)
 		ht_owned_changed(o, t->id);
+	return next;
 }
 
 static void take_grant(struct ht_ownership *o, struct ht_owned *t, uint64_t peer,
@@ -341,6 +346,7 @@
 	for (size_t i = 0; i < msg->n_targets; i++)
 		take_reply(o, peer, msg->epoch, generation, msg->targets[i]);
 	ht_claims_send(o);
+	ht_owned_touch(o);
 }
 
 void ht_ownership_slot_release(struct ht_ownership *o, uint64_t peer, const Ht__SlotRelease *msg)
--- a/core/members.c
+++ b/core/members.c
@@ -81,7 +81,7 @@
 	ht_ms lease = m->longest_lease + m->env->params.death_margin;
 
 	if (!p->local || p->leaving || !(p->listed || p->presumed || p->self) ||
-	    m->env->now < p->counted_from)
+	    (p->self && m->leaving) || m->env->now < p->counted_from)
 		return false;
 	/* Grants that a dead member gave to others may still be in use for one lease. */
 	return !(p->proven && m->env->now >= p->died_at + lease);
--- a/core/owned.h
+++ b/core/owned.h
@@ -27,6 +27,8 @@
 
 	/* The claimant that has this instance's own vote; 0 for none. */
 	uint64_t lock_holder, lock_incarnation;
+	/* Requests of a dead owner may run until then, whoever claims. */
+	ht_ms quiet_until;
 
 	/* Own claim. */
 	uint64_t epoch; /* of the first claim of this term */
@@ -56,6 +58,7 @@
 	struct ht_owned *owned; /* sorted by id */
 	size_t count, capacity;
 	uint64_t seen_view, seen_epoch;
+	ht_ms due; /* nothing changes by time alone before */
 	const struct ht_config *seen_config;
 	uint64_t seen_version;
 	bool isolated;
@@ -68,6 +71,8 @@
 uint32_t ht_owned_in_flight(const struct ht_ownership *o, uint64_t target);
 /** Sets the state and tells the request path. */
 void ht_owned_set_state(struct ht_ownership *o, struct ht_owned *t, enum ht_owner_state state);
+/** Has the time limits of all targets looked at again. */
+void ht_owned_touch(struct ht_ownership *o);
 void ht_owned_changed(struct ht_ownership *o, uint64_t target);
 
 struct ht_ballot {
@@ -92,7 +97,8 @@
 void ht_claim_try_own(struct ht_ownership *o, struct ht_owned *t);
 /** True when a live member has no valid vote for the target. */
 bool ht_claim_incomplete(struct ht_ownership *o, const struct ht_owned *t);
-void ht_borrow_expire(struct ht_ownership *o, struct ht_owned *t);
+/** Returns when the next count ends, or HT_NEVER. */
+ht_ms ht_borrow_expire(struct ht_ownership *o, struct ht_owned *t);
 uint32_t ht_borrowed(const struct ht_owned *t);
 
 #endif
--- a/core/ownership.c
+++ b/core/ownership.c
@@ -62,6 +62,19 @@
 	return targets ? targets->in_flight(targets->ctx, target) : 0;
 }
 
+void ht_owned_touch(struct ht_ownership *o)
+{
+	o->due = 0;
+	o->env->wake_at(o->env, o->env->now);
+}
+
+static void wake_at(struct ht_ownership *o, ht_ms due)
+{
+	if (due < o->due)
+		o->due = due;
+	o->env->wake_at(o->env, due);
+}
+
 void ht_owned_changed(struct ht_ownership *o, uint64_t target)
 {
 	const struct ht_targets_if *targets = ht_owned_targets(o);
@@ -199,7 +212,7 @@
 	bool isolated = since != HT_NEVER && o->env->now >= since + o->env->params.isolation;
 
 	if (since != HT_NEVER && !isolated)
-		o->env->wake_at(o->env, since + o->env->params.isolation);
+		wake_at(o, since + o->env->params.isolation);
 	if (isolated != o->isolated)
 		o->env->emit(o->env, isolated ? HT_EV_ISOLATED : HT_EV_ISOLATION_ENDED, 0, 0, 0, 0,
 			     "%s", "");
@@ -231,6 +244,7 @@
 		review_target(o, &o->owned[i]);
 	check_isolation(o);
 	ht_claims_send(o);
+	ht_owned_touch(o);
 }
 
 /* Votes have lapsed: whoever lost the majority stops sending and claims anew. */
@@ -262,29 +276,31 @@
 {
 	ht_ms now = o->env->now;
 
-	ht_borrow_expire(o, t);
+	wake_at(o, ht_borrow_expire(o, t));
 	if (t->state == HT_OWNER_HOLDING) {
 		if (now >= t->hold_until)
 			ht_owned_set_state(o, t, HT_OWNER_OWNED);
 		else
-			o->env->wake_at(o->env, t->hold_until);
+			wake_at(o, t->hold_until);
 	}
 	if (t->state == HT_OWNER_RELEASING) {
 		if (now >= t->release_until)
 			ht_owned_set_state(o, t, HT_OWNER_NONE);
 		else
-			o->env->wake_at(o->env, t->release_until);
+			wake_at(o, t->release_until);
 	}
 	if (t->state == HT_OWNER_CLAIMING)
 		ht_claim_try_own(o, t);
-	if (t->next_claim != HT_NEVER)
-		o->env->wake_at(o->env, t->next_claim);
+	wake_at(o, t->next_claim);
 }
 
 static void tick(void *ctx)
 {
 	struct ht_ownership *o = ctx;
 
+	if (o->env->now < o->due && o->seen_epoch == ht_membership_epoch(o->membership))
+		return;
+	o->due = HT_NEVER;
 	check_votes(o);
 	check_isolation(o);
 	ht_claims_send(o);
--- a/core/votes.c
+++ b/core/votes.c
@@ -43,9 +43,6 @@
 
 	ballot->in_flight = ht_owned_in_flight(o, t->id);
 	ballot->was_owner = owner || ballot->in_flight > 0;
-	/* A hold that has not ended passes to the new owner. */
-	if (t->state == HT_OWNER_HOLDING && t->hold_until > o->env->now)
-		ballot->hold_ms = (uint32_t)(t->hold_until - o->env->now);
 	for (int i = 0; i < HT_BORROWERS; i++)
 		ballot->in_flight += t->borrows[i].count;
 	ht_claim_drop(o, t);
@@ -73,6 +70,12 @@
 	       released_by != t->lock_incarnation;
 }
 
+static void keep_quiet(struct ht_ownership *o, struct ht_owned *t, uint32_t hold_ms)
+{
+	if (o->env->now + hold_ms > t->quiet_until)
+		t->quiet_until = o->env->now + hold_ms;
+}
+
 struct ht_ballot ht_vote_on(struct ht_ownership *o, struct ht_owned *t, uint64_t claimant,
 			    uint64_t incarnation, uint64_t released_by)
 {
@@ -91,11 +94,14 @@
 	}
 	ballot.granted = true;
 	if (!regrant)
-		ballot.hold_ms =
-			hold_after(o, t, released_by == t->lock_incarnation && t->lock_holder != 0);
-	if (claimant != o->env->self &&
-	    (!regrant || t->state != HT_OWNER_NONE || ht_owned_in_flight(o, t->id)))
+		keep_quiet(o, t,
+			   hold_after(o, t,
+				      released_by == t->lock_incarnation && t->lock_holder != 0));
+	if (claimant != o->env->self && (!regrant || t->state != HT_OWNER_NONE ||
+					 ht_owned_in_flight(o, t->id) || ht_borrowed(t)))
 		release(o, t, claimant, &ballot);
+	if (t->quiet_until > o->env->now)
+		ballot.hold_ms = (uint32_t)(t->quiet_until - o->env->now);
 	t->lock_holder = claimant;
 	t->lock_incarnation = incarnation;
 	return ballot;
@@ -165,4 +171,5 @@
 	}
 	free(store);
 	free(items);
+	ht_owned_touch(o);
 }
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "core/services.h"
+#include "rules/rules.h"
 
 #include <check.h>
 #include <stdio.h>
@@ -50,7 +51,7 @@
 
 struct packet {
 	int from, to;
-	uint64_t incarnation; /* of the receiver */
+	uint64_t incarnation, sender; /* incarnations of the receiver and the sender */
 	ht_ms due;
 	uint8_t *data;
 	size_t len;
@@ -77,7 +78,9 @@
 	struct node nodes[MAX_NODES];
 	int count;
 	bool cut[MAX_NODES][MAX_NODES];
-	bool hidden[MAX_NODES][MAX_NODES]; /* [i][j]: i's list lacks j */
+	bool wanted[MAX_NODES][MAX_NODES];	/* links to open */
+	uint64_t link[MAX_NODES][MAX_NODES][2]; /* incarnations at the ends, lower index first */
+	bool hidden[MAX_NODES][MAX_NODES];	/* [i][j]: i's list lacks j */
 	struct packet *packets;
 	size_t packet_count;
 	struct running *running;
@@ -220,18 +223,31 @@
 	return NULL;
 }
 
+static inline bool has_link(const struct net *net, int a, int b)
+{
+	const uint64_t *link = a < b ? net->link[a][b] : net->link[b][a];
+	const struct node *x = &net->nodes[a < b ? a : b], *y = &net->nodes[a < b ? b : a];
+
+	return link[0] == x->incarnation && link[1] == y->incarnation && link[0] != 0;
+}
+
 static bool op_send(void *ctx, uint64_t peer, const Ht__PeerMsg *msg)
 {
 	struct node *n = ctx, *to = node_by_id(n->net, peer);
 	struct packet *p;
 
-	if (!to || (!to->core && !n->net->cut[n->index][to->index]))
+	if (!to)
 		return false;
+	if (!has_link(n->net, n->index, to->index)) {
+		n->net->wanted[n->index][to->index] = true;
+		return false;
+	}
 	n->net->packets = realloc(n->net->packets, (n->net->packet_count + 1) * sizeof(*p));
 	p = &n->net->packets[n->net->packet_count++];
 	*p = (struct packet){.from = n->index,
 			     .to = to->index,
 			     .incarnation = to->incarnation,
+			     .sender = n->incarnation,
 			     .due = n->net->now + LATENCY,
 			     .len = ht__peer_msg__get_packed_size(msg)};
 	p->data = malloc(p->len + 1);
@@ -317,6 +333,8 @@
 
 	if (!net_linked(net, a, b) || net->nodes[a].frozen || net->nodes[b].frozen)
 		return;
+	net->link[a < b ? a : b][a < b ? b : a][0] = net->nodes[a < b ? a : b].incarnation;
+	net->link[a < b ? a : b][a < b ? b : a][1] = net->nodes[a < b ? b : a].incarnation;
 	ht_core_advance(net->nodes[a].core, net->now);
 	ht_core_advance(net->nodes[b].core, net->now);
 	ht_core_peer_up(net->nodes[a].core, &ib, net->nodes[b].incarnation);
@@ -372,26 +390,24 @@
 	}
 }
 
-static inline struct ht_config *make_config(uint64_t version, const char *dc, int targets,
-					    uint32_t slots)
-{
-	struct ht_config *cfg = ht_config_new(version, "t", "");
-	struct ht_service_conf svc = {.name = "almacen", .region = "litoral", .deadline = 5000};
-	struct ht_err err;
-
-	ck_assert(ht_addr_parse(&svc.addr, "127.0.0.1:9000", &err));
-	ck_assert(ht_config_add_service(cfg, &svc));
-	for (int i = 0; i < targets; i++) {
-		struct ht_target_conf t = {.slots = slots, .connections = 2000, .weight = 1};
-		char text[HT_ADDR_TEXT];
-
-		snprintf(t.name, sizeof(t.name), "t%d", i);
-		snprintf(t.dc, sizeof(t.dc), "%s", dc);
-		snprintf(text, sizeof(text), "127.0.0.1:%d", 9100 + i);
-		ck_assert(ht_addr_parse(&t.addr, text, &err));
-		ck_assert(ht_config_add_target(cfg, svc.name, &t));
-	}
-	ck_assert(ht_config_seal(cfg, &err));
+/* Rules with one line per target in the data centre salto; @note changes one comment only. */
+static inline struct ht_config *make_config(uint64_t version, int targets, const char *note)
+{
+	size_t room = (size_t)targets * 160 + 512, len;
+	char *text = malloc(room);
+	struct ht_config *cfg;
+
+	len = (size_t)snprintf(
+		text, room, "service almacen region litoral address 127.0.0.1:9000  # %s\n", note);
+	for (int i = 0; i < targets; i++)
+		len += (size_t)snprintf(text + len, room - len,
+					"target almacen t%d dc salto address 127.%d.%d.1:9100  "
+					"# asked for by the stock team, request %d\n",
+					i, i / 200, i % 200, i);
+	cfg = ht_rules_parse(text, len, NULL);
+	ck_assert_ptr_nonnull(cfg);
+	cfg->version = version;
+	free(text);
 	return cfg;
 }
 
@@ -442,7 +458,8 @@
 		bool cut = net->cut[p.from][p.to];
 		Ht__PeerMsg *msg;
 
-		if (!to->core || to->incarnation != p.incarnation || (cut && net->drop)) {
+		if (!to->core || to->incarnation != p.incarnation ||
+		    net->nodes[p.from].incarnation != p.sender || (cut && net->drop)) {
 			net->lost++;
 			free(p.data);
 			continue;
@@ -549,11 +566,10 @@
 
 static inline void start_requests(struct net *net, struct node *n)
 {
+	ht_core_advance(n->core, net->now);
 	for (int t = 0; t < net->target_count; t++) {
-		uint32_t slots;
+		uint32_t slots = node_slots(n, t);
 
-		ht_core_advance(n->core, net->now);
-		slots = node_slots(n, t);
 		while (n->path->in_flight[t] < slots) {
 			net->running = realloc(net->running,
 					       (net->running_count + 1) * sizeof(*net->running));
@@ -609,6 +625,18 @@
 	n->last_version = version;
 }
 
+static inline void open_links(struct net *net)
+{
+	for (int a = 0; a < net->count; a++)
+		for (int b = 0; b < net->count; b++) {
+			if (!net->wanted[a][b])
+				continue;
+			net->wanted[a][b] = false;
+			if (!has_link(net, a, b))
+				net_link(net, a, b);
+		}
+}
+
 static inline void note_gap(struct net *net, int t)
 {
 	bool usable = false;
@@ -625,6 +653,7 @@
 {
 	net->now++;
 	end_requests(net);
+	open_links(net);
 	deliver(net);
 	platform_step(net);
 	for (int i = 0; i < net->count; i++) {
@@ -711,7 +740,7 @@
 	for (int i = 0; i < n; i++)
 		net_add(net, names[i], "salto");
 	net_publish_list(net);
-	net_set_head(net, make_config(1, "salto", 6, SLOTS));
+	net_set_head(net, make_config(1, 6, "first"));
 	for (int i = 0; i < n; i++)
 		net_start(net, i);
 	net_run(net, 6000);
--- a/tests/control/test_config.c
+++ b/tests/control/test_config.c
@@ -1,30 +1,8 @@
 /* Spread of configurations: section 3.7 of the design. net_step() checks that no version falls. */
-#include "rules/rules.h"
 #include "tests/control/net.h"
 
 #define SPREAD_MS 8000
 
-/* Rules with one line per target; @note changes one comment only. */
-static struct ht_config *parsed(uint64_t version, int targets, const char *note)
-{
-	size_t room = (size_t)targets * 160 + 512, len;
-	char *text = malloc(room);
-	struct ht_config *cfg;
-
-	len = (size_t)snprintf(
-		text, room, "service almacen region litoral address 127.0.0.1:9000  # %s\n", note);
-	for (int i = 0; i < targets; i++)
-		len += (size_t)snprintf(text + len, room - len,
-					"target almacen t%d dc salto address 127.%d.%d.1:9100  "
-					"# asked for by the stock team, request %d\n",
-					i, i / 200, i % 200, i);
-	cfg = ht_rules_parse(text, len, NULL);
-	ck_assert_ptr_nonnull(cfg);
-	cfg->version = version;
-	free(text);
-	return cfg;
-}
-
 static struct net *start(uint64_t seed, int salto, int fray)
 {
 	static const char *const names[] = {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"};
@@ -33,7 +11,7 @@
 	for (int i = 0; i < salto + fray; i++)
 		net_add(net, names[i], i < salto ? "salto" : "fray-bentos");
 	net_publish_list(net);
-	net_set_head(net, parsed(1, 6, "first"));
+	net_set_head(net, make_config(1, 6, "first"));
 	for (int i = 0; i < salto + fray; i++)
 		net_start(net, i);
 	net_run(net, 6000);
@@ -95,7 +73,7 @@
 		char note[32];
 
 		snprintf(note, sizeof(note), "change %d", (int)v);
-		net_set_head(net, parsed(v, 6 + (int)(v % 2), note));
+		net_set_head(net, make_config(v, 6 + (int)(v % 2), note));
 		ck_assert_int_ge(run_until_version(net, v, SPREAD_MS), 0);
 	}
 	ck_assert_uint_eq(events(net, HT_EV_CONFIG_REJECTED), 0);
@@ -112,7 +90,7 @@
 		for (int i = 0; i < net->count; i++)
 			if (is_relay(&net->nodes[i]))
 				net_kill(net, i, proof);
-		net_set_head(net, parsed(2, 6, "second"));
+		net_set_head(net, make_config(2, 6, "second"));
 		ck_assert_int_ge(run_until_version(net, 2, SPREAD_MS), 0);
 		ck_assert_int_eq(relays(net), 2);
 		net_free(net);
@@ -128,7 +106,7 @@
 	net->platform_down = true;
 	net_run(net, 30000);
 	ck_assert_int_eq(net_served(net), 6);
-	net_set_head(net, parsed(2, 6, "second"));
+	net_set_head(net, make_config(2, 6, "second"));
 	net_run(net, 5000);
 	ck_assert_uint_eq(version_at(net, 0), 1);
 	net->platform_down = false;
@@ -143,16 +121,16 @@
 	struct net *net = start(4, 3, 0);
 	unsigned int watches;
 
-	net_set_head(net, parsed(5, 7, "fifth"));
+	net_set_head(net, make_config(5, 7, "fifth"));
 	ck_assert_int_ge(run_until_version(net, 5, SPREAD_MS), 0);
-	net_set_head(net, parsed(3, 6, "third"));
+	net_set_head(net, make_config(3, 6, "third"));
 	watches = net->calls_by_kind[HT_PLATFORM_WATCH_HEAD];
 	net_run(net, 10000);
 	for (int i = 0; i < 3; i++)
 		ck_assert_uint_eq(version_at(net, i), 5);
 	ck_assert_uint_eq(events(net, HT_EV_CONFIG_OLDER_IGNORED), 2);
 	ck_assert_uint_le(net->calls_by_kind[HT_PLATFORM_WATCH_HEAD] - watches, 4);
-	net_set_head(net, parsed(6, 6, "sixth"));
+	net_set_head(net, make_config(6, 6, "sixth"));
 	ck_assert_int_ge(run_until_version(net, 6, SPREAD_MS), 0);
 	net_free(net);
 }
@@ -167,7 +145,7 @@
 		struct net *net = start(5, 3, 0);
 
 		net->load = k == 0;
-		net_set_head(net, parsed(2, sizes[k], "second"));
+		net_set_head(net, make_config(2, sizes[k], "second"));
 		ck_assert_int_ge(run_until_version(net, 2, SPREAD_MS), 0);
 		net->platform_down = true;
 		net_add(net, "n", "salto");
@@ -188,12 +166,12 @@
 	uint64_t before = 0, after = 0, whole;
 
 	net->load = false;
-	net_set_head(net, parsed(2, 1000, "second"));
+	net_set_head(net, make_config(2, 1000, "second"));
 	ck_assert_int_ge(run_until_version(net, 2, SPREAD_MS), 0);
 	net_run(net, 3000); /* the claims of the new targets */
 	for (int i = 0; i < 6; i++)
 		before += ht_core_counters(net->nodes[i].core)->values[HT_C_control_bytes_sent];
-	net_set_head(net, parsed(3, 1000, "third"));
+	net_set_head(net, make_config(3, 1000, "third"));
 	whole = strlen(net->head->text);
 	ck_assert_int_ge(run_until_version(net, 3, SPREAD_MS), 0);
 	for (int i = 0; i < 6; i++)
@@ -238,17 +216,17 @@
 	net->load = false;
 	ck_assert_ptr_null(c->previous_set(c->ctx, service, 0));
 	for (uint64_t v = 2; v < 8; v++) {
-		net_set_head(net, parsed(v, 6 + (int)v, "more"));
+		net_set_head(net, make_config(v, 6 + (int)v, "more"));
 		ck_assert_int_ge(run_until_version(net, v, SPREAD_MS), 0);
 	}
 	for (unsigned int k = 0; k < 4; k++)
 		ck_assert_uint_eq(c->previous_set(c->ctx, service, k)->target_count, 12 - k);
 	ck_assert_ptr_null(c->previous_set(c->ctx, service, 4));
 	/* A change of a comment leaves the sets alone; a set that returns is no earlier one. */
-	net_set_head(net, parsed(8, 13, "comment"));
+	net_set_head(net, make_config(8, 13, "comment"));
 	ck_assert_int_ge(run_until_version(net, 8, SPREAD_MS), 0);
 	ck_assert_uint_eq(c->previous_set(c->ctx, service, 0)->target_count, 12);
-	net_set_head(net, parsed(9, 12, "back"));
+	net_set_head(net, make_config(9, 12, "back"));
 	ck_assert_int_ge(run_until_version(net, 9, SPREAD_MS), 0);
 	ck_assert_uint_eq(c->previous_set(c->ctx, service, 0)->target_count, 13);
 	ck_assert_uint_eq(c->previous_set(c->ctx, service, 1)->target_count, 11);
