--- a/base/options.c
+++ b/base/options.c
@@ -155,6 +155,20 @@
 	return ok;
 }
 
+void ht_options_describe(const struct ht_option *table, FILE *out)
+{
+	for (const struct ht_option *opt = table; opt->name; opt++) {
+		fprintf(out, "  %-20s %s: %s", opt->name, opt->help, type_names[opt->type]);
+		if (opt->type == HT_OPT_INT || opt->type == HT_OPT_DOUBLE)
+			fprintf(out, " from %.15g to %.15g", opt->min, opt->max);
+		if (opt->required)
+			fputs(", required", out);
+		if (opt->def)
+			fprintf(out, ", default %s", opt->def);
+		fputc('\n', out);
+	}
+}
+
 void ht_options_clear(const struct ht_option *table, void *out)
 {
 	for (const struct ht_option *opt = table; opt->name; opt++) {
--- a/base/options.h
+++ b/base/options.h
@@ -6,6 +6,7 @@
 
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 
 enum ht_option_type {
 	HT_OPT_INT,    /**< int64_t field, checked against min and max */
@@ -34,6 +35,9 @@
 bool ht_options_load(const struct ht_option *table, const char *file, const char *text, size_t len,
 		     void *out, struct ht_err *err);
 
+/** Writes one line per row: name, type, range or "required", default and help. */
+void ht_options_describe(const struct ht_option *table, FILE *out);
+
 /** Frees the strings that ht_options_load allocated in @out. */
 void ht_options_clear(const struct ht_option *table, void *out);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -2,6 +2,7 @@
 #include "daemon/shell.h"
 
 #include <glib.h>
+#include <locale.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -18,6 +19,30 @@
 	gboolean version;
 };
 
+/* The end of the help text, from which the manual page is made too. */
+static char *describe(void)
+{
+	char *settings = NULL, *text;
+	size_t len;
+	FILE *out = open_memstream(&settings, &len);
+
+	if (!out)
+		return NULL;
+	ht_settings_describe(out);
+	fclose(out);
+	text = g_strdup_printf(
+		"Settings:\n%s"
+		"\nThe key file holds 64 hexadecimal digits and is readable by its owner only.\n"
+		"SIGTERM and SIGINT start a planned stop; a second one changes nothing.\n"
+		"\nExit status:\n"
+		"  0  planned stop finished, or the settings are good (--check)\n"
+		"  1  the instance could not be started\n"
+		"  2  bad arguments, settings or key file\n",
+		settings);
+	free(settings);
+	return text;
+}
+
 static bool parse_arguments(struct arguments *args, int *argc, char ***argv)
 {
 	const GOptionEntry entries[] = {
@@ -33,8 +58,11 @@
 	};
 	GOptionContext *ctx = g_option_context_new("- layer-4 load balancer, entry instance");
 	GError *error = NULL;
+	char *description = describe();
 	bool ok;
 
+	g_option_context_set_description(ctx, description);
+	g_free(description);
 	g_option_context_add_main_entries(ctx, entries, NULL);
 	ok = g_option_context_parse(ctx, argc, argv, &error);
 	if (!ok) {
@@ -88,6 +116,8 @@
 	int status = EXIT_SETTINGS;
 	int level = 0;
 
+	/* Only the character set: numbers in JSON keep their point. */
+	setlocale(LC_CTYPE, "");
 	setvbuf(stderr, NULL, _IOLBF, 0);
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -91,6 +91,11 @@
 	return false;
 }
 
+void ht_settings_describe(FILE *out)
+{
+	ht_options_describe(table, out);
+}
+
 void ht_settings_clear(struct ht_settings *set)
 {
 	ht_options_clear(table, set);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -4,6 +4,8 @@
 
 #include "core/core.h"
 
+#include <stdio.h>
+
 #define HT_KEY_LEN 32 /* bytes of the key that the instances share */
 
 struct ht_settings {
@@ -42,6 +44,9 @@
 bool ht_settings_load(struct ht_settings *set, const char *path, struct ht_err *err);
 void ht_settings_clear(struct ht_settings *set);
 
+/** Writes the keys of a settings file with their ranges and defaults, one per line. */
+void ht_settings_describe(FILE *out);
+
 /** Copies identity, intervals and limits into @params. */
 void ht_settings_apply(const struct ht_settings *set, struct ht_core_params *params);
 
