hickoryctl against the platform stand-in: races of five processes, lost answers, a restored store

Change ids now come from libsodium: GLib's random source is seeded once, so processes forked from one parent drew the same id and took each other's change for their own (seen in the first run of the race test: five of five reported as accepted).

--- a/ctl/accepted.c
+++ b/ctl/accepted.c
@@ -37,6 +37,25 @@
 	return out->cfg != NULL;
 }
 
+/* Damage that stays until the rules are written anew, unlike a platform that does not answer. */
+static bool is_damage(const struct ht_err *err)
+{
+	return err->code == HT_EINVAL || err->code == HT_ENOTFOUND;
+}
+
+static bool read_rules(struct ht_ctl *ctl, struct ht_ctl_accepted *out, const char *value,
+		       struct ht_err *err)
+{
+	if (ht_rules_head_parse(value, strlen(value), &out->head, err) && read_parts(ctl, out, err))
+		return true;
+	if (!ctl->replace_damaged || !is_damage(err))
+		return false;
+	ht_rules_parts_clear(&out->head.parts);
+	free(out->text);
+	out->text = strdup("");
+	return out->text != NULL;
+}
+
 bool ht_ctl_accepted_read(struct ht_ctl *ctl, struct ht_ctl_accepted *out, struct ht_err *err)
 {
 	struct ht_platform_result res;
@@ -49,8 +68,7 @@
 	out->exists = ok;
 	*err = res.err;
 	if (ok)
-		ok = ht_rules_head_parse(res.value, strlen(res.value), &out->head, err) &&
-		     read_parts(ctl, out, err);
+		ok = read_rules(ctl, out, res.value, err);
 	else if (res.err.code == HT_ENOTFOUND)
 		ok = (out->text = strdup("")) != NULL;
 	ht_platform_result_clear(&res);
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -4,6 +4,7 @@
 #include "ctl/submit.h"
 
 #include <inttypes.h>
+#include <sodium.h>
 #include <string.h>
 
 void ht_ctl_change_init(struct ht_ctl_change *c, const char *source, const char *text)
@@ -121,12 +122,15 @@
 {
 	struct ht_rules_head *head = &c->head;
 	size_t keep = acc->head.recent_count;
-	char *id = g_uuid_string_random();
+	uint8_t id[16];
 
+	/* Ids tell writers apart; this source stays unique across forks of one process. */
+	if (sodium_init() < 0)
+		return ht_err_set(err, HT_EIO, "no source of random numbers");
 	if (keep > HT_RULES_RECENT - 1)
 		keep = HT_RULES_RECENT - 1;
-	snprintf(c->change_id, sizeof(c->change_id), "%s", id);
-	g_free(id);
+	randombytes_buf(id, sizeof(id));
+	sodium_bin2hex(c->change_id, sizeof(c->change_id), id, sizeof(id));
 	memcpy(head->change_id, c->change_id, sizeof(head->change_id));
 	memcpy(head->recent[0], c->change_id, sizeof(head->recent[0]));
 	memcpy(head->recent[1], acc->head.recent, keep * sizeof(head->recent[0]));
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -40,6 +40,8 @@
 	"starts with the line '# base version N', as printed by show, and a newer version\n"
 	"was accepted since, the change is refused with the difference; after success that\n"
 	"line is brought up to date. A lost answer is settled by reading back the change id.\n"
+	"When a restored platform holds rules that cannot be read, --replace-damaged applies\n"
+	"FILE all the same; addresses are then checked against running instances only.\n"
 	"\n"
 	"Exit status: 0 accepted or nothing to change, 1 failed and nothing changed,\n"
 	"2 faults in FILE, 3 another change was accepted first, 4 outcome not known.\n"
@@ -113,7 +115,7 @@
 	 .arguments = "FILE",
 	 .summary = "Make a rules file the accepted configuration",
 	 .description = apply_help,
-	 .options = " admin ",
+	 .options = " admin replace-damaged ",
 	 .min_args = 1,
 	 .max_args = 1,
 	 .needs_platform = true,
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -70,6 +70,8 @@
 		 "IP:PORT"},
 		{"comment", 'c', 0, G_OPTION_ARG_STRING, &ctl->comment,
 		 "Who asked for it and why; required", "TEXT"},
+		{"replace-damaged", 0, 0, G_OPTION_ARG_NONE, &ctl->replace_damaged,
+		 "Apply although the accepted rules at the platform cannot be read", NULL},
 		{"flow", 0, 0, G_OPTION_ARG_STRING, &ctl->flow, "Only events of this flow", "ID"},
 		{"request", 0, 0, G_OPTION_ARG_STRING, &ctl->request, "Only events of this request",
 		 "ID"},
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -28,7 +28,8 @@
 	gboolean json;
 	gboolean help;
 	gboolean version;
-	char **admin; /**< admin addresses named instead of the platform's list */
+	gboolean replace_damaged; /**< take unreadable accepted rules for none */
+	char **admin;		  /**< admin addresses named instead of the platform's list */
 	char *comment;
 	char *flow;
 	char *request;
