wire: hand-over of flows, and look-ups that state the known target sets

LedgerEntries carries pairs of flow and target; Forward tells how many earlier target sets the asking instance knows, since one that has started lately knows none.

--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1389,7 +1389,7 @@
   (ProtobufCMessageInit) ht__request_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__forward__field_descriptors[21] =
+static const ProtobufCFieldDescriptor ht__forward__field_descriptors[22] =
 {
   {
     "key",
@@ -1643,6 +1643,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_sets",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Forward, known_sets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__forward__field_indices_by_name[] = {
   16,   /* field[16] = block_num */
@@ -1659,6 +1671,7 @@
   6,   /* field[6] = ingress */
   7,   /* field[7] = ingress_id */
   0,   /* field[0] = key */
+  21,   /* field[21] = known_sets */
   8,   /* field[8] = method */
   9,   /* field[9] = path */
   11,   /* field[11] = payload */
@@ -1670,7 +1683,7 @@
 static const ProtobufCIntRange ht__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor ht__forward__descriptor =
 {
@@ -1680,7 +1693,7 @@
   "Ht__Forward",
   "ht",
   sizeof(Ht__Forward),
-  21,
+  22,
   ht__forward__field_descriptors,
   ht__forward__field_indices_by_name,
   1,  ht__forward__number_ranges,
@@ -2343,7 +2356,7 @@
   (ProtobufCMessageInit) ht__ledger_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[6] =
 {
   {
     "incarnation",
@@ -2405,10 +2418,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flows",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ht__LedgerEntries, n_flows),
+    offsetof(Ht__LedgerEntries, flows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__ledger_entries__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   1,   /* field[1] = entries */
+  5,   /* field[5] = flows */
   0,   /* field[0] = incarnation */
   2,   /* field[2] = last */
   4,   /* field[4] = now_ms */
@@ -2416,7 +2442,7 @@
 static const ProtobufCIntRange ht__ledger_entries__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__ledger_entries__descriptor =
 {
@@ -2426,7 +2452,7 @@
   "Ht__LedgerEntries",
   "ht",
   sizeof(Ht__LedgerEntries),
-  5,
+  6,
   ht__ledger_entries__field_descriptors,
   ht__ledger_entries__field_indices_by_name,
   1,  ht__ledger_entries__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -237,10 +237,14 @@
    * sender's handle for Returned
    */
   uint64_t hop_id;
+  /*
+   * with FORWARD_RETURN_IF_UNKNOWN: earlier target sets known, plus 1
+   */
+  uint32_t known_sets;
 };
 #define HT__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__forward__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0 }
 
 
 /*
@@ -400,10 +404,15 @@
    * the incarnation's clock, for the age of its tickets
    */
   int64_t now_ms;
+  /*
+   * pairs of flow and target
+   */
+  size_t n_flows;
+  uint64_t *flows;
 };
 #define HT__LEDGER_ENTRIES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__ledger_entries__descriptor) \
-    , 0, 0,NULL, 0, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 struct  Ht__LedgerAck
