--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -205,10 +205,22 @@
 	ht_home_place(p, job);
 }
 
-/*
- * Forwards to the peer may have been lost. Everything but a posting with its ticket may run
- * again; that one is only looked up again.
- */
+/* Only the ingress knows whether the request was answered meanwhile, so it decides. */
+static void report_lost(struct ht_request_path *p, struct ht_job *job)
+{
+	const struct ht_waiter to = job->waiters[0];
+
+	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer, "reason=%d",
+		      (int)HT_RETURN_LOST);
+	job->sender = to.ingress;
+	job->hop_id = to.ingress_id;
+	if (to.ingress != p->env->self)
+		send_returned(p, job, HT_RETURN_LOST, INFINITY, 0);
+	ht_job_free(p, job);
+	if (to.ingress == p->env->self)
+		return_local(p, to.ingress_id, HT_RETURN_LOST);
+}
+
 void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer)
 {
 	struct ht_list lost, *pos, *tmp;
@@ -222,22 +234,6 @@
 		ht_list_del(&job->node);
 		ht_list_add_tail(&lost, &job->node);
 	}
-	while (!ht_list_empty(&lost)) {
-		struct ht_job *job = ht_container_of(lost.next, struct ht_job, node);
-
-		if (ht_body_idempotent(job->body) && !job->body->cancel) {
-			if (!ht_retries_spend(p->home_retries, job->body->service)) {
-				ht_path_count(p, HT_C_retries_denied);
-				ht_path_event(p, RETRY_DENIED, job->body, 0, peer, "why=budget");
-				ht_reply_may_have_run(p, job, "peer_down");
-				ht_job_free(p, job);
-				continue;
-			}
-			ht_path_count(p, HT_C_retries);
-			ht_path_event(p, REQUEST_RETRIED, job->body, 0, peer,
-				      "side=home why=peer_down");
-			job->floor = HT_MAY_HAVE_RUN;
-		}
-		ht_hop_returned(p, job, HT_RETURN_NOT_HOME, INFINITY);
-	}
+	ht_list_for_each_safe (pos, tmp, &lost)
+		report_lost(p, ht_container_of(pos, struct ht_job, node));
 }
--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -302,9 +302,38 @@
 	finish(p, w, answer);
 }
 
+/*
+ * The home has ended. A ticket is looked up again: nobody but its issuer runs it, so a second
+ * forward is harmless. Other requests go to the next candidate within the budget.
+ */
+static void home_ended(struct ht_request_path *p, struct ht_pending *w)
+{
+	w->forwarded = true;
+	if (w->outstanding)
+		return;
+	if (w->body->has_ticket || !ht_body_idempotent(w->body) || w->body->cancel) {
+		send_attempt(p, w);
+		return;
+	}
+	if (!ht_retries_spend(p->ingress_retries, w->body->service)) {
+		ht_path_count(p, HT_C_retries_denied);
+		ht_path_event(p, RETRY_DENIED, w->body, 0, 0, "why=budget");
+		refuse(p, w, "home_ended");
+		return;
+	}
+	ht_path_count(p, HT_C_retries);
+	ht_path_event(p, REQUEST_RETRIED, w->body, 0, 0, "side=ingress why=home_ended");
+	w->flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
+	send_attempt(p, w);
+}
+
 void ht_ingress_returned(struct ht_request_path *p, struct ht_pending *w,
 			 enum ht_return_reason reason)
 {
+	if (reason == HT_RETURN_LOST) {
+		home_ended(p, w);
+		return;
+	}
 	if (reason == HT_RETURN_NOT_SERVED && !w->waited && !w->outstanding) {
 		/* The sender's configuration is older: wait until it has been pulled. */
 		w->waited = true;
@@ -351,30 +380,6 @@
 	return hit;
 }
 
-/*
- * The home has ended. A ticket is looked up again: nobody but its issuer runs it, so a second
- * forward is harmless. Other requests go to the next candidate within the budget.
- */
-static void home_ended(struct ht_request_path *p, struct ht_pending *w)
-{
-	if (w->outstanding)
-		return;
-	if (w->body->has_ticket || !ht_body_idempotent(w->body) || w->body->cancel) {
-		send_attempt(p, w);
-		return;
-	}
-	if (!ht_retries_spend(p->ingress_retries, w->body->service)) {
-		ht_path_count(p, HT_C_retries_denied);
-		ht_path_event(p, RETRY_DENIED, w->body, 0, 0, "why=budget");
-		refuse(p, w, "home_ended");
-		return;
-	}
-	ht_path_count(p, HT_C_retries);
-	ht_path_event(p, REQUEST_RETRIED, w->body, 0, 0, "side=ingress why=home_ended");
-	w->flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
-	send_attempt(p, w);
-}
-
 void ht_ingress_peer_down(struct ht_request_path *p, uint64_t peer, enum ht_peer_down_reason reason)
 {
 	if (reason == HT_PEER_GONE)
--- a/core/services.h
+++ b/core/services.h
@@ -14,6 +14,7 @@
 	HT_RETURN_NOT_HOME = 3,	   /**< the receiver does not own the target */
 	HT_RETURN_NOT_SERVED = 4,  /**< its newer configuration has no such target in the service */
 	HT_RETURN_UNAVAILABLE = 5, /**< target down, draining, misassigned or full */
+	HT_RETURN_LOST = 7,	   /**< to the ingress: the home that had the request has ended */
 	HT_RETURN_TAKEN = 6, /**< a deflection or look-up was taken; names the flow's target */
 };
 
--- a/tests/core/core_net.h
+++ b/tests/core/core_net.h
@@ -310,11 +310,21 @@
 			link_nodes(net, i, k);
 }
 
+static inline int any_node(struct net *net)
+{
+	for (;;) {
+		int i = (int)rnd(net, (uint64_t)net->count);
+
+		if (net->nodes[i].core && !net->nodes[i].frozen && !net->nodes[i].stopped)
+			return i;
+	}
+}
+
 /* A request of call @id goes out; @node must run. */
 static inline void call_send(struct net *net, int id, int node)
 {
 	struct call *c = &net->calls[id];
-	struct node *n = &net->nodes[node];
+	struct node *n;
 	char query[16];
 	struct ht_request req = {.service = ht_hash_str("svc"),
 				 .flow = c->flow,
@@ -328,6 +338,10 @@
 	memcpy(req.token, &id, 4);
 	req.has_ticket = c->has_ticket;
 	memcpy(req.ticket, c->ticket, HT_TICKET_LEN);
+	ht_core_advance(net->nodes[node].core, net->now);
+	if (net->nodes[node].stopped) /* it has just ended */
+		node = any_node(net);
+	n = &net->nodes[node];
 	c->node = node;
 	c->incarnation = n->incarnation;
 	c->sent = net->now;
@@ -546,16 +560,6 @@
 	}
 }
 
-static inline int any_node(struct net *net)
-{
-	for (;;) {
-		int i = (int)rnd(net, (uint64_t)net->count);
-
-		if (net->nodes[i].core && !net->nodes[i].frozen)
-			return i;
-	}
-}
-
 /* Callers whose instance has ended, or who got a ticket, send again. */
 static inline void callers_step(struct net *net)
 {
--- a/tests/core/test_cores.c
+++ b/tests/core/test_cores.c
@@ -115,7 +115,7 @@
 
 	for (k = 0; k < net->count; k++)
 		running += net->nodes[k].core && !net->nodes[k].frozen && !net->nodes[k].leaving;
-	switch (rnd(net, 8)) {
+	switch (rnd(net, 11)) {
 	case 0:
 		if (running > 3)
 			node_end(net, i);
@@ -137,6 +137,24 @@
 		net_run(net, (ht_ms)rnd(net, 1500));
 		net->cut[i][k] = net->cut[k][i] = false;
 		break;
+	case 5:
+		if (running > 3) {
+			net->nodes[i].frozen = true;
+			load(net, (ht_ms)rnd(net, 5000), 150, 100);
+			net->nodes[i].frozen = false;
+		}
+		break;
+	case 6: /* isolated, each instance for itself: one more slot for each group */
+		net->extra_slots = 2;
+		for (k = 0; k < net->count; k++)
+			net->cut[i][k] = net->cut[k][i] = k != i;
+		load(net, (ht_ms)rnd(net, 15000), 50, 100);
+		for (k = 0; k < net->count; k++)
+			net->cut[i][k] = net->cut[k][i] = false;
+		break;
+	case 7: /* bursts beyond the capacity */
+		load(net, 300, 1000, 1000);
+		break;
 	default:
 		for (k = 0; k < net->count; k++)
 			if (!net->nodes[k].core)
@@ -148,7 +166,8 @@
 /* Guards against a wrong verdict or a second run under failures in any order. */
 START_TEST(random_failures)
 {
-	struct net *net = net_new(1000 + (uint64_t)_i, 5, 7);
+	const char *base = getenv("HT_TEST_SEED"); /* for longer searches */
+	struct net *net = net_new((base ? strtoull(base, NULL, 10) : 1000) + (uint64_t)_i, 5, 7);
 
 	net->service_ms = 40;
 	for (int round = 0; round < 25; round++) {
