--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -52,6 +52,8 @@
 	f.forward.hop_id = ht_hop_id(job);
 	f.forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
 	f.forward.wait_ms = wire_wait(wait);
+	if (flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN)
+		f.forward.known_sets = ht_place_known_sets(p, job->body->service) + 1;
 	if (!p->env->send(p->env, peer, &f.msg))
 		return false;
 	ht_path_count(p, HT_C_forwards_sent);
@@ -121,6 +123,7 @@
 {
 	if (job->stripped)
 		return;
+	job->tentative = false;
 	if (job->sender != p->env->self && (job->hop_id & 7) == 7)
 		send_returned(p, job, HT_RETURN_TAKEN, 0, target);
 	job->stripped = true;
@@ -129,11 +132,20 @@
 				  HT__FORWARD_FLAG__FORWARD_DEFLECTED);
 }
 
+/* The sender is the home of the target at which the flow lives. */
+void ht_hop_return_flow(struct ht_request_path *p, struct ht_job *job, uint64_t target)
+{
+	send_returned(p, job, HT_RETURN_UNKNOWN_FLOW, INFINITY, target);
+	ht_job_free(p, job);
+}
+
 /* The copy stays until its deadline in case the peer ends. */
 void ht_hop_was_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target)
 {
 	bool evicted;
 
+	if (job->flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN)
+		ht_hop_taken(p, job, target);
 	job->hop_flags = HT__FORWARD_FLAG__FORWARD_MOVED;
 	job->hop_target = target;
 	if (!job->one_off)
@@ -193,10 +205,22 @@
 	ht_home_place(p, job);
 }
 
-/*
- * Forwards to the peer may have been lost. Everything but a posting with its ticket may run
- * again; that one is only looked up again.
- */
+/* Only the ingress knows whether the request was answered meanwhile, so it decides. */
+static void report_lost(struct ht_request_path *p, struct ht_job *job)
+{
+	const struct ht_waiter to = job->waiters[0];
+
+	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer, "reason=%d",
+		      (int)HT_RETURN_LOST);
+	job->sender = to.ingress;
+	job->hop_id = to.ingress_id;
+	if (to.ingress != p->env->self)
+		send_returned(p, job, HT_RETURN_LOST, INFINITY, 0);
+	ht_job_free(p, job);
+	if (to.ingress == p->env->self)
+		return_local(p, to.ingress_id, HT_RETURN_LOST);
+}
+
 void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer)
 {
 	struct ht_list lost, *pos, *tmp;
@@ -210,22 +234,6 @@
 		ht_list_del(&job->node);
 		ht_list_add_tail(&lost, &job->node);
 	}
-	while (!ht_list_empty(&lost)) {
-		struct ht_job *job = ht_container_of(lost.next, struct ht_job, node);
-
-		if (ht_body_idempotent(job->body) && !job->body->cancel) {
-			if (!ht_retries_spend(p->home_retries, job->body->service)) {
-				ht_path_count(p, HT_C_retries_denied);
-				ht_path_event(p, RETRY_DENIED, job->body, 0, peer, "why=budget");
-				ht_reply_may_have_run(p, job, "peer_down");
-				ht_job_free(p, job);
-				continue;
-			}
-			ht_path_count(p, HT_C_retries);
-			ht_path_event(p, REQUEST_RETRIED, job->body, 0, peer,
-				      "side=home why=peer_down");
-			job->floor = HT_MAY_HAVE_RUN;
-		}
-		ht_hop_returned(p, job, HT_RETURN_NOT_HOME, INFINITY);
-	}
+	ht_list_for_each_safe (pos, tmp, &lost)
+		report_lost(p, ht_container_of(pos, struct ht_job, node));
 }
--- a/tests/core/core_net.h
+++ b/tests/core/core_net.h
@@ -310,11 +310,21 @@
 			link_nodes(net, i, k);
 }
 
+static inline int any_node(struct net *net)
+{
+	for (;;) {
+		int i = (int)rnd(net, (uint64_t)net->count);
+
+		if (net->nodes[i].core && !net->nodes[i].frozen && !net->nodes[i].stopped)
+			return i;
+	}
+}
+
 /* A request of call @id goes out; @node must run. */
 static inline void call_send(struct net *net, int id, int node)
 {
 	struct call *c = &net->calls[id];
-	struct node *n = &net->nodes[node];
+	struct node *n;
 	char query[16];
 	struct ht_request req = {.service = ht_hash_str("svc"),
 				 .flow = c->flow,
@@ -328,6 +338,10 @@
 	memcpy(req.token, &id, 4);
 	req.has_ticket = c->has_ticket;
 	memcpy(req.ticket, c->ticket, HT_TICKET_LEN);
+	ht_core_advance(net->nodes[node].core, net->now);
+	if (net->nodes[node].stopped) /* it has just ended */
+		node = any_node(net);
+	n = &net->nodes[node];
 	c->node = node;
 	c->incarnation = n->incarnation;
 	c->sent = net->now;
@@ -342,8 +356,8 @@
 	int id = net->call_count++;
 
 	ck_assert_int_lt(net->call_count, CALLS);
-	net->calls[id] = (struct call){
-		.flow = flow, .posting = posting, .deadline = deadline, .target = -1};
+	net->calls[id] =
+		(struct call){.flow = flow, .posting = posting, .deadline = deadline, .target = -1};
 	call_send(net, id, node);
 	return id;
 }
@@ -392,8 +406,9 @@
 	char text[4096];
 	size_t len;
 
-	len = (size_t)snprintf(text, sizeof(text),
-			       "service svc region r address 127.0.0.1:8000 deadline 3000 # test\n");
+	len = (size_t)snprintf(
+		text, sizeof(text),
+		"service svc region r address 127.0.0.1:8000 deadline 3000 # test\n");
 	for (int i = net->first; i <= net->last; i++)
 		len += (size_t)snprintf(text + len, sizeof(text) - len,
 					"target svc t%d dc dc address 127.0.0.1:%d # test\n", i,
@@ -438,8 +453,8 @@
 		struct node *n = &net->nodes[net->watch[i].node];
 		enum ht_platform_call kind = net->watch[i].kind;
 		bool gone = !n->core || n->incarnation != net->watch[i].incarnation;
-		bool waits = kind == HT_PLATFORM_WATCH_HEAD &&
-			     net->head->version == net->watch[i].known;
+		bool waits =
+			kind == HT_PLATFORM_WATCH_HEAD && net->head->version == net->watch[i].known;
 
 		if (!gone && (waits || n->frozen)) {
 			i++;
@@ -545,16 +560,6 @@
 	}
 }
 
-static inline int any_node(struct net *net)
-{
-	for (;;) {
-		int i = (int)rnd(net, (uint64_t)net->count);
-
-		if (net->nodes[i].core && !net->nodes[i].frozen)
-			return i;
-	}
-}
-
 /* Callers whose instance has ended, or who got a ticket, send again. */
 static inline void callers_step(struct net *net)
 {
