--- a/standins/common/call.c
+++ b/standins/common/call.c
@@ -180,7 +180,7 @@
 	bool has_verdict = call->verdict >= HT_NOT_RUN && call->verdict <= HT_RAN;
 	bool ok = body_ok(call);
 
-	return json_pack("{sssssssssIsIsisiss?sbsbsbsisisi}", "id", call->id, "path", call->path,
+	return json_pack("{sssssssssIsIsisiss?sbsbsbsisisisi}", "id", call->id, "path", call->path,
 			 "service", call->service, "method",
 			 call->method == COAP_REQUEST_POST ? "POST" : "GET", "sent_ms",
 			 (json_int_t)call->sent_wall, "done_ms", (json_int_t)done_wall, "attempts",
@@ -188,5 +188,6 @@
 			 has_verdict ? ht_verdict_name((enum ht_verdict)call->verdict) : NULL,
 			 "body_ok", ok, "cut", call->cut, "cancelled", call->cancelled,
 			 "cancel_code", code_number(call->cancel_code), "max_age",
-			 (int)call->max_age, "tickets", call->tickets);
+			 (int)call->max_age, "tickets", call->tickets, "blocks",
+			 (int)call->next_block);
 }
