--- a/scripts/evidence.py
+++ b/scripts/evidence.py
@@ -42,7 +42,7 @@
         return len(self.records)
 
     def answered(self):
-        return sum(r["code"] != 0 for r in self.records)
+        return sum(r["code"] not in (0, 401) for r in self.records)
 
     def ran(self):
         return sum(r["code"] // 100 == 2 for r in self.records)
@@ -76,7 +76,8 @@
                 + len(self.cross_service()))
 
     def broken(self):
-        return [r for r in self.records if r["code"] == 0 or r["cut"]]
+        """Without a final answer (4.01 only asks for a repeat), or with a cut one."""
+        return [r for r in self.records if r["code"] in (0, 401) or r["cut"]]
 
     def overlimit(self):
         return [r for r in self.journal
--- a/tests/scripts/test_evidence.py
+++ b/tests/scripts/test_evidence.py
@@ -55,8 +55,8 @@
         self.assertEqual(evidence([record()], [foreign]).wrong(), 1)
 
     def test_unanswered_and_cut(self):
-        ev = evidence([record(code=0), record(cut=True, body_ok=False)])
-        self.assertEqual((ev.answered(), ev.wrong(), len(ev.broken())), (1, 0, 2))
+        ev = evidence([record(code=0), record(code=401), record(cut=True, body_ok=False)])
+        self.assertEqual((ev.answered(), ev.wrong(), len(ev.broken())), (1, 0, 3))
 
     def test_slots(self):
         self.assertEqual(len(evidence(journal=[line(in_flight=4)]).overlimit()), 1)
