--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -214,16 +214,21 @@
 	free(l);
 }
 
-/* An endpoint stays until its open requests are answered, since they refer to its sessions. */
+/*
+ * Closes one address that no service uses. An endpoint stays until its open requests are answered,
+ * since they refer to its sessions.
+ */
 static void close_unused(struct ht_caller *c)
 {
-	struct ht_list *pos, *tmp;
+	struct ht_list *pos;
 
-	ht_list_for_each_safe (pos, tmp, &c->listeners) {
+	ht_list_for_each (pos, &c->listeners) {
 		struct listener *l = ht_container_of(pos, struct listener, node);
 
-		if (!l->service && !l->pending)
+		if (!l->service && !l->pending) {
 			listener_close(c, l);
+			return;
+		}
 	}
 }
 
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -1,17 +1,11 @@
-#include "daemon/peers.h"
-
-#include "daemon/peer_session.h"
+#include "daemon/peers_internal.h"
 
 #include <errno.h>
-#include <glib.h>
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define RETRY_MIN_MS 100
-#define RETRY_MAX_MS 5000
 #define IDLE_MS 60000
 #define IDLE_SCAN_S 5.0
 
@@ -24,164 +18,16 @@
 /* Accepted sockets that have not proved the key yet. */
 #define UNPROVEN_MAX 512
 
-#define GONE_KEPT 4
-
-struct peer {
-	struct ht_list node;
-	struct ht_peers *peers;
-	uint64_t id;
-	struct ht_instance_info info;
-	bool listed;	  /* by the platform */
-	bool demanded;	  /* a message waits, or a link to another data centre was lost */
-	uint64_t current; /* incarnation of the newest proven link; 0 when known to be gone */
-	char current_address[HT_ADDR_TEXT];
-	uint64_t gone[GONE_KEPT]; /* ended incarnations, newest first */
-	struct ht_peer_session *session;
-	struct ht_peer_session *dialing;
-	ht_ms adopted_at;
-	struct ht_buffer queue;
-	struct ev_timer retry;
-	unsigned int failures;
-};
-
-struct ht_peers {
-	struct ht_peers_params p;
-	uint64_t self;
-	int fd;
-	struct ev_io accept;
-	struct ev_timer idle;
-	GHashTable *by_id;	/* struct peer by its id, not owned */
-	struct ht_list all;	/* of struct peer */
-	struct ht_list unowned; /* accepted or retired sessions */
-	size_t unowned_count;
-};
-
-static const struct ht_peer_session_ops session_ops;
-
 static ht_ms now_ms(void)
 {
 	return ht_clock_now(&ht_clock_monotonic);
 }
 
-static struct peer *find(const struct ht_peers *ps, uint64_t id)
+static struct ht_peer *find(const struct ht_peers *ps, uint64_t id)
 {
 	return g_hash_table_lookup(ps->by_id, &id);
 }
 
-static bool same_dc(const struct peer *p)
-{
-	return strcmp(p->info.dc, p->peers->p.self.dc) == 0;
-}
-
-static bool wants_link(const struct peer *p)
-{
-	return p->demanded || (same_dc(p) && (p->listed || p->current));
-}
-
-static void schedule(struct peer *p, ht_ms delay)
-{
-	if (p->session || p->dialing || ev_is_active(&p->retry))
-		return;
-	ev_timer_set(&p->retry, (double)delay / 1000.0, 0);
-	ev_timer_start(p->peers->p.loop, &p->retry);
-}
-
-/* Half of the interval is random, so that a restarted instance is not dialed by all at once. */
-static ht_ms backoff(const struct peer *p)
-{
-	unsigned int shift = p->failures < 7 ? p->failures : 7;
-	ht_ms max = (ht_ms)RETRY_MIN_MS << shift;
-
-	if (max > RETRY_MAX_MS)
-		max = RETRY_MAX_MS;
-	return max / 2 + randombytes_uniform((uint32_t)(max / 2) + 1);
-}
-
-static void report_gone(struct peer *p)
-{
-	uint64_t incarnation = p->current;
-
-	if (!incarnation)
-		return;
-	memmove(p->gone + 1, p->gone, sizeof(p->gone) - sizeof(p->gone[0]));
-	p->gone[0] = incarnation;
-	p->current = 0;
-	ht_log_event(p->peers->p.log, HT_EV_PEER_GONE, 0, p->id, "incarnation=%016llx",
-		     (unsigned long long)incarnation);
-	p->peers->p.ops->down(p->peers->p.ctx, p->id, incarnation, HT_PEER_GONE);
-}
-
-static bool is_gone(const struct peer *p, uint64_t incarnation)
-{
-	for (int i = 0; i < GONE_KEPT; i++)
-		if (p->gone[i] == incarnation)
-			return true;
-	return false;
-}
-
-static void dial_failed(struct peer *p, bool refused)
-{
-	bool lost = ht_buffer_len(&p->queue) > 0;
-
-	ht_buffer_clear(&p->queue);
-	p->failures++;
-	if (refused && strcmp(p->info.peer_address, p->current_address) == 0)
-		report_gone(p);
-	else if (lost)
-		p->peers->p.ops->down(p->peers->p.ctx, p->id, p->current, HT_PEER_SILENT);
-	if (refused && !same_dc(p))
-		p->demanded = p->listed;
-	if (wants_link(p))
-		schedule(p, backoff(p));
-}
-
-static struct ht_peer_session_params session_params(struct ht_peers *ps)
-{
-	return (struct ht_peer_session_params){
-		.loop = ps->p.loop,
-		.ops = &session_ops,
-		.ctx = ps,
-		.self = &ps->p.self,
-		.incarnation = ps->p.incarnation,
-		.key = ps->p.key,
-	};
-}
-
-static void on_retry(struct ev_loop *loop, struct ev_timer *w, int revents)
-{
-	struct peer *p = w->data;
-	struct ht_peer_session_params params = session_params(p->peers);
-	struct ht_addr addr;
-	struct ht_err err = {0};
-
-	(void)loop;
-	(void)revents;
-	if (p->session || p->dialing || !wants_link(p))
-		return;
-	if (ht_addr_parse(&addr, p->info.peer_address, &err))
-		p->dialing = ht_peer_session_dial(&params, &addr, p->id, &err);
-	if (p->dialing)
-		p->dialing->owner = p;
-	else
-		dial_failed(p, err.code == HT_ENOTFOUND);
-}
-
-static struct peer *peer_add(struct ht_peers *ps, const struct ht_instance_info *info)
-{
-	struct peer *p = calloc(1, sizeof(*p));
-
-	if (!p)
-		return NULL;
-	p->peers = ps;
-	p->id = ht_instance_id(info->name);
-	p->info = *info;
-	ev_timer_init(&p->retry, on_retry, 0, 0);
-	p->retry.data = p;
-	ht_list_add_tail(&ps->all, &p->node);
-	g_hash_table_insert(ps->by_id, &p->id, p);
-	return p;
-}
-
 static void drop_session(struct ht_peers *ps, struct ht_peer_session *s)
 {
 	if (!s->owner)
@@ -205,7 +51,7 @@
  * come to the same result. An instance dials only while it has no link, so a link that is older
  * than a handshake is dead for the other side.
  */
-static bool replaces(const struct peer *p, const struct ht_peer_session *s)
+static bool replaces(const struct ht_peer *p, const struct ht_peer_session *s)
 {
 	uint64_t dialer_new = s->dialed ? p->peers->self : p->id;
 	uint64_t dialer_old = p->session->dialed ? p->peers->self : p->id;
@@ -215,7 +61,7 @@
 	return dialer_new < dialer_old;
 }
 
-static void send_queued(struct peer *p)
+static void send_queued(struct ht_peer *p)
 {
 	size_t len = ht_buffer_len(&p->queue);
 
@@ -224,7 +70,7 @@
 	ht_buffer_clear(&p->queue);
 }
 
-static void adopt(struct peer *p, struct ht_peer_session *s)
+static void adopt(struct ht_peer *p, struct ht_peer_session *s)
 {
 	struct ht_peers *ps = p->peers;
 	bool was_up = p->session != NULL;
@@ -254,26 +100,26 @@
 }
 
 /* Ends the link of an incarnation that another one has replaced. */
-static void replace_incarnation(struct peer *p)
+static void replace_incarnation(struct ht_peer *p)
 {
 	struct ht_peer_session *old = p->session;
 
 	p->session = NULL;
 	if (old)
 		drop_session(p->peers, old);
-	report_gone(p);
+	ht_peer_report_gone(p);
 }
 
 static void on_proven(void *ctx, struct ht_peer_session *s)
 {
 	struct ht_peers *ps = ctx;
-	struct peer *p = s->owner;
+	struct ht_peer *p = s->owner;
 
 	if (!p)
 		p = find(ps, s->id);
 	if (!p)
-		p = peer_add(ps, &s->other.info);
-	if (!p || is_gone(p, s->other.incarnation)) {
+		p = ht_peer_add(ps, &s->other.info);
+	if (!p || ht_peer_is_gone(p, s->other.incarnation)) {
 		if (p && p->dialing == s)
 			p->dialing = NULL;
 		drop_session(ps, s);
@@ -313,9 +159,10 @@
 	}
 }
 
-static void link_lost(struct peer *p, const struct ht_peer_session *s, const char *reason)
+static void link_lost(struct ht_peer *p, const struct ht_peer_session *s, const char *reason)
 {
-	bool idle = !same_dc(p) && now_ms() - s->link->last_activity >= IDLE_MS - IDLE_SLACK_MS;
+	bool idle =
+		!ht_peer_same_dc(p) && now_ms() - s->link->last_activity >= IDLE_MS - IDLE_SLACK_MS;
 
 	p->session = NULL;
 	if (idle) {
@@ -327,13 +174,13 @@
 	p->demanded = true;
 	p->peers->p.ops->down(p->peers->p.ctx, p->id, p->current, HT_PEER_SILENT);
 	/* The first attempt follows at once: a refusal proves that the process has ended. */
-	schedule(p, 0);
+	ht_peer_schedule(p, 0);
 }
 
 static void on_ended(void *ctx, struct ht_peer_session *s, enum ht_link_end end, const char *reason)
 {
 	struct ht_peers *ps = ctx;
-	struct peer *p = s->owner;
+	struct ht_peer *p = s->owner;
 
 	log_end(ps, s, end, reason);
 	if (p && p->session == s) {
@@ -341,7 +188,7 @@
 	} else if (p && p->dialing == s) {
 		p->dialing = NULL;
 		if (!p->session)
-			dial_failed(p, end == HT_LINK_REFUSED);
+			ht_peer_dial_failed(p, end == HT_LINK_REFUSED);
 	}
 	drop_session(ps, s);
 }
@@ -355,7 +202,7 @@
 static void on_accept(struct ev_loop *loop, struct ev_io *w, int revents)
 {
 	struct ht_peers *ps = w->data;
-	struct ht_peer_session_params params = session_params(ps);
+	struct ht_peer_session_params params = ht_peers_session_params(ps);
 	struct ht_peer_session *s;
 	int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
@@ -383,10 +230,10 @@
 	(void)loop;
 	(void)revents;
 	ht_list_for_each (pos, &ps->all) {
-		struct peer *p = ht_container_of(pos, struct peer, node);
+		struct ht_peer *p = ht_container_of(pos, struct ht_peer, node);
 		struct ht_peer_session *s = p->session;
 
-		if (!s || same_dc(p) || now - s->link->last_activity < IDLE_MS)
+		if (!s || ht_peer_same_dc(p) || now - s->link->last_activity < IDLE_MS)
 			continue;
 		p->session = NULL;
 		p->demanded = false;
@@ -397,13 +244,13 @@
 static void learn_one(struct ht_peers *ps, const struct ht_instance_info *info)
 {
 	uint64_t id = ht_instance_id(info->name);
-	struct peer *p;
+	struct ht_peer *p;
 
 	if (id == ps->self)
 		return;
 	p = find(ps, id);
 	if (!p)
-		p = peer_add(ps, info);
+		p = ht_peer_add(ps, info);
 	if (!p)
 		return;
 	p->listed = true;
@@ -412,8 +259,8 @@
 		p->failures = 0;
 		ev_timer_stop(ps->p.loop, &p->retry);
 	}
-	if (wants_link(p))
-		schedule(p, p->failures ? backoff(p) : 0);
+	if (ht_peer_wants_link(p))
+		ht_peer_schedule(p, p->failures ? ht_peer_backoff(p) : 0);
 }
 
 void ht_peers_learn(struct ht_peers *peers, const struct ht_instance_info *list, size_t count,
@@ -423,7 +270,7 @@
 
 	if (whole) {
 		ht_list_for_each (pos, &peers->all)
-			ht_container_of(pos, struct peer, node)->listed = false;
+			ht_container_of(pos, struct ht_peer, node)->listed = false;
 	}
 	for (size_t i = 0; i < count; i++)
 		learn_one(peers, &list[i]);
@@ -431,7 +278,7 @@
 
 bool ht_peers_send(struct ht_peers *peers, uint64_t peer, const Ht__PeerMsg *msg)
 {
-	struct peer *p = find(peers, peer);
+	struct ht_peer *p = find(peers, peer);
 
 	if (!p)
 		return false;
@@ -441,7 +288,7 @@
 	    !ht_frame_encode(&p->queue, msg, NULL))
 		return false;
 	p->demanded = true;
-	schedule(p, 0);
+	ht_peer_schedule(p, 0);
 	return true;
 }
 
@@ -451,7 +298,7 @@
 	struct ht_list *pos;
 
 	ht_list_for_each (pos, &peers->all) {
-		const struct peer *p = ht_container_of(pos, struct peer, node);
+		const struct ht_peer *p = ht_container_of(pos, struct ht_peer, node);
 		struct ht_peer_view view = {
 			.info = &p->info,
 			.id = p->id,
@@ -468,7 +315,7 @@
 	struct ht_list *pos;
 
 	ht_list_for_each (pos, &peers->all) {
-		struct peer *p = ht_container_of(pos, struct peer, node);
+		struct ht_peer *p = ht_container_of(pos, struct ht_peer, node);
 
 		if (p->session)
 			ht_link_flush(p->session->link);
@@ -504,6 +351,7 @@
 		return NULL;
 	}
 	ps->p = *params;
+	ps->session_ops = &session_ops;
 	ps->self = ht_instance_id(params->self.name);
 	ht_list_init(&ps->all);
 	ht_list_init(&ps->unowned);
@@ -522,7 +370,7 @@
 	return ps;
 }
 
-static void peer_free(struct peer *p)
+static void peer_free(struct ht_peer *p)
 {
 	ev_timer_stop(p->peers->p.loop, &p->retry);
 	if (p->session)
@@ -541,7 +389,7 @@
 	if (!peers)
 		return;
 	ht_list_for_each_safe (pos, tmp, &peers->all)
-		peer_free(ht_container_of(pos, struct peer, node));
+		peer_free(ht_container_of(pos, struct ht_peer, node));
 	ht_list_for_each_safe (pos, tmp, &peers->unowned)
 		ht_peer_session_free(ht_container_of(pos, struct ht_peer_session, node));
 	ev_io_stop(peers->p.loop, &peers->accept);
