--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -40,7 +40,7 @@
 	struct ev_io io;
 	struct ev_timer tick;
 	struct ht_list listeners;
-	GHashTable *by_addr; /* struct listener by its address text */
+	GHashTable *by_addr; /* owns struct listener, by its address text */
 	GHashTable *pending; /* struct pending by its handle */
 	uint64_t next_handle;
 	ht_ms next_rebind;
@@ -211,7 +211,6 @@
 		coap_free_endpoint(l->ep);
 	ht_list_del(&l->node);
 	g_hash_table_remove(c->by_addr, text);
-	free(l);
 }
 
 /*
@@ -377,7 +376,7 @@
 	}
 	c->p = *params;
 	ht_list_init(&c->listeners);
-	c->by_addr = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->by_addr = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
 	c->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, pending_free);
 	ev_io_init(&c->io, on_readable, coap_context_get_coap_fd(c->coap), EV_READ);
 	c->io.data = c;
--- a/daemon/peer_dial.c
+++ b/daemon/peer_dial.c
@@ -68,15 +68,15 @@
 		ht_peer_schedule(p, ht_peer_backoff(p));
 }
 
-struct ht_peer_session_params ht_peers_session_params(struct ht_peers *ps)
+struct ht_peer_session_params ht_peers_session_params(struct ht_peers *peers)
 {
 	return (struct ht_peer_session_params){
-		.loop = ps->p.loop,
-		.ops = ps->session_ops,
-		.ctx = ps,
-		.self = &ps->p.self,
-		.incarnation = ps->p.incarnation,
-		.key = ps->p.key,
+		.loop = peers->p.loop,
+		.ops = peers->session_ops,
+		.ctx = peers,
+		.self = &peers->p.self,
+		.incarnation = peers->p.incarnation,
+		.key = peers->p.key,
 	};
 }
 
@@ -99,18 +99,18 @@
 		ht_peer_dial_failed(p, err.code == HT_ENOTFOUND);
 }
 
-struct ht_peer *ht_peer_add(struct ht_peers *ps, const struct ht_instance_info *info)
+struct ht_peer *ht_peer_add(struct ht_peers *peers, const struct ht_instance_info *info)
 {
 	struct ht_peer *p = calloc(1, sizeof(*p));
 
 	if (!p)
 		return NULL;
-	p->peers = ps;
+	p->peers = peers;
 	p->id = ht_instance_id(info->name);
 	p->info = *info;
 	ev_timer_init(&p->retry, on_retry, 0, 0);
 	p->retry.data = p;
-	ht_list_add_tail(&ps->all, &p->node);
-	g_hash_table_insert(ps->by_id, &p->id, p);
+	ht_list_add_tail(&peers->all, &p->node);
+	g_hash_table_insert(peers->by_id, &p->id, p);
 	return p;
 }
