core: repeat a claim once, not for each voter that names the same owner

Cause: each ClaimReply that named a former owner which had already granted made the claims due again at once, to every member without a grant. A planned leave cost messages in the square of the members of a data centre. The loss of the former owner's grant was ruled out as a reason to repeat: the retry timer covers it.

--- a/core/claims.c
+++ b/core/claims.c
@@ -127,9 +127,15 @@
 	ht_owned_set_state(o, t, t->hold_until > now ? HT_OWNER_HOLDING : HT_OWNER_OWNED);
 }
 
-/* A voter names an incarnation in the way: true when it has granted already. */
+/*
+ * A voter names an incarnation in the way: true when it has granted already and the claims sent so
+ * far do not say so. Without the second condition each voter's reply repeated the claims to all
+ * members, which made the messages of one planned leave grow with the square of the members.
+ */
 static bool take_block(struct ht_ownership *o, struct ht_owned *t, uint64_t holder)
 {
+	if (t->released_by == holder)
+		return false;
 	t->blocker = holder;
 	for (size_t i = 0; i < t->vote_count; i++) {
 		uint64_t member = t->votes[i].member;
