core: all repeats of a request move together

Cause: when a target refused a request that several ingresses waited for, each waiter became a job of its own; one could be refused as not run while another one ran.

--- a/core/path.c
+++ b/core/path.c
@@ -17,6 +17,18 @@
 	ht_ingress_request(ctx, handle, req);
 }
 
+static bool add_waiters(struct ht_job *job, const Ht__Forward *m)
+{
+	size_t n =
+		m->n_more_ingress < m->n_more_ingress_id ? m->n_more_ingress : m->n_more_ingress_id;
+
+	if (!ht_job_add_waiter(job, m->ingress, m->ingress_id))
+		return false;
+	for (size_t i = 0; i < n && i < HT_MORE_INGRESS_MAX; i++)
+		ht_job_add_waiter(job, m->more_ingress[i], m->more_ingress_id[i]);
+	return true;
+}
+
 static void router_forward(void *ctx, uint64_t peer, const Ht__Forward *m)
 {
 	struct ht_request_path *p = ctx;
@@ -26,7 +38,7 @@
 
 	p->config->seen(p->config->ctx, peer, m->config_version);
 	ht_body_put(body);
-	if (!job || !ht_job_add_waiter(job, m->ingress, m->ingress_id)) {
+	if (!job || !add_waiters(job, m)) {
 		if (job)
 			ht_job_free(p, job);
 		return;
--- a/core/path.h
+++ b/core/path.h
@@ -143,6 +143,8 @@
 /* router_home.c: requests at the home */
 struct ht_job *ht_job_new(struct ht_request_path *p, struct ht_body *body, uint64_t sender);
 bool ht_job_add_waiter(struct ht_job *job, uint64_t ingress, uint64_t ingress_id);
+/** All who wait for @repeat now wait for @job; false when out of memory. */
+bool ht_job_attach(struct ht_job *job, const struct ht_job *repeat);
 void ht_job_free(struct ht_request_path *p, struct ht_job *job);
 /** Decides what happens to the job now: serve, look up, deflect, park, refuse. */
 void ht_home_decide(struct ht_request_path *p, struct ht_job *job);
@@ -251,6 +253,8 @@
 void ht_cancel_decide(struct ht_request_path *p, struct ht_job *job);
 
 /* router_answer.c: answers to ingresses; all take the job's waiters */
+/** Answers all who wait for @job. */
+void ht_reply_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *answer);
 void ht_reply_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code,
 		     enum ht_verdict verdict, ht_ms retry_after, const char *why);
 void ht_reply_unavailable(struct ht_request_path *p, struct ht_job *job, const char *why);
@@ -284,11 +288,17 @@
 }
 
 /** Fills @msg and @fwd with the request; both point into @body. */
+/** Further ingresses that one forward can carry; repeats beyond them get the verdict at their
+ * deadline. */
+#define HT_MORE_INGRESS_MAX 15
+
 struct ht_forward_frame {
 	Ht__PeerMsg msg;
 	Ht__Forward forward;
 	Ht__RequestKey key;
 	Ht__Ticket ticket;
+	uint64_t more_ingress[HT_MORE_INGRESS_MAX];
+	uint64_t more_ingress_id[HT_MORE_INGRESS_MAX];
 };
 void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body);
 
--- a/core/router_answer.c
+++ b/core/router_answer.c
@@ -74,7 +74,7 @@
 	p->env->send(p->env, to->ingress, &msg);
 }
 
-static void send_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *a)
+void ht_reply_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *a)
 {
 	struct ht_waiter *waiters = job->waiters;
 	unsigned int count = job->waiter_count;
@@ -101,7 +101,7 @@
 	ht_path_event(p, REQUEST_REFUSED, job->body, job->target, 0,
 		      "verdict=%s retry_after=%lld why=%s", ht_verdict_name(a.verdict),
 		      (long long)a.retry_after, why);
-	send_all(p, job, &a);
+	ht_reply_all(p, job, &a);
 }
 
 void ht_reply_unavailable(struct ht_request_path *p, struct ht_job *job, const char *why)
@@ -147,5 +147,5 @@
 		a.code = 128; /* 4.00: there is no such block */
 		a.payload_len = 0;
 	}
-	send_all(p, job, &a);
+	ht_reply_all(p, job, &a);
 }
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -50,6 +50,17 @@
 	return true;
 }
 
+bool ht_job_attach(struct ht_job *job, const struct ht_job *repeat)
+{
+	if (!repeat->waiter_count)
+		return false;
+	for (unsigned int i = 0; i < repeat->waiter_count; i++)
+		if (!ht_job_add_waiter(job, repeat->waiters[i].ingress,
+				       repeat->waiters[i].ingress_id))
+			return false;
+	return true;
+}
+
 void ht_job_free(struct ht_request_path *p, struct ht_job *job)
 {
 	ht_timer_stop(&job->timer);
@@ -229,7 +240,7 @@
 	    (e->evicted && job->body->block_num))
 		return false;
 	if (e->job && !e->job->answered) {
-		if (!ht_job_add_waiter(e->job, job->waiters[0].ingress, job->waiters[0].ingress_id))
+		if (!ht_job_attach(e->job, job))
 			return false;
 		ht_path_event(p, REQUEST_ATTACHED, job->body, e->job->target, 0, "waiters=%u",
 			      e->job->waiter_count);
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -29,6 +29,23 @@
 	f->forward.flags = body->cancel ? HT__FORWARD_FLAG__FORWARD_CANCEL : 0;
 }
 
+/* All repeats of a request stay together, so that none is refused while another one runs. */
+static void fill_waiters(struct ht_forward_frame *f, const struct ht_job *job)
+{
+	size_t n = 0;
+
+	f->forward.ingress = job->waiters[0].ingress;
+	f->forward.ingress_id = job->waiters[0].ingress_id;
+	for (unsigned int i = 1; i < job->waiter_count && n < HT_MORE_INGRESS_MAX; i++, n++) {
+		f->more_ingress[n] = job->waiters[i].ingress;
+		f->more_ingress_id[n] = job->waiters[i].ingress_id;
+	}
+	f->forward.more_ingress = f->more_ingress;
+	f->forward.n_more_ingress = n;
+	f->forward.more_ingress_id = f->more_ingress_id;
+	f->forward.n_more_ingress_id = n;
+}
+
 static uint32_t wire_wait(double wait)
 {
 	return wait < UINT32_MAX ? (uint32_t)wait : UINT32_MAX;
@@ -47,8 +64,7 @@
 	f.forward.flags |= flags;
 	if (job->floor != HT_NOT_RUN)
 		f.forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
-	f.forward.ingress = job->waiters[0].ingress;
-	f.forward.ingress_id = job->waiters[0].ingress_id;
+	fill_waiters(&f, job);
 	f.forward.hop_id = ht_hop_id(job);
 	f.forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
 	f.forward.wait_ms = wire_wait(wait);
@@ -208,17 +224,23 @@
 /* Only the ingress knows whether the request was answered meanwhile, so it decides. */
 static void report_lost(struct ht_request_path *p, struct ht_job *job)
 {
-	const struct ht_waiter to = job->waiters[0];
+	struct ht_waiter *waiters = job->waiters;
+	unsigned int count = job->waiter_count;
 
 	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer, "reason=%d",
 		      (int)HT_RETURN_LOST);
-	job->sender = to.ingress;
-	job->hop_id = to.ingress_id;
-	if (to.ingress != p->env->self)
-		send_returned(p, job, HT_RETURN_LOST, INFINITY, 0);
+	job->waiters = NULL;
+	job->waiter_count = 0;
+	for (unsigned int i = 0; i < count; i++) {
+		job->sender = waiters[i].ingress;
+		job->hop_id = waiters[i].ingress_id;
+		if (job->sender == p->env->self)
+			return_local(p, job->hop_id, HT_RETURN_LOST);
+		else
+			send_returned(p, job, HT_RETURN_LOST, INFINITY, 0);
+	}
+	g_free(waiters);
 	ht_job_free(p, job);
-	if (to.ingress == p->env->self)
-		return_local(p, to.ingress_id, HT_RETURN_LOST);
 }
 
 void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer)
--- a/core/router_posting.c
+++ b/core/router_posting.c
@@ -30,8 +30,7 @@
 	ht_posting_ticket(p, job->body, a.ticket);
 	ht_path_event(p, TICKET_ISSUED, job->body, job->target, 0, "sequence=%u",
 		      p->ticket_sequence);
-	job->answered = true;
-	ht_reply_send(p, job->body, job->target, &job->waiters[0], &a);
+	ht_reply_all(p, job, &a);
 	ht_job_free(p, job);
 }
 
@@ -82,8 +81,7 @@
 		may_have_run(p, job, "ticket_used_for_other_content");
 		return;
 	}
-	if (e->job && !e->job->answered && job->waiter_count &&
-	    ht_job_add_waiter(e->job, job->waiters[0].ingress, job->waiters[0].ingress_id)) {
+	if (e->job && !e->job->answered && ht_job_attach(e->job, job)) {
 		ht_path_event(p, REQUEST_ATTACHED, job->body, e->target, 0, "waiters=%u",
 			      e->job->waiter_count);
 		ht_job_free(p, job);
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -219,42 +219,11 @@
 	return true;
 }
 
-/* Each further waiter becomes a job of its own, since a forward carries one ingress. */
-static void split(struct ht_request_path *p, struct ht_job *job, struct ht_list *copies)
-{
-	for (unsigned int i = 1; i < job->waiter_count; i++) {
-		struct ht_job *copy = ht_job_new(p, job->body, p->env->self);
-
-		if (!copy)
-			continue;
-		ht_job_add_waiter(copy, job->waiters[i].ingress, job->waiters[i].ingress_id);
-		copy->deadline = job->deadline;
-		copy->target = job->target;
-		copy->hops_left = job->hops_left;
-		copy->floor = job->floor;
-		copy->waited = true;
-		copy->stripped = true;
-		ht_list_add_tail(copies, &copy->node);
-	}
-	if (job->waiter_count)
-		job->waiter_count = 1;
-}
-
-/* Finds a new place for the job; the other waiters follow and attach to it where they can. */
+/* Finds a new place for the job, with all who wait for it. */
 void ht_serve_replace_all(struct ht_request_path *p, struct ht_job *job, bool hand_over)
 {
-	struct ht_list copies;
-
-	ht_list_init(&copies);
-	split(p, job, &copies);
 	if (!hand_over || !hand_over_job(p, job))
 		ht_home_replace(p, job);
-	while (!ht_list_empty(&copies)) {
-		struct ht_job *copy = ht_container_of(copies.next, struct ht_job, node);
-
-		ht_list_del(&copy->node);
-		ht_home_decide(p, copy);
-	}
 }
 
 /* Empties the queue of a target that takes no work here any more. */
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1389,7 +1389,7 @@
   (ProtobufCMessageInit) ht__request_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__forward__field_descriptors[22] =
+static const ProtobufCFieldDescriptor ht__forward__field_descriptors[24] =
 {
   {
     "key",
@@ -1655,6 +1655,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more_ingress",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ht__Forward, n_more_ingress),
+    offsetof(Ht__Forward, more_ingress),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more_ingress_id",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ht__Forward, n_more_ingress_id),
+    offsetof(Ht__Forward, more_ingress_id),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__forward__field_indices_by_name[] = {
   16,   /* field[16] = block_num */
@@ -1673,6 +1697,8 @@
   0,   /* field[0] = key */
   21,   /* field[21] = known_sets */
   8,   /* field[8] = method */
+  22,   /* field[22] = more_ingress */
+  23,   /* field[23] = more_ingress_id */
   9,   /* field[9] = path */
   11,   /* field[11] = payload */
   10,   /* field[10] = query */
@@ -1683,7 +1709,7 @@
 static const ProtobufCIntRange ht__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor ht__forward__descriptor =
 {
@@ -1693,7 +1719,7 @@
   "Ht__Forward",
   "ht",
   sizeof(Ht__Forward),
-  22,
+  24,
   ht__forward__field_descriptors,
   ht__forward__field_indices_by_name,
   1,  ht__forward__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -241,10 +241,17 @@
    * with FORWARD_RETURN_IF_UNKNOWN: earlier target sets known, plus 1
    */
   uint32_t known_sets;
+  /*
+   * Further ingresses that wait for the same answer, in pairs with more_ingress_id.
+   */
+  size_t n_more_ingress;
+  uint64_t *more_ingress;
+  size_t n_more_ingress_id;
+  uint64_t *more_ingress_id;
 };
 #define HT__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__forward__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
