--- a/tests/core/test_cores.c
+++ b/tests/core/test_cores.c
@@ -142,6 +142,7 @@
 			net->nodes[i].frozen = true;
 			load(net, (ht_ms)rnd(net, 5000), 150, 100);
 			net->nodes[i].frozen = false;
+			net->nodes[i].thawed_at = net->now;
 		}
 		break;
 	case 6: /* isolated, each instance for itself: one more slot for each group */
