--- a/core/handover.c
+++ b/core/handover.c
@@ -25,16 +25,6 @@
 	bool last;
 };
 
-/* A ledger received from another incarnation. */
-struct predecessor {
-	uint64_t incarnation;
-	uint32_t next; /* batch expected next */
-	ht_ms clock;   /* its clock minus the own clock */
-	ht_ms received;
-	bool gap;
-	bool complete;
-};
-
 struct batch {
 	struct ht_request_path *p;
 	struct follower *f;
@@ -373,94 +363,6 @@
 	return true;
 }
 
-static void take_entry(struct ht_request_path *p, const Ht__LedgerEntry *m)
-{
-	struct ht_body body = {.method = HT_POST, .has_ticket = true};
-	struct ht_answer a = {0};
-	struct ht_entry *e;
-
-	if (!m->key || !m->key->ticket || m->key->token.len > HT_TOKEN_MAX ||
-	    m->state > HT__LEDGER_STATE__LEDGER_UNKNOWN)
-		return;
-	body.flow = m->key->flow;
-	body.token_len = (uint8_t)m->key->token.len;
-	if (body.token_len)
-		memcpy(body.token, m->key->token.data, body.token_len);
-	ht_ticket_from_wire(body.ticket, m->key->ticket);
-	e = ht_ledger_find(p->ledger, &body);
-	if (!e)
-		e = ht_ledger_add(p->ledger, &body, HT_ENTRY_UNKNOWN, p->env->now);
-	if (!e || e->job)
-		return;
-	e->target = m->target;
-	ht_ledger_change(p->ledger, e, (enum ht_entry_state)m->state, p->env->now);
-	if (m->state != HT__LEDGER_STATE__LEDGER_ANSWERED || !m->answer)
-		return;
-	a.code = (uint8_t)m->answer->code;
-	a.verdict = (enum ht_verdict)m->answer->verdict;
-	a.payload = m->answer->payload.data;
-	a.payload_len = m->answer->payload.len;
-	a.content_format = m->answer->content_format;
-	if (m->answer->etag.len == sizeof(a.etag))
-		memcpy(a.etag, m->answer->etag.data, sizeof(a.etag));
-	ht_ledger_keep(p->ledger, e, &a, p->env->now);
-}
-
-/* What is known here is newer than what a former owner knew. */
-static void take_flows(struct ht_request_path *p, const Ht__LedgerEntries *m)
-{
-	bool evicted;
-
-	for (size_t i = 0; i + 1 < m->n_flows; i += 2)
-		if (!ht_flows_use(p->flows, m->flows[i], p->env->now, NULL))
-			ht_flows_set(p->flows, m->flows[i], m->flows[i + 1], p->env->now, false,
-				     &evicted);
-}
-
-static struct predecessor *predecessor_of(struct ht_request_path *p, uint64_t incarnation)
-{
-	struct predecessor *pre = g_hash_table_lookup(p->predecessors, &incarnation);
-
-	if (pre)
-		return pre;
-	pre = calloc(1, sizeof(*pre));
-	if (!pre)
-		return NULL;
-	pre->incarnation = incarnation;
-	g_hash_table_insert(p->predecessors, &pre->incarnation, pre);
-	return pre;
-}
-
-static void take_entries(void *ctx, uint64_t peer, const Ht__LedgerEntries *m)
-{
-	struct ht_request_path *p = ctx;
-	struct predecessor *pre = predecessor_of(p, m->incarnation);
-	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
-	Ht__LedgerAck ack = HT__LEDGER_ACK__INIT;
-
-	if (!pre)
-		return;
-	/* A batch that was lost with a link leaves the copy incomplete for good. */
-	if (m->batch != pre->next)
-		pre->gap = true;
-	pre->next = m->batch + 1;
-	pre->clock = m->now_ms - p->env->now;
-	pre->received = p->env->now;
-	for (size_t i = 0; i < m->n_entries; i++)
-		take_entry(p, m->entries[i]);
-	take_flows(p, m);
-	pre->complete = (pre->complete || m->last) && !pre->gap;
-	p->env->emit(p->env, HT_EV_LEDGER_RECEIVED, 0, 0, 0, peer,
-		     "incarnation=%016llx entries=%zu flows=%zu complete=%d",
-		     (unsigned long long)m->incarnation, m->n_entries, m->n_flows / 2,
-		     pre->complete);
-	ack.batch = m->batch;
-	ack.last = m->last;
-	msg.kind_case = HT__PEER_MSG__KIND_LEDGER_ACK;
-	msg.ledger_ack = &ack;
-	p->env->send(p->env, peer, &msg);
-}
-
 static void take_ack(void *ctx, uint64_t peer, const Ht__LedgerAck *m)
 {
 	struct ht_request_path *p = ctx;
@@ -472,17 +374,6 @@
 	f->waiting_since = p->env->now;
 }
 
-bool ht_handover_complete(struct ht_request_path *p, uint64_t incarnation, ht_ms *clock)
-{
-	struct predecessor *pre = g_hash_table_lookup(p->predecessors, &incarnation);
-
-	if (!pre || !pre->complete)
-		return false;
-	if (clock)
-		*clock = p->env->now + pre->clock;
-	return true;
-}
-
 void ht_handover_peer_down(struct ht_request_path *p, uint64_t peer)
 {
 	struct follower *f = follower_of(p, peer, false);
@@ -494,20 +385,11 @@
 		hand_over_all(p);
 }
 
-static gboolean too_old(void *key, void *value, void *ctx)
-{
-	const struct predecessor *pre = value;
-	const struct ht_request_path *p = ctx;
-
-	(void)key;
-	return p->env->now - pre->received > HT_LEDGER_KEEP;
-}
-
 void ht_handover_expire(struct ht_request_path *p)
 {
 	struct ht_list *pos, *tmp;
 
-	g_hash_table_foreach_remove(p->predecessors, too_old, p);
+	ht_handover_forget(p);
 	ht_list_for_each_safe (pos, tmp, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
@@ -523,7 +405,7 @@
 		.hand_over = hand_over,
 		.hand_over_all = hand_over_all,
 		.handed_over = handed_over,
-		.entries = take_entries,
+		.entries = ht_handover_take,
 		.ack = take_ack,
 	};
 	ht_registry_add(p->env->registry, "ledger", &p->ledger_if);
--- a/core/path.h
+++ b/core/path.h
@@ -235,6 +235,10 @@
 void ht_handover_free(struct ht_request_path *p);
 /** Publishes "ledger". */
 void ht_handover_publish(struct ht_request_path *p);
+/** Takes in a ledger; the "entries" of the published interface. */
+void ht_handover_take(void *ctx, uint64_t peer, const Ht__LedgerEntries *m);
+/** Drops ledgers that are too old to say anything about a ticket. */
+void ht_handover_forget(struct ht_request_path *p);
 /** Tells the instances that got the ledger about a change of a posting. */
 void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e);
 /**
