--- a/core/router_follow.c
+++ b/core/router_follow.c
@@ -58,7 +58,7 @@
 {
 	struct ht_job *copy = forwarded_copy(p, job);
 
-	if (!copy || job->replaced)
+	if (!copy || job->replaced || copy->hop_peer == job->sender)
 		return false;
 	if (copy->hop_flags & HT__FORWARD_FLAG__FORWARD_MOVED)
 		return send_after(p, job, copy->hop_peer, copy->hop_target);
