--- a/core/path.c
+++ b/core/path.c
@@ -239,7 +239,6 @@
 	p->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_list_init(&p->parked);
 	ht_list_init(&p->hops);
-	p->hop_index = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_handover_init(p);
 	if (!p->timers || !p->flows || !p->ledger || !p->home_retries || !p->ingress_retries) {
 		ht_request_path_free(p);
@@ -268,7 +267,6 @@
 		return;
 	free_all(p);
 	ht_handover_free(p);
-	g_hash_table_destroy(p->hop_index);
 	g_hash_table_destroy(p->jobs);
 	g_hash_table_destroy(p->pending);
 	g_hash_table_destroy(p->targets);
--- a/core/path.h
+++ b/core/path.h
@@ -44,7 +44,6 @@
 	GHashTable *jobs;    /**< struct ht_job by id */
 	struct ht_list parked;
 	struct ht_list hops;
-	GHashTable *hop_index; /**< newest job in hops by the request's event id */
 	uint64_t next_id;
 	uint32_t ticket_sequence;
 	bool handing_over;
@@ -90,8 +89,6 @@
 	uint32_t flags; /**< ForwardFlag bits it arrived with */
 	uint32_t hop_flags;
 	uint64_t hop_target;
-	uint64_t hop_key;	  /**< in hop_index while set */
-	unsigned int hop_waiters; /**< how many of the waiters the forward carried */
 	uint32_t hops_left;
 	uint64_t config_version;
 	double wait;		 /**< sender's estimate, with FORWARD_DEFLECTED */
@@ -295,14 +292,6 @@
 }
 
 /** Fills @msg and @fwd with the request; both point into @body. */
-/** Notes where @job was forwarded, so that repeats of its request follow it. */
-void ht_follow_note(struct ht_request_path *p, struct ht_job *job);
-void ht_follow_forget(struct ht_request_path *p, struct ht_job *job);
-/** Sends a repeat after the copy that was forwarded before; true when it has gone. */
-bool ht_follow(struct ht_request_path *p, struct ht_job *job);
-/** The copy was taken: sends on the repeats that came while this was open. */
-void ht_follow_send_late(struct ht_request_path *p, struct ht_job *job);
-
 /** Further ingresses that one forward can carry; repeats beyond them get the verdict at their
  * deadline. */
 #define HT_MORE_INGRESS_MAX 15
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -65,7 +65,6 @@
 {
 	ht_timer_stop(&job->timer);
 	ht_list_del(&job->node);
-	ht_follow_forget(p, job);
 	if (job->entry)
 		job->entry->job = NULL;
 	g_hash_table_remove(p->jobs, &job->id);
@@ -332,7 +331,7 @@
 		ht_hop_return(p, job, HT_RETURN_NOT_SERVED, INFINITY);
 		return;
 	}
-	if (ht_body_idempotent(job->body) && (repeated(p, job) || ht_follow(p, job)))
+	if (ht_body_idempotent(job->body) && repeated(p, job))
 		return;
 	ht_placement_row(&row, svc, job->body->flow);
 	if (job->replaced) {
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -79,7 +79,6 @@
 	job->hop_peer = peer;
 	job->hop_target = target;
 	job->hop_flags = flags;
-	ht_follow_note(p, job);
 	ht_list_del(&job->node);
 	ht_list_add_tail(&p->hops, &job->node);
 	ht_timer_set(p->timers, &job->timer, job->deadline);
@@ -167,7 +166,6 @@
 	job->hop_target = target;
 	if (!job->one_off)
 		ht_flows_set(p->flows, job->body->flow, target, p->env->now, false, &evicted);
-	ht_follow_send_late(p, job);
 }
 
 /* The flow is not where it was believed to be. */
@@ -192,7 +190,6 @@
 {
 	uint32_t flags = job->hop_flags;
 
-	ht_follow_forget(p, job);
 	ht_timer_stop(&job->timer);
 	ht_list_del(&job->node);
 	job->state = HT_JOB_NEW;
