core: a repeat follows the copy of its request that was sent elsewhere

Cause: a repeat that came after its request had been deflected or placed anew was placed by itself; it could be refused as not run while the first copy ran. Jobs that are parked or sent on are found by request, and the repeat joins them there (FORWARD_FOLLOW). The new test fails without the join ('not run' after a run) and passes with it.

--- a/core/path.c
+++ b/core/path.c
@@ -237,6 +237,7 @@
 	p->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	p->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	p->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->open = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_list_init(&p->parked);
 	ht_list_init(&p->hops);
 	ht_handover_init(p);
@@ -268,6 +269,7 @@
 	free_all(p);
 	ht_handover_free(p);
 	g_hash_table_destroy(p->jobs);
+	g_hash_table_destroy(p->open);
 	g_hash_table_destroy(p->pending);
 	g_hash_table_destroy(p->targets);
 	ht_retries_free(p->ingress_retries);
--- a/core/path.h
+++ b/core/path.h
@@ -42,6 +42,7 @@
 	GHashTable *targets; /**< struct ht_target by id */
 	GHashTable *pending; /**< struct ht_pending by id */
 	GHashTable *jobs;    /**< struct ht_job by id */
+	GHashTable *open;    /**< parked or forwarded idempotent jobs, by request */
 	struct ht_list parked;
 	struct ht_list hops;
 	uint64_t next_id;
@@ -86,7 +87,8 @@
 	uint64_t sender; /**< instance that forwarded it; own id for the local ingress */
 	uint64_t hop_id; /**< the sender's handle, for Returned */
 	uint64_t hop_peer;
-	uint32_t flags; /**< ForwardFlag bits it arrived with */
+	uint64_t open_key; /**< key in the table of open requests, or 0 */
+	uint32_t flags;	   /**< ForwardFlag bits it arrived with */
 	uint32_t hop_flags;
 	uint64_t hop_target;
 	uint32_t hops_left;
@@ -187,6 +189,12 @@
 unsigned int ht_place_known_sets(struct ht_request_path *p, uint64_t service);
 
 /* router_hop.c: forwards between homes */
+/** Registers a job that is parked or sent on, so that its repeats join it. */
+void ht_open_add(struct ht_request_path *p, struct ht_job *job);
+void ht_open_del(struct ht_request_path *p, struct ht_job *job);
+/** Attaches @job to an open job of the same request; true when it did, and @job is gone. */
+bool ht_open_join(struct ht_request_path *p, struct ht_job *job);
+
 bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
 		 uint32_t flags, double wait);
 void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
@@ -291,7 +299,6 @@
 	return job->id << 3 | 7;
 }
 
-/** Fills @msg and @fwd with the request; both point into @body. */
 /** Further ingresses that one forward can carry; repeats beyond them get the verdict at their
  * deadline. */
 #define HT_MORE_INGRESS_MAX 15
@@ -304,6 +311,7 @@
 	uint64_t more_ingress[HT_MORE_INGRESS_MAX];
 	uint64_t more_ingress_id[HT_MORE_INGRESS_MAX];
 };
+/** Fills @f with the request; it points into @body. */
 void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body);
 
 #endif
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -16,6 +16,7 @@
 	}
 	if (job->state == HT_JOB_PARKED && p->env->now < job->deadline) {
 		ht_list_del(&job->node);
+		ht_open_del(p, job);
 		job->state = HT_JOB_NEW;
 		ht_home_decide(p, job);
 		return;
@@ -65,6 +66,7 @@
 {
 	ht_timer_stop(&job->timer);
 	ht_list_del(&job->node);
+	ht_open_del(p, job);
 	if (job->entry)
 		job->entry->job = NULL;
 	g_hash_table_remove(p->jobs, &job->id);
@@ -80,6 +82,7 @@
 	job->waited = true;
 	job->state = HT_JOB_PARKED;
 	ht_list_add_tail(&p->parked, &job->node);
+	ht_open_add(p, job);
 	ht_path_event(p, REQUEST_PARKED, job->body, job->target, 0, "hops_left=%u", job->hops_left);
 	ht_timer_set(p->timers, &job->timer, due < job->deadline ? due : job->deadline);
 }
@@ -101,6 +104,7 @@
 		struct ht_job *job = ht_container_of(ready.next, struct ht_job, node);
 
 		ht_list_del(&job->node);
+		ht_open_del(p, job);
 		ht_timer_stop(&job->timer);
 		job->state = HT_JOB_NEW;
 		ht_home_decide(p, job);
@@ -331,8 +335,13 @@
 		ht_hop_return(p, job, HT_RETURN_NOT_SERVED, INFINITY);
 		return;
 	}
-	if (ht_body_idempotent(job->body) && repeated(p, job))
+	if (ht_body_idempotent(job->body) && (repeated(p, job) || ht_open_join(p, job)))
 		return;
+	if (job->flags & HT__FORWARD_FLAG__FORWARD_FOLLOW) {
+		/* The request has left again; its sender keeps this repeat with it. */
+		ht_job_free(p, job);
+		return;
+	}
 	ht_placement_row(&row, svc, job->body->flow);
 	if (job->replaced) {
 		ht_home_place(p, job);
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -51,22 +51,29 @@
 	return wait < UINT32_MAX ? (uint32_t)wait : UINT32_MAX;
 }
 
+static void fill_hop(struct ht_request_path *p, struct ht_forward_frame *f,
+		     const struct ht_job *job, uint64_t target, uint32_t flags)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+
+	ht_forward_fill(f, job->body);
+	fill_waiters(f, job);
+	f->forward.target = target;
+	f->forward.config_version = cfg ? cfg->version : 0;
+	f->forward.hops_left = job->hops_left - 1;
+	f->forward.flags |= flags;
+	if (job->floor != HT_NOT_RUN)
+		f->forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
+	f->forward.hop_id = ht_hop_id(job);
+	f->forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
+}
+
 bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
 		 uint32_t flags, double wait)
 {
-	struct ht_config *cfg = p->config->current(p->config->ctx);
 	struct ht_forward_frame f;
 
-	ht_forward_fill(&f, job->body);
-	f.forward.target = target;
-	f.forward.config_version = cfg ? cfg->version : 0;
-	f.forward.hops_left = job->hops_left - 1;
-	f.forward.flags |= flags;
-	if (job->floor != HT_NOT_RUN)
-		f.forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
-	fill_waiters(&f, job);
-	f.forward.hop_id = ht_hop_id(job);
-	f.forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
+	fill_hop(p, &f, job, target, flags);
 	f.forward.wait_ms = wire_wait(wait);
 	if (flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN)
 		f.forward.known_sets = ht_place_known_sets(p, job->body->service) + 1;
@@ -81,10 +88,66 @@
 	job->hop_flags = flags;
 	ht_list_del(&job->node);
 	ht_list_add_tail(&p->hops, &job->node);
+	ht_open_add(p, job);
 	ht_timer_set(p->timers, &job->timer, job->deadline);
 	return true;
 }
 
+static bool can_repeat(const struct ht_body *body)
+{
+	return ht_body_idempotent(body) && !body->cancel && body->token_len;
+}
+
+void ht_open_add(struct ht_request_path *p, struct ht_job *job)
+{
+	if (!can_repeat(job->body))
+		return;
+	job->open_key = ht_request_event_id(job->body);
+	g_hash_table_replace(p->open, &job->open_key, job);
+}
+
+void ht_open_del(struct ht_request_path *p, struct ht_job *job)
+{
+	if (job->open_key && g_hash_table_lookup(p->open, &job->open_key) == job)
+		g_hash_table_remove(p->open, &job->open_key);
+	job->open_key = 0;
+}
+
+/* True for the same packet on its way in a circle, which is no repeat. */
+static bool same_packet(const struct ht_job *a, const struct ht_job *b)
+{
+	for (unsigned int i = 0; i < a->waiter_count; i++)
+		if (a->waiters[i].ingress == b->waiters[0].ingress &&
+		    a->waiters[i].ingress_id == b->waiters[0].ingress_id)
+			return true;
+	return false;
+}
+
+/*
+ * A repeat of a request that waits here or was sent on shares its fate: it would otherwise be
+ * placed by itself, and one of the two could be refused as not run while the other one runs.
+ */
+bool ht_open_join(struct ht_request_path *p, struct ht_job *job)
+{
+	uint64_t key = ht_request_event_id(job->body);
+	struct ht_job *open = g_hash_table_lookup(p->open, &key);
+	struct ht_forward_frame f;
+
+	if (!open || open == job || !can_repeat(job->body) || open->body->flow != job->body->flow ||
+	    open->body->content != job->body->content || same_packet(open, job))
+		return false;
+	if (open->waiter_count + job->waiter_count <= HT_MORE_INGRESS_MAX)
+		ht_job_attach(open, job);
+	if (open->state == HT_JOB_HOP && job->hops_left) {
+		fill_hop(p, &f, job, open->hop_target, HT__FORWARD_FLAG__FORWARD_FOLLOW);
+		p->env->send(p->env, open->hop_peer, &f.msg);
+	}
+	ht_path_event(p, REQUEST_ATTACHED, job->body, open->hop_target, open->hop_peer,
+		      "waiters=%u", open->waiter_count);
+	ht_job_free(p, job);
+	return true;
+}
+
 static void return_local(struct ht_request_path *p, uint64_t hop_id, enum ht_return_reason reason)
 {
 	uint64_t key = hop_id >> 3;
@@ -192,6 +255,7 @@
 
 	ht_timer_stop(&job->timer);
 	ht_list_del(&job->node);
+	ht_open_del(p, job);
 	job->state = HT_JOB_NEW;
 	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer,
 		      "reason=%d wait=%.0f", (int)reason, wait);
@@ -224,22 +288,24 @@
 /* Only the ingress knows whether the request was answered meanwhile, so it decides. */
 static void report_lost(struct ht_request_path *p, struct ht_job *job)
 {
-	struct ht_waiter *waiters = job->waiters;
-	unsigned int count = job->waiter_count;
+	unsigned int local = 0;
 
 	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer, "reason=%d",
 		      (int)HT_RETURN_LOST);
-	job->waiters = NULL;
-	job->waiter_count = 0;
-	for (unsigned int i = 0; i < count; i++) {
-		job->sender = waiters[i].ingress;
-		job->hop_id = waiters[i].ingress_id;
-		if (job->sender == p->env->self)
-			return_local(p, job->hop_id, HT_RETURN_LOST);
-		else
+	ht_open_del(p, job);
+	for (unsigned int i = 0; i < job->waiter_count; i++) {
+		const struct ht_waiter to = job->waiters[i];
+
+		job->sender = to.ingress;
+		job->hop_id = to.ingress_id;
+		if (to.ingress != p->env->self)
 			send_returned(p, job, HT_RETURN_LOST, INFINITY, 0);
+		else
+			job->waiters[local++] = to;
 	}
-	g_free(waiters);
+	/* Last, since the local ingress sends again at once. */
+	for (unsigned int i = 0; i < local; i++)
+		return_local(p, job->waiters[i].ingress_id, HT_RETURN_LOST);
 	ht_job_free(p, job);
 }
 
--- a/tests/core/core_net.h
+++ b/tests/core/core_net.h
@@ -90,6 +90,8 @@
 	int extra_slots; /* allowed above SLOTS: for isolated instances */
 	int peak;
 	int copies; /* open copies of requests */
+	bool request_affinity;
+	bool stable; /* all instances have one view: GETs are checked like postings */
 	struct {
 		int node;
 		uint64_t incarnation, known;
@@ -380,7 +382,7 @@
 		return;
 	net->copies++;
 	/* Instances with different views cannot know of each other's GETs. */
-	if (!first.posting)
+	if (!first.posting && !net->stable)
 		net->calls[id].lost_ingress = true;
 	call_request(net, id, node, (uint64_t)id + CALLS * (1 + (uint64_t)first.ticket_rounds));
 	ck_assert(net->calls[id].node == first.node);
@@ -392,9 +394,10 @@
 {
 	net->copies--;
 	ck_assert_int_ge(net->copies, 0);
+	if (a->code == HT_UNAUTHORIZED || (!c->posting && !net->stable))
+		return;
 	/* A copy with an earlier ticket, or none, says nothing about the present one. */
-	if (!c->posting || a->code == HT_UNAUTHORIZED || !c->has_ticket ||
-	    handle / CALLS - 1 != (uint64_t)c->ticket_rounds)
+	if (c->posting && (!c->has_ticket || handle / CALLS - 1 != (uint64_t)c->ticket_rounds))
 		return;
 	if (a->verdict == HT_RAN)
 		ck_assert_int_gt(c->runs, 0);
@@ -455,7 +458,8 @@
 
 	len = (size_t)snprintf(
 		text, sizeof(text),
-		"service svc region r address 127.0.0.1:8000 deadline 3000 # test\n");
+		"service svc region r address 127.0.0.1:8000 deadline 3000 affinity %s # test\n",
+		net->request_affinity ? "request" : "flow");
 	for (int i = net->first; i <= net->last; i++)
 		len += (size_t)snprintf(text + len, sizeof(text) - len,
 					"target svc t%d dc dc address 127.0.0.1:%d # test\n", i,
--- a/tests/core/test_cores.c
+++ b/tests/core/test_cores.c
@@ -16,6 +16,8 @@
 {
 	struct net *net = net_new(1, 3, 6);
 
+	net->stable = true;
+
 	load(net, 5000, 300, 200);
 	all_ran(net);
 	ck_assert_int_gt(net->call_count, 1000);
@@ -97,6 +99,8 @@
 	struct net *net = net_new(5, 3, 4);
 	int ran, capacity;
 
+	net->stable = true;
+
 	/* 12 slots of some 21 ms: 570 requests a second. */
 	net->service_ms = 20;
 	load(net, 6000, 990, 5000);
@@ -109,6 +113,23 @@
 }
 END_TEST
 
+/* Guards against a repeat that is refused as not run while the first copy runs elsewhere. */
+START_TEST(copies_share_their_fate)
+{
+	struct net *net = net_new(6 + (uint64_t)_i, 4, 4);
+
+	net->stable = true;
+	net->request_affinity = true;
+	set_targets(net, 0, 3, -1);
+	net->refuse_percent = 25;
+	net_run(net, 1000);
+	load(net, 6000, 700, 100);
+	net_run(net, 3000);
+	ck_assert_int_gt(count_verdict(net, HT_NOT_RUN), 0);
+	net_free(net);
+}
+END_TEST
+
 static void one_failure(struct net *net)
 {
 	int i = any_node(net), running = 0, k;
@@ -196,6 +217,7 @@
 	tcase_add_test(tc, flows_survive_planned_changes);
 	tcase_add_test(tc, drained_target_is_idle);
 	tcase_add_test(tc, overload);
+	tcase_add_loop_test(tc, copies_share_their_fate, 0, seeds ? atoi(seeds) : 2);
 	tcase_add_loop_test(tc, random_failures, 0, seeds ? atoi(seeds) : 4);
 	tcase_set_timeout(tc, 100);
 	suite_add_tcase(s, tc);
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -49,6 +49,10 @@
   HT__FORWARD_FLAG__FORWARD_DEFLECTED = 2,
   HT__FORWARD_FLAG__FORWARD_RETRY = 4,
   HT__FORWARD_FLAG__FORWARD_CANCEL = 8,
+  /*
+   * repeat of a forward sent before: dropped when that is not known
+   */
+  HT__FORWARD_FLAG__FORWARD_FOLLOW = 32,
   /*
    * the sender records the flow as living at this target
    */
