--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -372,6 +372,8 @@
 		if (!conf || conf->draining)
 			ht_serve_flush(p, all[i]);
 		ht_serve_owner_changed(p, all[i]->id);
+		if (!conf && !all[i]->opened && !all[i]->in_flight && !all[i]->queued)
+			g_hash_table_remove(p->targets, &all[i]->id);
 	}
 	g_free(all);
 	ht_home_resume(p, 0);
--- a/tests/core/test_path_flows.c
+++ b/tests/core/test_path_flows.c
@@ -1,5 +1,5 @@
 /* Flows keep their target while target sets, homes and instances change. */
-#include "tests/core/path_net.h"
+#include "tests/core/path_calls.h"
 
 static uint64_t next_handle = 1;
 
--- a/tests/core/test_path_limits.c
+++ b/tests/core/test_path_limits.c
@@ -1,5 +1,5 @@
 /* Admission, deflection by wait, cold ramp, retry budget, cancellation, hand-over of queues. */
-#include "tests/core/path_net.h"
+#include "tests/core/path_calls.h"
 
 static struct net *start(enum ht_affinity affinity)
 {
