--- a/rules/parse.c
+++ b/rules/parse.c
@@ -1,4 +1,4 @@
-#include "rules/internal.h"
+#include "rules/parser.h"
 
 #include <jansson.h>
 #include <stdlib.h>
@@ -6,33 +6,7 @@
 
 #define WHO "say who asked for the rule and why, after '#'"
 
-/* A rule that refers to a service; read once all services are known. */
-struct reference {
-	unsigned int line;
-	unsigned int service_column;
-	unsigned int name_column;
-	char service[HT_NAME_MAX];
-	char name[HT_NAME_MAX]; /* of a target, or of a data centre for a share */
-	double weight;
-};
-
-struct references {
-	struct reference *items;
-	size_t count;
-};
-
-struct parser {
-	struct ht_config *cfg;
-	struct ht_rules_errors *errors;
-	struct ht_rules_line line;
-	struct references targets; /* targets[i] belongs to cfg->targets[i] */
-	struct references shares;
-	struct references drains;
-	json_t *seen; /* "kind key" to the line that used it first */
-	bool failed;  /* out of memory */
-};
-
-static bool fault_at(struct parser *p, unsigned int i, const char *hint, const char *text)
+static bool fault_at(struct ht_rules_parser *p, unsigned int i, const char *hint, const char *text)
 {
 	const struct ht_rules_line *line = &p->line;
 	unsigned int column = i < line->count ? line->words[i].column : line->end_column;
@@ -40,10 +14,11 @@
 	return ht_rules_errors_add(p->errors, line->number, column, hint, "%s", text);
 }
 
-static struct reference *add_reference(struct parser *p, struct references *refs)
+static struct ht_rules_reference *add_reference(struct ht_rules_parser *p,
+						struct ht_rules_references *refs)
 {
-	struct reference *items = refs->items;
-	struct reference *ref;
+	struct ht_rules_reference *items = refs->items;
+	struct ht_rules_reference *ref;
 
 	if (!(refs->count & (refs->count - 1)))
 		items = realloc(items, (refs->count ? refs->count * 2 : 1) * sizeof(*items));
@@ -53,12 +28,12 @@
 	}
 	refs->items = items;
 	ref = &items[refs->count++];
-	*ref = (struct reference){.line = p->line.number};
+	*ref = (struct ht_rules_reference){.line = p->line.number};
 	return ref;
 }
 
 /* Claims a key of one kind; refuses one that an earlier line has. */
-static bool claim(struct parser *p, unsigned int word, const char *kind, const char *key,
+static bool claim(struct ht_rules_parser *p, unsigned int word, const char *kind, const char *key,
 		  const char *what)
 {
 	char full[2 * HT_NAME_MAX + 32];
@@ -76,7 +51,7 @@
 	return true;
 }
 
-static bool claim_address(struct parser *p, unsigned int word, const struct ht_addr *addr)
+static bool claim_address(struct ht_rules_parser *p, unsigned int word, const struct ht_addr *addr)
 {
 	char text[HT_ADDR_TEXT], what[HT_ADDR_TEXT + 16];
 
@@ -85,8 +60,8 @@
 	return claim(p, word, "address", text, what);
 }
 
-static bool claim_named(struct parser *p, unsigned int word, const char *kind, const char *service,
-			const char *name)
+static bool claim_named(struct ht_rules_parser *p, unsigned int word, const char *kind,
+			const char *service, const char *name)
 {
 	char key[2 * HT_NAME_MAX], what[2 * HT_NAME_MAX + 32];
 
@@ -96,7 +71,7 @@
 }
 
 /* Checks that word @i is the keyword @word and that a value follows. */
-static bool keyword(struct parser *p, unsigned int i, const char *word, const char *usage)
+static bool keyword(struct ht_rules_parser *p, unsigned int i, const char *word, const char *usage)
 {
 	char text[200];
 
@@ -110,8 +85,8 @@
 }
 
 /* Finds the keyword of an option at word @i; refuses unknown, repeated and valueless ones. */
-static int option(struct parser *p, unsigned int i, const char *const *names, unsigned int *used,
-		  const char *usage)
+static int option(struct ht_rules_parser *p, unsigned int i, const char *const *names,
+		  unsigned int *used, const char *usage)
 {
 	const char *word = p->line.words[i].text;
 	char text[200];
@@ -138,7 +113,7 @@
 #define SERVICE_USAGE                                                                              \
 	"service NAME region REGION address IP:PORT [deadline MS] [affinity flow|request] # who"
 
-static bool service_options(struct parser *p, struct ht_service_conf *svc)
+static bool service_options(struct ht_rules_parser *p, struct ht_service_conf *svc)
 {
 	static const char *const names[] = {"deadline", "affinity", NULL};
 	unsigned int used = 0;
@@ -161,7 +136,7 @@
 	return ok;
 }
 
-static bool parse_service(struct parser *p)
+static bool parse_service(struct ht_rules_parser *p)
 {
 	struct ht_service_conf svc = {.deadline = HT_RULES_DEADLINE};
 	char what[HT_NAME_MAX + 16];
@@ -187,7 +162,7 @@
 #define TARGET_USAGE                                                                               \
 	"target SERVICE NAME dc DC address IP:PORT [slots N] [connections N] [weight W] # who"
 
-static bool target_options(struct parser *p, struct ht_target_conf *t)
+static bool target_options(struct ht_rules_parser *p, struct ht_target_conf *t)
 {
 	static const char *const names[] = {"slots", "connections", "weight", NULL};
 	int64_t slots = 3, connections = 2000;
@@ -214,8 +189,8 @@
 }
 
 /* Reads words 1 and 2 of a rule that refers to a service; @claimed is the kind to claim. */
-static bool read_reference(struct parser *p, struct reference *ref, const char *what,
-			   const char *claimed, const char *usage)
+static bool read_reference(struct ht_rules_parser *p, struct ht_rules_reference *ref,
+			   const char *what, const char *claimed, const char *usage)
 {
 	bool ok;
 
@@ -229,10 +204,10 @@
 	return ok && claim_named(p, 2, claimed, ref->service, ref->name);
 }
 
-static bool parse_target(struct parser *p)
+static bool parse_target(struct ht_rules_parser *p)
 {
 	struct ht_target_conf t = {.weight = 1};
-	struct reference ref = {0}, *kept;
+	struct ht_rules_reference ref = {0}, *kept;
 	bool ok = read_reference(p, &ref, "target", "target", TARGET_USAGE);
 
 	if (p->line.count < 3 || !keyword(p, 3, "dc", TARGET_USAGE) ||
@@ -253,10 +228,10 @@
 	return true;
 }
 
-static bool parse_share(struct parser *p)
+static bool parse_share(struct ht_rules_parser *p)
 {
 	static const char usage[] = "share SERVICE DC WEIGHT # who";
-	struct reference ref = {0}, *kept;
+	struct ht_rules_reference ref = {0}, *kept;
 	bool ok = read_reference(p, &ref, "data centre", "share", usage);
 
 	if (p->line.count != 4)
@@ -269,10 +244,10 @@
 	return ok;
 }
 
-static bool parse_drain(struct parser *p)
+static bool parse_drain(struct ht_rules_parser *p)
 {
 	static const char usage[] = "drain SERVICE TARGET # who";
-	struct reference ref = {0}, *kept;
+	struct ht_rules_reference ref = {0}, *kept;
 	bool ok = read_reference(p, &ref, "target", "drain", usage);
 
 	if (p->line.count > 3)
@@ -287,14 +262,14 @@
 {
 	static const struct {
 		const char *word;
-		bool (*parse)(struct parser *p);
+		bool (*parse)(struct ht_rules_parser *p);
 	} kinds[] = {
 		{"service", parse_service},
 		{"target", parse_target},
 		{"share", parse_share},
 		{"drain", parse_drain},
 	};
-	struct parser *p = ctx;
+	struct ht_rules_parser *p = ctx;
 
 	if (!ht_rules_split(text, len, number, &p->line, p->errors) || !p->line.count)
 		return;
@@ -309,113 +284,10 @@
 	fault_at(p, 0, "a rule starts with service, target, share or drain", "unknown rule");
 }
 
-static bool known_service(struct parser *p, const struct reference *ref)
-{
-	char key[HT_NAME_MAX + 16];
-
-	snprintf(key, sizeof(key), "service %s", ref->service);
-	if (json_object_get(p->seen, key))
-		return true;
-	return ht_rules_errors_add(p->errors, ref->line, ref->service_column,
-				   "add its service line or correct the name",
-				   "unknown service '%s'", ref->service);
-}
-
-static void resolve_share(struct parser *p, const struct reference *ref)
-{
-	size_t hits = 0;
-
-	if (!known_service(p, ref))
-		return;
-	for (size_t i = 0; i < p->cfg->target_count; i++) {
-		struct ht_target_conf *t = &p->cfg->targets[i];
-
-		if (strcmp(p->targets.items[i].service, ref->service) != 0 ||
-		    strcmp(t->dc, ref->name) != 0)
-			continue;
-		t->weight *= ref->weight;
-		hits++;
-	}
-	if (!hits)
-		ht_rules_errors_add(p->errors, ref->line, ref->name_column,
-				    "correct the name of the data centre or remove the rule",
-				    "service '%s' has no target in data centre '%s'", ref->service,
-				    ref->name);
-}
-
-/* True when a target line has the name, even one with faults of its own. */
-static bool named_target(const struct parser *p, const struct reference *ref)
-{
-	char key[2 * HT_NAME_MAX + 16];
-
-	snprintf(key, sizeof(key), "target %s/%s", ref->service, ref->name);
-	return json_object_get(p->seen, key);
-}
-
-static void resolve_drain(struct parser *p, const struct reference *ref)
-{
-	if (!known_service(p, ref))
-		return;
-	for (size_t i = 0; i < p->cfg->target_count; i++) {
-		if (strcmp(p->targets.items[i].service, ref->service) == 0 &&
-		    strcmp(p->cfg->targets[i].name, ref->name) == 0) {
-			p->cfg->targets[i].draining = true;
-			return;
-		}
-	}
-	if (named_target(p, ref))
-		return;
-	ht_rules_errors_add(p->errors, ref->line, ref->name_column,
-			    "correct the name or remove the rule with the target's own",
-			    "service '%s' has no target '%s'", ref->service, ref->name);
-}
-
-static void resolve(struct parser *p)
-{
-	for (size_t i = 0; i < p->targets.count; i++)
-		known_service(p, &p->targets.items[i]);
-	for (size_t i = 0; i < p->shares.count; i++)
-		resolve_share(p, &p->shares.items[i]);
-	for (size_t i = 0; i < p->drains.count; i++)
-		resolve_drain(p, &p->drains.items[i]);
-	if (!p->cfg->service_count && !p->errors->total)
-		ht_rules_errors_add(p->errors, 0, 0, "a rules file has at least one service line",
-				    "no service");
-}
-
-static void check_weights(struct parser *p)
-{
-	for (size_t i = 0; i < p->cfg->service_count; i++) {
-		const struct ht_service_conf *svc = &p->cfg->services[i];
-		double sum = 0;
-
-		for (size_t k = 0; k < svc->target_count; k++)
-			sum += svc->targets[k].weight;
-		if (svc->target_count && sum <= 0)
-			ht_rules_errors_add(p->errors, 0, 0, "give one of its data centres a share",
-					    "every target of service '%s' has weight 0", svc->name);
-	}
-}
-
-static bool finish(struct parser *p)
-{
-	struct ht_err err;
-
-	resolve(p);
-	if (p->failed)
-		return ht_rules_errors_add(p->errors, 0, 0, NULL, "out of memory");
-	if (p->errors->total)
-		return false;
-	if (!ht_config_seal(p->cfg, &err))
-		return ht_rules_errors_add(p->errors, 0, 0, NULL, "%s", err.text);
-	check_weights(p);
-	return p->errors->total == 0;
-}
-
 struct ht_config *ht_rules_parse(const char *text, size_t len, struct ht_rules_errors *errors)
 {
 	struct ht_rules_errors own = {0};
-	struct parser p = {.errors = &own};
+	struct ht_rules_parser p = {.errors = &own};
 	char *copy = ht_rules_terminated(text, len);
 	bool ok = false;
 
@@ -423,7 +295,7 @@
 	p.seen = json_object();
 	if (p.cfg && p.seen && copy) {
 		ht_rules_each_line(text, len, parse_line, &p);
-		ok = finish(&p);
+		ok = ht_rules_resolve(&p);
 	} else {
 		ht_rules_errors_add(&own, 0, 0, NULL, "out of memory");
 	}
--- a/tests/core/core_net.h
+++ b/tests/core/core_net.h
@@ -342,8 +342,8 @@
 	int id = net->call_count++;
 
 	ck_assert_int_lt(net->call_count, CALLS);
-	net->calls[id] = (struct call){
-		.flow = flow, .posting = posting, .deadline = deadline, .target = -1};
+	net->calls[id] =
+		(struct call){.flow = flow, .posting = posting, .deadline = deadline, .target = -1};
 	call_send(net, id, node);
 	return id;
 }
@@ -392,8 +392,9 @@
 	char text[4096];
 	size_t len;
 
-	len = (size_t)snprintf(text, sizeof(text),
-			       "service svc region r address 127.0.0.1:8000 deadline 3000 # test\n");
+	len = (size_t)snprintf(
+		text, sizeof(text),
+		"service svc region r address 127.0.0.1:8000 deadline 3000 # test\n");
 	for (int i = net->first; i <= net->last; i++)
 		len += (size_t)snprintf(text + len, sizeof(text) - len,
 					"target svc t%d dc dc address 127.0.0.1:%d # test\n", i,
@@ -438,8 +439,8 @@
 		struct node *n = &net->nodes[net->watch[i].node];
 		enum ht_platform_call kind = net->watch[i].kind;
 		bool gone = !n->core || n->incarnation != net->watch[i].incarnation;
-		bool waits = kind == HT_PLATFORM_WATCH_HEAD &&
-			     net->head->version == net->watch[i].known;
+		bool waits =
+			kind == HT_PLATFORM_WATCH_HEAD && net->head->version == net->watch[i].known;
 
 		if (!gone && (waits || n->frozen)) {
 			i++;
