--- a/rules/config.c
+++ b/rules/config.c
@@ -1,4 +1,4 @@
-#include "rules/config.h"
+#include "rules/internal.h"
 
 #include "base/hash.h"
 
@@ -57,22 +57,28 @@
 	return true;
 }
 
-bool ht_config_add_target(struct ht_config *cfg, const char *service,
-			  const struct ht_target_conf *target)
+bool ht_config_copy_target(struct ht_config *cfg, const struct ht_target_conf *target)
 {
 	struct ht_target_conf *a = grow(cfg->targets, cfg->target_count, sizeof(*a));
-	char text[HT_ADDR_TEXT];
 
 	if (!a)
 		return false;
 	cfg->targets = a;
-	a += cfg->target_count++;
-	*a = *target;
-	a->id = ht_hash_str(ht_addr_format(&target->addr, text));
-	a->service = ht_hash_str(service);
+	a[cfg->target_count++] = *target;
 	return true;
 }
 
+bool ht_config_add_target(struct ht_config *cfg, const char *service,
+			  const struct ht_target_conf *target)
+{
+	struct ht_target_conf t = *target;
+	char text[HT_ADDR_TEXT];
+
+	t.id = ht_hash_str(ht_addr_format(&target->addr, text));
+	t.service = ht_hash_str(service);
+	return ht_config_copy_target(cfg, &t);
+}
+
 static int compare_u64(uint64_t a, uint64_t b)
 {
 	return (a > b) - (a < b);
--- a/rules/internal.h
+++ b/rules/internal.h
@@ -36,6 +36,9 @@
 /** Copies @len bytes of text and adds a newline when the last line has none; to be freed. */
 char *ht_rules_terminated(const char *text, size_t len);
 
+/** Adds a target of another configuration with the ids that it has there. */
+bool ht_config_copy_target(struct ht_config *cfg, const struct ht_target_conf *target);
+
 /* Fields: each reads word @i of @line and adds a fault when it does not fit. */
 bool ht_rules_name(const struct ht_rules_line *line, unsigned int i, const char *what,
 		   char out[HT_NAME_MAX], struct ht_rules_errors *errors);
--- a/rules/rules.h
+++ b/rules/rules.h
@@ -44,6 +44,14 @@
  */
 struct ht_config *ht_rules_parse(const char *text, size_t len, struct ht_rules_errors *errors);
 
+/**
+ * As ht_rules_parse, with the same result, but takes from @old (may be NULL) what the change does
+ * not touch. @old must come from one of these two functions. For instances, which follow a change
+ * each 10 s of a text of 31,000 lines at the two-year size.
+ */
+struct ht_config *ht_rules_reparse(const struct ht_config *old, const char *text, size_t len,
+				   struct ht_rules_errors *errors);
+
 /**
  * Difference of two rules texts by lines, comments included. Each entry is "NUMBER LINE":
  * removed lines with their number in the old text, added lines with their number in the new one,
