--- a/core/config_data.c
+++ b/core/config_data.c
@@ -144,7 +144,7 @@
 static void adopt_text(struct ht_config_service *c, uint64_t peer, const Ht__ConfigData *msg,
 		       char *text)
 {
-	struct ht_config *cfg = ht_rules_parse(text, strlen(text), NULL);
+	struct ht_config *cfg = ht_rules_reparse(c->current, text, strlen(text), NULL);
 
 	free(text);
 	if (!cfg) {
