--- a/daemon/config_source.c
+++ b/daemon/config_source.c
@@ -20,6 +20,7 @@
 	struct ht_platform_op *status_call;
 	struct ht_rules_head head;   /* being completed */
 	struct ht_rules_parts cache; /* parts of the last complete head */
+	struct ht_config *last;	     /* made of the cached parts; NULL before the first */
 	size_t next_part;
 	uint64_t head_version;	   /* the platform's version of the object; 0: not read */
 	uint64_t reported_version; /* of the object that the core got last */
@@ -84,7 +85,8 @@
 {
 	struct ht_rules_errors errors = {0};
 	char *text = ht_rules_parts_join(&src->head.parts);
-	struct ht_config *cfg = text ? ht_rules_parse(text, strlen(text), &errors) : NULL;
+	struct ht_config *cfg =
+		text ? ht_rules_reparse(src->last, text, strlen(text), &errors) : NULL;
 
 	free(text);
 	if (cfg) {
@@ -92,6 +94,8 @@
 		snprintf(cfg->change_id, sizeof(cfg->change_id), "%s", src->head.change_id);
 		src->reported_version = src->head_version;
 		keep_parts(src);
+		ht_config_put(src->last);
+		src->last = ht_config_get(cfg);
 		src->p.ops->config(src->p.ctx, cfg);
 		ht_config_put(cfg);
 	} else {
@@ -352,6 +356,7 @@
 	ht_platform_free(src->platform);
 	ht_rules_head_clear(&src->head);
 	ht_rules_parts_clear(&src->cache);
+	ht_config_put(src->last);
 	free(src->status_body);
 	free(src);
 }
