Fall back to the whole text for changed lines without a usable service name

The fuzz target found that a changed line whose service name is too long was left out of the partial parse, so a faulty text was taken. Such a change is now parsed whole.

--- a/fuzz/fuzz_rules.c
+++ b/fuzz/fuzz_rules.c
@@ -1,7 +1,8 @@
 /*
  * Fuzz target of the rules text. Input: two texts divided by a NUL byte. Checks that any text is
  * taken or refused without a fault, that parts of a good text keep its meaning, and that the
- * difference of the two texts restores the second from the first.
+ * difference of the two texts restores the second from the first, and that parsing the change gives
+ * what parsing the second text gives.
  */
 #include "base/hash.h"
 #include "rules/rules.h"
@@ -61,6 +62,18 @@
 	require(ht_rules_check_change(to, to->text, &none, 0, &errors));
 }
 
+/* Parsing the change gives what parsing the whole text gave. */
+static void check_reparse(const struct ht_config *from, const char *to,
+			  const struct ht_config *whole)
+{
+	struct ht_config *part = ht_rules_reparse(from, to, strlen(to), NULL);
+
+	require((part != NULL) == (whole != NULL));
+	if (part)
+		require(meaning(part) == meaning(whole) && strcmp(part->text, whole->text) == 0);
+	ht_config_put(part);
+}
+
 static void check_diff(const char *from, const char *to)
 {
 	struct ht_rules_diff diff;
@@ -98,6 +111,9 @@
 	}
 	if (cfg[0] && cfg[1])
 		check_change(cfg[0], cfg[1]);
+	/* A NUL within the second text ends it for the functions that take strings. */
+	if (cfg[0] && to + strlen(to) == from + size)
+		check_reparse(cfg[0], to, cfg[1]);
 	check_diff(from, to);
 	for (int i = 0; i < 2; i++) {
 		ht_config_put(cfg[i]);
--- a/rules/reparse.c
+++ b/rules/reparse.c
@@ -38,22 +38,22 @@
 	return true;
 }
 
+/* False when a changed line is not readable as a rule of one service. */
 static bool note_touched(struct reparse *r, char *const *entries, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
 		struct ht_rules_errors errors = {0};
 		const char *text = ht_rules_diff_line(entries[i]);
 		struct ht_rules_line line;
+		char name[HT_NAME_MAX];
 		bool ok = ht_rules_split(text, strlen(text), 1, &line, &errors);
 
+		if (ok && line.count > 0)
+			ok = line.count > 1 && ht_rules_name(&line, 1, "service", name, &errors) &&
+			     json_object_set_new(r->touched, name, json_true()) == 0;
 		ht_rules_errors_clear(&errors);
 		if (!ok)
 			return false;
-		if (line.count == 0)
-			continue;
-		if (line.count < 2 ||
-		    json_object_set_new(r->touched, line.words[1].text, json_true()))
-			return false;
 	}
 	return json_object_size(r->touched) <= SERVICES_MAX;
 }
--- a/tests/rules/test_reparse.c
+++ b/tests/rules/test_reparse.c
@@ -114,7 +114,11 @@
 				   "drain a t # x\n";
 	struct ht_config *cfg = ht_rules_parse(old, strlen(old), NULL);
 	struct ht_rules_errors errors;
+	char wide[300];
 
+	/* Found by the fuzz target: a service name too long to be looked for was skipped. */
+	snprintf(wide, sizeof(wide), "%sshare %0100d d 1 # x\n", old, 1);
+	ck_assert_ptr_null(ht_rules_reparse(cfg, wide, strlen(wide), NULL));
 	ck_assert_ptr_null(ht_rules_reparse(cfg, gone, strlen(gone), &errors));
 	ck_assert_uint_eq(errors.total, 1);
 	ck_assert_uint_eq(errors.items[0].line, 2);
