--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -414,11 +414,12 @@
         return Evidence(records, journal, SLOTS)
 
     def crashed(self):
-        """Processes that ended by a signal other than the harness's own."""
-        own = (-signal.SIGKILL, -signal.SIGTERM)
-        return [f"{p.name}: exit status {p.popen.returncode}" for p in self.processes
-                if p.popen.poll() is not None and p.popen.returncode not in (0, *own)]
-
-    def log_tail(self, name, lines=5):
-        with open(self.path(f"{name}.log"), encoding="utf-8", errors="replace") as f:
+        """Processes that ended by themselves with a fault, with the end of their logs."""
+        own = (0, -signal.SIGKILL, -signal.SIGTERM)
+        return [f"{p.name}: exit status {p.popen.returncode}: {self.log_tail(p)}"
+                for p in self.processes
+                if p.popen.poll() is not None and p.popen.returncode not in own]
+
+    def log_tail(self, process, lines=12):
+        with open(process.log, encoding="utf-8", errors="replace") as f:
             return f.read().splitlines()[-lines:]
