wire: give back large buffers once they are empty

Each link kept a read buffer of 64 KiB, and of up to 1 MiB after one large frame: 7 MB for the 108 instances of a data centre at the two-year size.

--- a/daemon/link.c
+++ b/daemon/link.c
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define READ_CHUNK ((size_t)64 * 1024)
+#define READ_CHUNK ((size_t)16 * 1024)
 
 /* Unacknowledged bytes end a link after this time, so that a lost host does not hold it open. */
 #define UNACKED_MS 3000
@@ -66,23 +66,21 @@
 static void on_readable(struct ev_loop *loop, struct ev_io *w, int revents)
 {
 	struct ht_link *link = w->data;
-	uint8_t *to = ht_buffer_reserve(&link->in, READ_CHUNK);
-	ssize_t n;
+	uint8_t chunk[READ_CHUNK];
+	ssize_t n = recv(link->fd, chunk, sizeof(chunk), 0);
 
 	(void)loop;
 	(void)revents;
-	if (!to) {
-		end(link, HT_LINK_CLOSED, "out of memory");
-		return;
-	}
-	n = recv(link->fd, to, READ_CHUNK, 0);
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
 		end(link, HT_LINK_CLOSED, n ? strerror(errno) : "closed by the peer");
 		return;
 	}
-	link->in.end += (size_t)n;
+	if (!ht_buffer_append(&link->in, chunk, (size_t)n)) {
+		end(link, HT_LINK_CLOSED, "out of memory");
+		return;
+	}
 	link->last_activity = ht_clock_now(&ht_clock_monotonic);
 	deliver(link);
 }
--- a/wire/frame.c
+++ b/wire/frame.c
@@ -3,6 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* An empty buffer that has grown beyond this is given back: an instance holds a buffer pair for
+ * each of its peers, and one large frame must not keep its memory for good. */
+#define KEPT_CAPACITY ((size_t)16 * 1024)
+
 uint8_t *ht_buffer_reserve(struct ht_buffer *buf, size_t len)
 {
 	size_t held = ht_buffer_len(buf);
@@ -44,8 +48,11 @@
 void ht_buffer_consume(struct ht_buffer *buf, size_t len)
 {
 	buf->start += len;
-	if (buf->start == buf->end)
-		buf->start = buf->end = 0;
+	if (buf->start != buf->end)
+		return;
+	buf->start = buf->end = 0;
+	if (buf->capacity > KEPT_CAPACITY)
+		ht_buffer_clear(buf);
 }
 
 void ht_buffer_clear(struct ht_buffer *buf)
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -33,7 +33,7 @@
 /** Appends @len bytes; false when out of memory. */
 bool ht_buffer_append(struct ht_buffer *buf, const void *data, size_t len);
 
-/** Drops @len bytes from the front. */
+/** Drops @len bytes from the front; a large buffer that becomes empty is freed. */
 void ht_buffer_consume(struct ht_buffer *buf, size_t len);
 void ht_buffer_clear(struct ht_buffer *buf);
 
