--- a/daemon/target_conn.c
+++ b/daemon/target_conn.c
@@ -8,6 +8,9 @@
 /* With open requests; several pings fit into the time that makes a connection silent. */
 #define BUSY_PING_MS 250
 
+/* Far above the round trip to any target, far below the time that makes a connection silent. */
+#define SUSPECT_MS 150
+
 struct ht_target_conn *ht_target_conn_new(coap_context_t *coap, const struct ht_addr *addr,
 					  ht_ms now)
 {
@@ -67,6 +70,11 @@
 	return conn->pinged_at && now - conn->received_at >= HT_CONN_SILENT_MS;
 }
 
+bool ht_target_conn_suspect(const struct ht_target_conn *conn, ht_ms now)
+{
+	return conn->pinged_at && now - conn->pinged_at >= SUSPECT_MS;
+}
+
 void ht_target_conn_credit(struct ht_target_conn *conn, ht_ms pause)
 {
 	conn->opened_at += pause;
--- a/daemon/target_conn.h
+++ b/daemon/target_conn.h
@@ -50,6 +50,9 @@
 /** True when the connection must be replaced: not up in time, or silent. */
 bool ht_target_conn_silent(const struct ht_target_conn *conn, ht_ms now);
 
+/** True when a ping has waited for its answer for so long that new requests go elsewhere. */
+bool ht_target_conn_suspect(const struct ht_target_conn *conn, ht_ms now);
+
 /** Time in which this process did not run must not count as the target's silence. */
 void ht_target_conn_credit(struct ht_target_conn *conn, ht_ms pause);
 
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -264,8 +264,20 @@
 	ht_target_sweep_soon(pool);
 }
 
-/* Fewest open requests first, then the one heard from last. */
-static struct ht_target_conn *pick(const struct ht_pool_target *t)
+static bool better(const struct ht_target_conn *a, const struct ht_target_conn *b, ht_ms now)
+{
+	bool suspect = ht_target_conn_suspect(a, now);
+
+	if (suspect != ht_target_conn_suspect(b, now))
+		return !suspect;
+	if (a->open != b->open)
+		return a->open < b->open;
+	return a->received_at > b->received_at;
+}
+
+/* A connection whose pings are answered, then fewest open requests, then the one heard from last.
+ */
+static struct ht_target_conn *pick(const struct ht_pool_target *t, ht_ms now)
 {
 	struct ht_target_conn *best = NULL;
 	struct ht_list *pos;
@@ -273,10 +285,7 @@
 	ht_list_for_each (pos, &t->conns) {
 		struct ht_target_conn *c = ht_container_of(pos, struct ht_target_conn, node);
 
-		if (c->state != HT_CONN_UP)
-			continue;
-		if (!best || c->open < best->open ||
-		    (c->open == best->open && c->received_at > best->received_at))
+		if (c->state == HT_CONN_UP && (!best || better(c, best, now)))
 			best = c;
 	}
 	return best;
@@ -285,9 +294,9 @@
 void ht_target_pool_send(struct ht_target_pool *pool, const struct ht_target_request *req)
 {
 	struct ht_pool_target *t = find(pool, req->target);
-	struct ht_target_conn *conn = t && t->wanted ? pick(t) : NULL;
-	struct ht_exchange *x = ht_exchange_new(pool, HT_EXCHANGE_REQUEST, req->id);
 	ht_ms now = ht_target_now();
+	struct ht_target_conn *conn = t && t->wanted ? pick(t, now) : NULL;
+	struct ht_exchange *x = ht_exchange_new(pool, HT_EXCHANGE_REQUEST, req->id);
 	coap_pdu_t *pdu = NULL;
 
 	if (conn)
