--- a/tests/daemon/test_peers.c
+++ b/tests/daemon/test_peers.c
@@ -279,6 +279,112 @@
 }
 END_TEST
 
+/* Reads one message of the other side, which the loop must deliver. */
+static Ht__PeerMsg *read_message(int fd, struct ht_buffer *in)
+{
+	Ht__PeerMsg *msg = NULL;
+	uint8_t data[4096];
+
+	for (int i = 0; i < 100; i++) {
+		ssize_t n;
+
+		if (ht_frame_decode(in, HT_FRAME_MAX, &msg, NULL) == HT_FRAME_OK)
+			return msg;
+		rig_pass(loop, 10);
+		n = recv(fd, data, sizeof(data), MSG_DONTWAIT);
+		if (n > 0)
+			ck_assert(ht_buffer_append(in, data, (size_t)n));
+	}
+	return NULL;
+}
+
+/* Introduces instance b with the right key on a bare socket. */
+static int introduce(const char *to, uint8_t key_byte)
+{
+	struct ht_identity own = {.incarnation = 2, .info.size = 1}, other;
+	Ht__HelloProof proof = HT__HELLO_PROOF__INIT;
+	Ht__PeerMsg msg = HT__PEER_MSG__INIT, *got;
+	uint8_t key[HT_KEY_LEN], mac[HT_MAC_LEN];
+	struct ht_buffer in = {0};
+	Ht__Hello hello;
+	int fd = connect_to(to);
+
+	strcpy(own.info.name, "b");
+	strcpy(own.info.dc, "dc");
+	strcpy(own.info.peer_address, "127.0.0.1:9");
+	memset(key, key_byte, sizeof(key));
+	ht_hello_fill(&hello, &own);
+	msg.kind_case = HT__PEER_MSG__KIND_HELLO;
+	msg.hello = &hello;
+	send_frame(fd, &msg);
+	got = read_message(fd, &in);
+	ck_assert(got && got->kind_case == HT__PEER_MSG__KIND_HELLO);
+	ck_assert(ht_hello_read(got->hello, &other, NULL));
+	ht__peer_msg__free_unpacked(got, NULL);
+	ht_proof_make(mac, key, &own, &other);
+	proof.mac.data = mac;
+	proof.mac.len = sizeof(mac);
+	msg.kind_case = HT__PEER_MSG__KIND_HELLO_PROOF;
+	msg.hello_proof = &proof;
+	send_frame(fd, &msg);
+	ht_buffer_clear(&in);
+	return fd;
+}
+
+/* Guards against memory that grows without bound for a peer that does not read. */
+START_TEST(slow_peer_is_bounded)
+{
+	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
+	Ht__Forward fwd = HT__FORWARD__INIT;
+	char addr[HT_ADDR_TEXT];
+	size_t accepted = 0;
+	struct node a;
+	int fd;
+
+	rig_address(addr, SOCK_STREAM);
+	node_start(&a, "a", "dc", addr, 1, 7);
+	fd = introduce(addr, 7);
+	ck_assert(rig_run(loop, &a.ups, 1, 1000));
+	fwd.payload.len = (size_t)256 * 1024;
+	fwd.payload.data = calloc(1, fwd.payload.len);
+	msg.kind_case = HT__PEER_MSG__KIND_FORWARD;
+	msg.forward = &fwd;
+	for (int i = 0; i < 200; i++) {
+		accepted += ht_peers_send(a.peers, ht_instance_id("b"), &msg);
+		if (i % 10 == 0)
+			rig_pass(loop, 5);
+	}
+	/* 4 MiB here, and what the two sockets hold. */
+	ck_assert_uint_ge(accepted, 16);
+	ck_assert_uint_lt(accepted, 64);
+	ck_assert(!ht_peers_send(a.peers, ht_instance_id("b"), &msg));
+	close(fd);
+	ck_assert(rig_run(loop, &a.silent, 1, 1000));
+	free(fwd.payload.data);
+	node_stop(&a);
+}
+END_TEST
+
+/* Guards against a proven peer's garbage doing more than closing its own link. */
+START_TEST(malformed_frame_closes_the_link)
+{
+	static const uint8_t garbage[] = {0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff};
+	char addr[HT_ADDR_TEXT];
+	struct node a;
+	int fd;
+
+	rig_address(addr, SOCK_STREAM);
+	node_start(&a, "a", "dc", addr, 1, 7);
+	fd = introduce(addr, 7);
+	ck_assert(rig_run(loop, &a.ups, 1, 1000));
+	ck_assert_int_eq(send(fd, garbage, sizeof(garbage), 0), (int)sizeof(garbage));
+	ck_assert(rig_run(loop, &a.silent, 1, 1000));
+	ck_assert_uint_eq(a.counters.values[HT_C_frames_malformed], 1);
+	close(fd);
+	node_stop(&a);
+}
+END_TEST
+
 /* Guards against a proof that can be reflected to its maker or moved to another identity. */
 START_TEST(proof_binds_both_nonces_and_the_sender)
 {
@@ -326,6 +432,8 @@
 	tcase_add_test(tc, new_incarnation_ends_the_old_one);
 	tcase_add_test(tc, other_data_centre_on_demand);
 	tcase_add_test(tc, strangers_are_cut_off);
+	tcase_add_test(tc, slow_peer_is_bounded);
+	tcase_add_test(tc, malformed_frame_closes_the_link);
 	tcase_add_test(tc, proof_binds_both_nonces_and_the_sender);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
