--- a/core/path.c
+++ b/core/path.c
@@ -127,6 +127,13 @@
 	return g_hash_table_size(p->pending);
 }
 
+static size_t router_flows(void *ctx)
+{
+	const struct ht_request_path *p = ctx;
+
+	return ht_flows_count(p->flows);
+}
+
 static uint32_t targets_in_flight(void *ctx, uint64_t target)
 {
 	const struct ht_request_path *p = ctx;
@@ -135,6 +142,14 @@
 	return t ? t->in_flight : 0;
 }
 
+static uint32_t targets_queued(void *ctx, uint64_t target)
+{
+	const struct ht_request_path *p = ctx;
+	const struct ht_target *t = g_hash_table_lookup(p->targets, &target);
+
+	return t ? t->queued : 0;
+}
+
 static void targets_owner_changed(void *ctx, uint64_t target)
 {
 	ht_serve_owner_changed(ctx, target);
@@ -191,10 +206,12 @@
 		.target_state = router_target_state,
 		.peer_down = router_peer_down,
 		.pending = router_pending,
+		.flows = router_flows,
 	};
 	p->targets_if = (struct ht_targets_if){
 		.ctx = p,
 		.in_flight = targets_in_flight,
+		.queued = targets_queued,
 		.owner_changed = targets_owner_changed,
 		.config_changed = targets_config_changed,
 		.open_requests = targets_open_requests,
--- a/core/services.h
+++ b/core/services.h
@@ -105,6 +105,8 @@
 	void *ctx;
 	/** Requests of this instance now in flight at the target. */
 	uint32_t (*in_flight)(void *ctx, uint64_t target);
+	/** Requests that wait for a slot of the target, for status pages. */
+	uint32_t (*queued)(void *ctx, uint64_t target);
 	/** Ownership gained, lost or slots changed: opens or closes connections, runs the queue. */
 	void (*owner_changed)(void *ctx, uint64_t target);
 	/** The configuration changed. */
@@ -139,6 +141,8 @@
 	void (*peer_down)(void *ctx, uint64_t peer, enum ht_peer_down_reason reason);
 	/** Requests for which this instance still owes an answer. */
 	uint32_t (*pending)(void *ctx);
+	/** Flows and exceptions in the table now, for status pages. */
+	size_t (*flows)(void *ctx);
 };
 
 /** Called in registration order on every advance; each service publishes one as "NAME.tick". */
