--- a/daemon/status.c
+++ b/daemon/status.c
@@ -58,7 +58,8 @@
 	json_object_set_new(o, "slots", json_integer(own ? own->slots(own->ctx, t->id) : 0));
 	json_object_set_new(o, "in_flight",
 			    json_integer(targets ? targets->in_flight(targets->ctx, t->id) : 0));
-	json_object_set_new(o, "queued", json_integer(0));
+	json_object_set_new(o, "queued",
+			    json_integer(targets ? targets->queued(targets->ctx, t->id) : 0));
 	return o;
 }
 
@@ -104,7 +105,8 @@
 	json_object_set_new(o, "leaving", json_boolean(sh->stopping));
 	json_object_set_new(o, "lease",
 			    json_boolean(members && members->lease_valid(members->ctx)));
-	json_object_set_new(o, "flows", json_integer((json_int_t)counter(sh, HT_C_flows_opened)));
+	json_object_set_new(o, "flows",
+			    json_integer(router ? (json_int_t)router->flows(router->ctx) : 0));
 	json_object_set_new(o, "pending", json_integer(router ? router->pending(router->ctx) : 0));
 	json_object_set_new(o, "targets", json_targets(sh, cfg));
 	json_object_set_new(o, "instances", instances);
