daemon: datagrams with signalling codes no longer abort the instance

Seen: an instance that had received random datagrams ended its planned stop with an assertion in libcoap. libcoap 4.3.1 takes CoAP-over-TCP signals from datagrams: it answers a ping with a confirmable pong, whose retransmission refers to the session, and freeing the endpoint then aborts the process; an abort message stops all later answers on the session. Removing a service while running had the same effect. Ruled out: open requests, which were released before.

A kernel filter drops signalling codes before libcoap reads them, and endpoints are freed only with the whole context; the address of a removed service refuses requests instead. The test with random datagrams from changing callers aborted before and passes now; without the filter the test with a ping and an abort fails.

--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -2,6 +2,7 @@
 
 #include "base/list.h"
 #include "daemon/caller_message.h"
+#include "daemon/datagram_filter.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -23,12 +24,11 @@
 	uint64_t service;    /* 0: no service uses it any more */
 	coap_endpoint_t *ep; /* NULL while the address cannot be bound */
 	bool failure_logged;
-	size_t pending;
+	bool served; /* as last logged */
 };
 
 struct pending {
 	uint64_t handle;
-	struct listener *listener;
 	coap_session_t *session;
 	uint8_t token[HT_TOKEN_MAX];
 	uint8_t token_len;
@@ -87,7 +87,7 @@
 	return g_hash_table_lookup(c->by_addr, ht_addr_format(&addr, text));
 }
 
-static struct pending *pending_add(struct ht_caller *c, struct listener *l, coap_session_t *session,
+static struct pending *pending_add(struct ht_caller *c, coap_session_t *session,
 				   const coap_pdu_t *pdu)
 {
 	coap_bin_const_t token = coap_pdu_get_token(pdu);
@@ -99,12 +99,10 @@
 	if (!p)
 		return NULL;
 	p->handle = ++c->next_handle;
-	p->listener = l;
 	p->session = coap_session_reference(session);
 	p->token_len = (uint8_t)token.length;
 	if (token.length)
 		memcpy(p->token, token.s, token.length);
-	l->pending++;
 	g_hash_table_insert(c->pending, &p->handle, p);
 	return p;
 }
@@ -113,7 +111,6 @@
 {
 	struct pending *p = data;
 
-	p->listener->pending--;
 	coap_session_release(p->session);
 	free(p);
 }
@@ -152,7 +149,7 @@
 	addr_from_coap(&caller, coap_session_get_addr_remote(session));
 	msg.req.service = l->service;
 	msg.req.flow = ht_flow_id(&caller, l->service);
-	p = pending_add(c, l, session, request);
+	p = pending_add(c, session, request);
 	if (p)
 		c->p.ops->request(c->p.ctx, p->handle, &msg.req);
 	else
@@ -184,6 +181,7 @@
 
 static void listener_open(struct ht_caller *c, struct listener *l)
 {
+	int fd = ht_datagram_filter_next_fd();
 	coap_address_t addr;
 	char text[HT_ADDR_TEXT];
 
@@ -194,6 +192,8 @@
 	ht_addr_format(&l->addr, text);
 	if (l->ep) {
 		l->failure_logged = false;
+		if (!ht_datagram_filter_attach(fd, &l->addr))
+			ht_log_event(c->p.log, HT_EV_SERVICE_UNFILTERED, 0, 0, "address=%s", text);
 		ht_log_event(c->p.log, HT_EV_SERVICE_OPENED, 0, 0, "address=%s", text);
 	} else if (!l->failure_logged) {
 		l->failure_logged = true;
@@ -201,36 +201,6 @@
 	}
 }
 
-static void listener_close(struct ht_caller *c, struct listener *l)
-{
-	char text[HT_ADDR_TEXT];
-
-	ht_addr_format(&l->addr, text);
-	ht_log_event(c->p.log, HT_EV_SERVICE_CLOSED, 0, 0, "address=%s", text);
-	if (l->ep)
-		coap_free_endpoint(l->ep);
-	ht_list_del(&l->node);
-	g_hash_table_remove(c->by_addr, text);
-}
-
-/*
- * Closes one address that no service uses. An endpoint stays until its open requests are answered,
- * since they refer to its sessions.
- */
-static void close_unused(struct ht_caller *c)
-{
-	struct ht_list *pos;
-
-	ht_list_for_each (pos, &c->listeners) {
-		struct listener *l = ht_container_of(pos, struct listener, node);
-
-		if (!l->service && !l->pending) {
-			listener_close(c, l);
-			return;
-		}
-	}
-}
-
 static void rebind(struct ht_caller *c, ht_ms now)
 {
 	struct ht_list *pos;
@@ -275,7 +245,6 @@
 	(void)revents;
 	coap_io_process(c->coap, COAP_IO_NO_WAIT);
 	report_malformed(c, now);
-	close_unused(c);
 	if (now >= c->next_rebind)
 		rebind(c, now);
 }
@@ -318,6 +287,25 @@
 		listener_open(c, l);
 }
 
+/*
+ * The endpoint of an address that no service uses any more stays open and refuses requests: libcoap
+ * aborts the process when an endpoint is freed while anything refers to one of its sessions.
+ */
+static void log_unserved(struct ht_caller *c)
+{
+	char text[HT_ADDR_TEXT];
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &c->listeners) {
+		struct listener *l = ht_container_of(pos, struct listener, node);
+
+		if (l->served && !l->service)
+			ht_log_event(c->p.log, HT_EV_SERVICE_CLOSED, 0, 0, "address=%s",
+				     ht_addr_format(&l->addr, text));
+		l->served = l->service != 0;
+	}
+}
+
 void ht_caller_configure(struct ht_caller *caller, const struct ht_config *cfg)
 {
 	struct ht_list *pos;
@@ -327,6 +315,7 @@
 	for (size_t i = 0; i < cfg->service_count; i++)
 		if (strcmp(cfg->services[i].region, caller->p.region) == 0)
 			serve(caller, &cfg->services[i]);
+	log_unserved(caller);
 }
 
 static void register_handlers(coap_resource_t *r)
@@ -389,15 +378,11 @@
 
 void ht_caller_free(struct ht_caller *caller)
 {
-	struct ht_list *pos, *tmp;
-
 	if (!caller)
 		return;
 	ev_io_stop(caller->p.loop, &caller->io);
 	ev_timer_stop(caller->p.loop, &caller->tick);
 	g_hash_table_destroy(caller->pending);
-	ht_list_for_each_safe (pos, tmp, &caller->listeners)
-		listener_close(caller, ht_container_of(pos, struct listener, node));
 	g_hash_table_destroy(caller->by_addr);
 	coap_free_context(caller->coap);
 	coap_set_log_handler(NULL);
--- a/daemon/caller.h
+++ b/daemon/caller.h
@@ -31,7 +31,7 @@
 /** Drops requests that have no answer yet. */
 void ht_caller_free(struct ht_caller *caller);
 
-/** Opens the addresses of the services of the own region and closes the others. */
+/** Opens the addresses of the services of the own region; requests at others are refused. */
 void ht_caller_configure(struct ht_caller *caller, const struct ht_config *cfg);
 
 /** Answers a request; false when @handle is not open. */
--- a/tests/daemon/test_caller.c
+++ b/tests/daemon/test_caller.c
@@ -10,6 +10,7 @@
 
 struct seen {
 	int requests;
+	bool refuse; /* answers at once */
 	uint64_t handle;
 	struct ht_request req;
 	char path[64], query[64];
@@ -31,6 +32,9 @@
 	seen.req = *req;
 	snprintf(seen.path, sizeof(seen.path), "%s", req->path);
 	snprintf(seen.query, sizeof(seen.query), "%s", req->query);
+	if (seen.refuse)
+		ck_assert(ht_caller_answer(caller, handle,
+					   &(struct ht_answer){.code = HT_SERVICE_UNAVAILABLE}));
 }
 
 static const struct ht_caller_ops ops = {.request = on_request};
@@ -53,6 +57,15 @@
 	ht_config_put(cfg);
 }
 
+static void open_socket(void)
+{
+	struct ht_addr to;
+
+	ck_assert(ht_addr_parse(&to, address, NULL));
+	sock = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+	ck_assert_int_eq(connect(sock, (struct sockaddr *)&to.ss, to.len), 0);
+}
+
 static void set_up(void)
 {
 	struct ht_caller_params params = {
@@ -62,7 +75,6 @@
 		.counters = &counters,
 		.region = "r",
 	};
-	struct ht_addr to;
 
 	memset(&seen, 0, sizeof(seen));
 	memset(&counters, 0, sizeof(counters));
@@ -70,9 +82,7 @@
 	caller = ht_caller_new(&params, NULL);
 	ck_assert(caller != NULL);
 	configure(address);
-	ck_assert(ht_addr_parse(&to, address, NULL));
-	sock = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
-	ck_assert_int_eq(connect(sock, (struct sockaddr *)&to.ss, to.len), 0);
+	open_socket();
 }
 
 static void tear_down(void)
@@ -259,9 +269,10 @@
 	static const uint8_t truncated[] = {HEAD, 0xb9, 'x'};
 	static const uint8_t long_token[] = {0x4f, 0x01, 0x12, 0x34, 1, 2, 3};
 	static const uint8_t marker[] = {HEAD, 0xff};
-	uint8_t data[64];
+	uint8_t data[64] = {0};
 
 	set_up();
+	seen.refuse = true;
 	send_bytes(truncated, sizeof(truncated));
 	send_bytes(long_token, sizeof(long_token));
 	send_bytes(marker, sizeof(marker));
@@ -269,14 +280,22 @@
 	ck_assert_uint_eq(counters.values[HT_C_datagrams_malformed], 3);
 	ck_assert_int_eq(rig_events(&logs, HT_EV_DATAGRAM_MALFORMED), 1);
 	srandom(20261204);
-	for (int i = 0; i < 2000; i++) {
+	for (int i = 0; i < 20000; i++) {
 		size_t len = (size_t)random() % sizeof(data);
 
 		for (size_t j = 0; j < len; j++)
 			data[j] = (uint8_t)random();
+		if (i & 1)
+			data[0] = (uint8_t)(0x40 | data[0] % 9);
+		if (i & 2)
+			data[1] = (uint8_t)(1 + data[1] % 4);
 		send_bytes(data, len);
-		if (i % 50 == 0)
-			rig_pass(loop, 5);
+		if (i % 20)
+			continue;
+		rig_pass(loop, 2);
+		/* Another caller, so that sessions are replaced too. */
+		close(sock);
+		open_socket();
 	}
 	rig_pass(loop, 200);
 	seen.requests = 0;
@@ -316,6 +335,34 @@
 }
 END_TEST
 
+/* Guards against signalling codes, which only connections know, that cut off a caller: libcoap
+ * takes them from datagrams too, answers a ping by a retransmitted pong and drops a session on
+ * abort. */
+START_TEST(signals_in_datagrams_are_dropped)
+{
+	static const uint8_t get[] = {HEAD, 0xb1, 'x'};
+	static const uint8_t ping[] = {0x40, 0xe2, 0x00, 0x01};
+	static const uint8_t abort_[] = {0x40, 0xe5, 0x00, 0x02};
+	struct ht_answer ans = {.code = HT_CONTENT, .verdict = HT_RAN};
+	coap_pdu_t *pdu;
+
+	set_up();
+	send_bytes(ping, sizeof(ping));
+	ck_assert(receive() == NULL);
+	send_bytes(abort_, sizeof(abort_));
+	rig_pass(loop, 20);
+	send_bytes(get, sizeof(get));
+	coap_delete_pdu(receive());
+	ck_assert_int_eq(seen.requests, 1);
+	ck_assert(ht_caller_answer(caller, seen.handle, &ans));
+	pdu = receive();
+	ck_assert_msg(pdu != NULL, "no answer after an abort");
+	ck_assert_int_eq((int)coap_pdu_get_code(pdu), HT_CONTENT);
+	coap_delete_pdu(pdu);
+	tear_down();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("caller");
@@ -330,6 +377,7 @@
 	/* Counts events of the shared ring, so it comes first. */
 	tcase_add_test(tc, removed_service_finishes_open_requests);
 	tcase_add_test(tc, malformed_datagrams_are_counted);
+	tcase_add_test(tc, signals_in_datagrams_are_dropped);
 	tcase_add_test(tc, request_reaches_the_core_whole);
 	tcase_add_test(tc, answer_goes_out_whole);
 	tcase_add_test(tc, cancellation_names_the_other_token);
