--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -15,6 +15,8 @@
 /* Messages kept while a link is being opened. */
 #define QUEUE_MAX ((size_t)256 * 1024)
 
+#define STRANGER_LOG_MS 1000
+
 /* Accepted sockets that have not proved the key yet. */
 #define UNPROVEN_MAX 512
 
@@ -144,19 +146,34 @@
 	ps->p.ops->message(ps->p.ctx, s->id, msg);
 }
 
+/* Strangers can open connections as fast as they like; one line a second tells of them. */
+static bool may_log(struct ht_peers *ps, const struct ht_peer_session *s)
+{
+	ht_ms now = now_ms();
+
+	if (s->proven || s->dialed)
+		return true;
+	if (now < ps->next_stranger_log)
+		return false;
+	ps->next_stranger_log = now + STRANGER_LOG_MS;
+	return true;
+}
+
 static void log_end(struct ht_peers *ps, const struct ht_peer_session *s, enum ht_link_end end,
 		    const char *reason)
 {
 	uint64_t id = s->id ? s->id : s->expected;
+	enum ht_event_number number = HT_EV_PEER_REFUSED;
 
 	if (end == HT_LINK_MALFORMED) {
 		ht_count(ps->p.counters, HT_C_frames_malformed, 1);
-		ht_log_event(ps->p.log, HT_EV_FRAME_MALFORMED, 0, id, "peer=%s reason=\"%s\"",
-			     s->other.info.name, reason);
-	} else if (end == HT_LINK_UNPROVEN) {
-		ht_log_event(ps->p.log, HT_EV_PEER_REFUSED, 0, id, "peer=%s reason=\"%s\"",
-			     s->other.info.name, reason);
+		number = HT_EV_FRAME_MALFORMED;
+	} else if (end != HT_LINK_UNPROVEN) {
+		return;
 	}
+	if (may_log(ps, s))
+		ht_log_event(ps->p.log, number, 0, id, "peer=%s reason=\"%s\"", s->other.info.name,
+			     reason);
 }
 
 static void link_lost(struct ht_peer *p, const struct ht_peer_session *s, const char *reason)
--- a/daemon/peers_internal.h
+++ b/daemon/peers_internal.h
@@ -40,6 +40,7 @@
 	struct ht_list all;	/* of struct ht_peer */
 	struct ht_list unowned; /* accepted or retired sessions */
 	size_t unowned_count;
+	ht_ms next_stranger_log;
 };
 
 static inline bool ht_peer_same_dc(const struct ht_peer *p)
--- a/tests/daemon/test_peers.c
+++ b/tests/daemon/test_peers.c
@@ -259,10 +259,12 @@
 	node_start(&a, "a", "dc", addr[0], 1, 7);
 	fd[0] = connect_to(addr[0]);
 	ck_assert_int_gt(send(fd[0], garbage, sizeof(garbage), 0), 0);
+	rig_pass(loop, 1100);
 	fd[1] = connect_to(addr[0]);
 	msg.kind_case = HT__PEER_MSG__KIND_CONFIG_ANNOUNCE;
 	msg.config_announce = &ann;
 	send_frame(fd[1], &msg);
+	rig_pass(loop, 1100);
 	fd[2] = connect_to(addr[0]); /* says nothing at all */
 	rig_pass(loop, 2500);
 	ck_assert_uint_eq(a.counters.values[HT_C_frames_malformed], 1);
@@ -279,6 +281,28 @@
 }
 END_TEST
 
+/* Guards against strangers that fill the log and the event ring. */
+START_TEST(strangers_log_one_line_a_second)
+{
+	static const uint8_t garbage[] = {0xff, 0xff, 0xff, 0xff};
+	char addr[HT_ADDR_TEXT];
+	struct node a;
+
+	rig_address(addr, SOCK_STREAM);
+	node_start(&a, "a", "dc", addr, 1, 7);
+	for (int i = 0; i < 50; i++) {
+		int fd = connect_to(addr);
+
+		ck_assert_int_gt(send(fd, garbage, sizeof(garbage), 0), 0);
+		rig_pass(loop, 5);
+		close(fd);
+	}
+	ck_assert_uint_eq(a.counters.values[HT_C_frames_malformed], 50);
+	ck_assert_int_le(rig_events(&a.log, HT_EV_FRAME_MALFORMED), 3);
+	node_stop(&a);
+}
+END_TEST
+
 /* Reads one message of the other side, which the loop must deliver. */
 static Ht__PeerMsg *read_message(int fd, struct ht_buffer *in)
 {
@@ -432,6 +456,7 @@
 	tcase_add_test(tc, new_incarnation_ends_the_old_one);
 	tcase_add_test(tc, other_data_centre_on_demand);
 	tcase_add_test(tc, strangers_are_cut_off);
+	tcase_add_test(tc, strangers_log_one_line_a_second);
 	tcase_add_test(tc, slow_peer_is_bounded);
 	tcase_add_test(tc, malformed_frame_closes_the_link);
 	tcase_add_test(tc, proof_binds_both_nonces_and_the_sender);
