--- a/core/path.c
+++ b/core/path.c
@@ -17,6 +17,18 @@
 	ht_ingress_request(ctx, handle, req);
 }
 
+static bool add_waiters(struct ht_job *job, const Ht__Forward *m)
+{
+	size_t n =
+		m->n_more_ingress < m->n_more_ingress_id ? m->n_more_ingress : m->n_more_ingress_id;
+
+	if (!ht_job_add_waiter(job, m->ingress, m->ingress_id))
+		return false;
+	for (size_t i = 0; i < n && i < HT_MORE_INGRESS_MAX; i++)
+		ht_job_add_waiter(job, m->more_ingress[i], m->more_ingress_id[i]);
+	return true;
+}
+
 static void router_forward(void *ctx, uint64_t peer, const Ht__Forward *m)
 {
 	struct ht_request_path *p = ctx;
@@ -26,7 +38,7 @@
 
 	p->config->seen(p->config->ctx, peer, m->config_version);
 	ht_body_put(body);
-	if (!job || !ht_job_add_waiter(job, m->ingress, m->ingress_id)) {
+	if (!job || !add_waiters(job, m)) {
 		if (job)
 			ht_job_free(p, job);
 		return;
@@ -244,6 +256,7 @@
 	p->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_list_init(&p->parked);
 	ht_list_init(&p->hops);
+	p->hop_index = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_handover_init(p);
 	if (!p->timers || !p->flows || !p->ledger || !p->home_retries || !p->ingress_retries) {
 		ht_request_path_free(p);
@@ -272,6 +285,7 @@
 		return;
 	free_all(p);
 	ht_handover_free(p);
+	g_hash_table_destroy(p->hop_index);
 	g_hash_table_destroy(p->jobs);
 	g_hash_table_destroy(p->pending);
 	g_hash_table_destroy(p->targets);
--- a/core/path.h
+++ b/core/path.h
@@ -44,6 +44,7 @@
 	GHashTable *jobs;    /**< struct ht_job by id */
 	struct ht_list parked;
 	struct ht_list hops;
+	GHashTable *hop_index; /**< newest job in hops by the request's event id */
 	uint64_t next_id;
 	uint32_t ticket_sequence;
 	bool handing_over;
@@ -89,6 +90,8 @@
 	uint32_t flags; /**< ForwardFlag bits it arrived with */
 	uint32_t hop_flags;
 	uint64_t hop_target;
+	uint64_t hop_key;	  /**< in hop_index while set */
+	unsigned int hop_waiters; /**< how many of the waiters the forward carried */
 	uint32_t hops_left;
 	uint64_t config_version;
 	double wait;		 /**< sender's estimate, with FORWARD_DEFLECTED */
@@ -143,6 +146,8 @@
 /* router_home.c: requests at the home */
 struct ht_job *ht_job_new(struct ht_request_path *p, struct ht_body *body, uint64_t sender);
 bool ht_job_add_waiter(struct ht_job *job, uint64_t ingress, uint64_t ingress_id);
+/** All who wait for @repeat now wait for @job; false when out of memory. */
+bool ht_job_attach(struct ht_job *job, const struct ht_job *repeat);
 void ht_job_free(struct ht_request_path *p, struct ht_job *job);
 /** Decides what happens to the job now: serve, look up, deflect, park, refuse. */
 void ht_home_decide(struct ht_request_path *p, struct ht_job *job);
@@ -235,6 +240,10 @@
 void ht_handover_free(struct ht_request_path *p);
 /** Publishes "ledger". */
 void ht_handover_publish(struct ht_request_path *p);
+/** Takes in a ledger; the "entries" of the published interface. */
+void ht_handover_take(void *ctx, uint64_t peer, const Ht__LedgerEntries *m);
+/** Drops ledgers that are too old to say anything about a ticket. */
+void ht_handover_forget(struct ht_request_path *p);
 /** Tells the instances that got the ledger about a change of a posting. */
 void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e);
 /**
@@ -251,6 +260,8 @@
 void ht_cancel_decide(struct ht_request_path *p, struct ht_job *job);
 
 /* router_answer.c: answers to ingresses; all take the job's waiters */
+/** Answers all who wait for @job. */
+void ht_reply_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *answer);
 void ht_reply_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code,
 		     enum ht_verdict verdict, ht_ms retry_after, const char *why);
 void ht_reply_unavailable(struct ht_request_path *p, struct ht_job *job, const char *why);
@@ -284,11 +295,25 @@
 }
 
 /** Fills @msg and @fwd with the request; both point into @body. */
+/** Notes where @job was forwarded, so that repeats of its request follow it. */
+void ht_follow_note(struct ht_request_path *p, struct ht_job *job);
+void ht_follow_forget(struct ht_request_path *p, struct ht_job *job);
+/** Sends a repeat after the copy that was forwarded before; true when it has gone. */
+bool ht_follow(struct ht_request_path *p, struct ht_job *job);
+/** The copy was taken: sends on the repeats that came while this was open. */
+void ht_follow_send_late(struct ht_request_path *p, struct ht_job *job);
+
+/** Further ingresses that one forward can carry; repeats beyond them get the verdict at their
+ * deadline. */
+#define HT_MORE_INGRESS_MAX 15
+
 struct ht_forward_frame {
 	Ht__PeerMsg msg;
 	Ht__Forward forward;
 	Ht__RequestKey key;
 	Ht__Ticket ticket;
+	uint64_t more_ingress[HT_MORE_INGRESS_MAX];
+	uint64_t more_ingress_id[HT_MORE_INGRESS_MAX];
 };
 void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body);
 
