core: a copy that attaches passes on that it may have run

Found by tests/property (configurations and targets change): the retry of a GET was lost at its target, came to the home where the first copy still waited, and attached to it; the refusal at the deadline then said "not run" for both. A refusal that was kept was replayed to such a retry in the same way. Now the least verdict of the attached copy goes to the open request, and a retry that may have run is told so.

Before: test lost_retry_attaches fails with the verdict not run. After: it passes. tests/core/test_cores fails (random_failures) with and without this change.

--- a/core/router_home.c
+++ b/core/router_home.c
@@ -231,6 +231,9 @@
 	if (e->job && !e->job->answered) {
 		if (!ht_job_add_waiter(e->job, job->waiters[0].ingress, job->waiters[0].ingress_id))
 			return false;
+		/* A retry may have run elsewhere: a refusal of both must not say "not run". */
+		if (job->floor > e->job->floor)
+			e->job->floor = job->floor;
 		ht_path_event(p, REQUEST_ATTACHED, job->body, e->job->target, 0, "waiters=%u",
 			      e->job->waiter_count);
 		ht_job_free(p, job);
@@ -238,6 +241,11 @@
 	}
 	if (e->state != HT_ENTRY_ANSWERED)
 		return false;
+	if (e->verdict < job->floor) {
+		ht_reply_may_have_run(p, job, "refused_before");
+		ht_job_free(p, job);
+		return true;
+	}
 	ht_path_count(p, HT_C_replays);
 	ht_path_event(p, REQUEST_REPLAYED, job->body, e->target, 0, "verdict=%s",
 		      ht_verdict_name(e->verdict));
