--- a/bench/capacity_control.c
+++ b/bench/capacity_control.c
@@ -109,14 +109,24 @@
 /* Each event is measured over this time. */
 #define WINDOW 39000
 
-static struct tally event(struct sim *s, void (*act)(struct sim *s, int n), int n)
+/* The event concerns instance 0; @own: its own bytes are printed too. */
+static void event(struct sim *s, const char *name, void (*act)(struct sim *s, int n), int n,
+		  bool own)
 {
 	static struct snapshot at;
+	struct tally t;
 
 	mark(s, &at);
 	act(s, n);
 	sim_run(s, s->now + WINDOW);
-	return since(s, &at, 1, n - 1);
+	t = since(s, &at, 1, n - 1);
+	printf("n=%-3d %-21s ", n, name);
+	print_tally(&t);
+	if (!own)
+		return;
+	t = since(s, &at, 0, 0);
+	printf("n=%-3d %-21s ", n, "  at the instance");
+	print_tally(&t);
 }
 
 static void act_change(struct sim *s, int n)
@@ -171,10 +181,7 @@
 
 	idle_rate(s, n);
 	for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
-		struct tally t = event(s, events[i].act, n);
-
-		printf("n=%-3d %-21s ", n, events[i].name);
-		print_tally(&t);
+		event(s, events[i].name, events[i].act, n, events[i].act == act_join);
 	}
 	sim_free(s);
 }
@@ -271,6 +278,21 @@
 	sim_free(s);
 }
 
+/* An instance of a data centre of 54 starts while the list holds 2,800 instances. */
+static void join_long_list(void)
+{
+	struct rules_shape shape = {.services = 3, .targets = 8 * 54, .dcs = 1};
+	struct sim *s = capacity_sim(15, 54, &shape);
+
+	s->ghosts = 2800 - 54;
+	sim_publish(s);
+	sim_run(s, s->now + 10000);
+	printf("list of 2,800 instances:\n");
+	event(s, "end with proof", act_die, 54, false);
+	event(s, "join", act_join, 54, true);
+	sim_free(s);
+}
+
 /* An empty instance reads the whole configuration from a peer while the platform is down. */
 static void empty_start(void)
 {
@@ -313,5 +335,6 @@
 	behind(8);
 	behind(9);
 	behind(40);
+	join_long_list();
 	empty_start();
 }
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -526,11 +526,36 @@
 	ht_core_target_answer(n->core, &ans);
 }
 
+static void fill_ghost(struct ht_instance_info *info, int i)
+{
+	*info = (struct ht_instance_info){.size = 1};
+	snprintf(info->name, sizeof(info->name), "region%d-dc%02d-%d", i % 8 + 1, i % 25 + 2,
+		 i / 25 + 1);
+	snprintf(info->dc, sizeof(info->dc), "region%d-dc%02d", i % 8 + 1, i % 25 + 2);
+	snprintf(info->peer_address, sizeof(info->peer_address), "127.2.%d.%d:7000", i / 250,
+		 i % 250 + 1);
+	snprintf(info->admin_address, sizeof(info->admin_address), "127.2.%d.%d:7001", i / 250,
+		 i % 250 + 1);
+}
+
+static void list_reply(struct sim *s, struct sim_node *n, bool down)
+{
+	struct ht_instance_info *list =
+		checked(calloc((size_t)(s->node_count + s->ghosts), sizeof(*list)));
+	int count = 0;
+
+	for (int i = 0; i < s->node_count; i++)
+		if (s->nodes[i].listed)
+			list[count++] = info_of(&s->nodes[i]);
+	for (int i = 0; i < s->ghosts; i++)
+		fill_ghost(&list[count++], i);
+	ht_core_live_list(n->core, s->revision, list, down ? -1 : count);
+	free(list);
+}
+
 static void platform_reply(struct sim *s, struct sim_node *n, const struct sim_event *ev)
 {
 	bool down = s->platform_down || n->no_platform;
-	struct ht_instance_info list[SIM_NODES];
-	int count = 0;
 
 	if (ev->call == HT_PLATFORM_WATCH_HEAD && !down && s->head && s->head->version == ev->id) {
 		struct sim_event again = *ev;
@@ -543,10 +568,7 @@
 		ht_core_platform_config(n->core, down ? NULL : s->head);
 		return;
 	}
-	for (int i = 0; i < s->node_count; i++)
-		if (s->nodes[i].listed)
-			list[count++] = info_of(&s->nodes[i]);
-	ht_core_live_list(n->core, s->revision, list, down ? -1 : count);
+	list_reply(s, n, down);
 }
 
 static void dispatch(struct sim *s, const struct sim_event *ev)
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -81,6 +81,7 @@
 	struct ht_config *head;
 	bool platform_down;
 	uint64_t revision;
+	int ghosts; /**< instances of other data centres that are only in the list */
 	uint64_t platform_calls[SIM_PLATFORM_CALLS];
 	struct ht_core_params params; /**< limits for nodes started from now on */
 	struct sim_hooks hooks;
