core: an instance without a list asks one peer at a time

Cause: each link that came up before the first list had arrived asked for the whole list, so every peer of the data centre sent it.

--- a/core/members.h
+++ b/core/members.h
@@ -83,6 +83,7 @@
 	uint64_t view, epoch;
 	bool leaving, lease_held, voteless;
 	uint64_t list_revision;
+	ht_ms list_asked_at; /* 0: never */
 	struct ht_home_entry *homes;
 	size_t home_count;
 	uint64_t homes_view;
--- a/core/membership.c
+++ b/core/membership.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Distance between two requests for the whole list, while none is known. */
+#define LIST_ASK_MS 1000
+
 /* A gap between two ticks longer than a heartbeat interval plus this is a pause of the process. */
 #define GAP_MS 500
 
@@ -165,6 +168,17 @@
 	}
 }
 
+/* One peer at a time: the list of 2,800 instances has 212 KB, and each peer would send all of it.
+ */
+static void ask_for_list(struct ht_membership *m, const struct ht_member *p)
+{
+	if (m->list_revision != 0 ||
+	    (m->list_asked_at && m->env->now < m->list_asked_at + LIST_ASK_MS))
+		return;
+	m->list_asked_at = m->env->now;
+	ht_membership_ask_list(m, p->id);
+}
+
 void ht_membership_heartbeat(struct ht_membership *m, uint64_t peer, const Ht__Heartbeat *msg)
 {
 	struct ht_member *p = ht_members_find(m, peer);
@@ -176,6 +190,7 @@
 	hear(m, p);
 	p->heard_sequence = msg->sequence;
 	p->config_version = msg->config_version;
+	ask_for_list(m, p);
 	if (msg->leaving && !p->leaving) {
 		p->leaving = true;
 		m->env->emit(m->env, HT_EV_MEMBER_LEAVING, 0, 0, 0, p->id, "name=%s", p->info.name);
@@ -234,8 +249,8 @@
 	hear(m, p);
 	if (p->local)
 		prompt(m, p);
-	if (m->list_revision == 0 && p->local)
-		ht_membership_ask_list(m, p->id);
+	if (p->local)
+		ask_for_list(m, p);
 }
 
 void ht_membership_peer_down(struct ht_membership *m, uint64_t peer, uint64_t incarnation,
