core: admission counts the deviation of run times

Cause: a request was queued when its wait and the mean run time fitted into the deadline, and started with one mean run time left; with uneven run times a third of those that start last time out and waste the slot. Ruled out: deflection, whose count falls with the change without a change of placement.

--- a/core/router_place.c
+++ b/core/router_place.c
@@ -92,7 +92,7 @@
 
 	if (ht_place_home(p, conf) != p->env->self || !t)
 		return false;
-	return wait == 0 || (wait + t->service_time <= (double)(job->deadline - p->env->now) &&
+	return wait == 0 || (wait + ht_target_need(t) <= (double)(job->deadline - p->env->now) &&
 			     t->queued < p->env->params.queue_max);
 }
 
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -86,7 +86,7 @@
 		job->entry->job = job;
 		job->entry->target = t->id;
 	}
-	if (wait > 0 && (wait + t->service_time > (double)rest || rest <= 0)) {
+	if (wait > 0 && (wait + ht_target_need(t) > (double)rest || rest <= 0)) {
 		ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, (ht_ms)(wait + t->service_time),
 				"deadline_cannot_be_met");
 		ht_job_free(p, job);
@@ -161,7 +161,7 @@
 			return;
 		unqueue(t, job);
 		/* Work that cannot finish in time would take a slot from work that can. */
-		if ((double)(job->deadline - p->env->now) < t->service_time && t->queued) {
+		if ((double)(job->deadline - p->env->now) < ht_target_need(t) && t->queued) {
 			ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN,
 					"deadline_cannot_be_met");
 			ht_job_free(p, job);
--- a/core/targets.c
+++ b/core/targets.c
@@ -1,5 +1,6 @@
 #include "core/targets.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 struct ht_target *ht_target_new(uint64_t id)
@@ -27,8 +28,11 @@
 
 void ht_target_answered(struct ht_target *t, ht_ms ms, uint32_t slots)
 {
+	double off = (double)(ms > 0 ? ms : 0) - t->service_time;
+
 	/* One eighth follows a change of speed within some 20 answers and evens out single ones. */
-	t->service_time += ((double)(ms > 0 ? ms : 0) - t->service_time) / 8;
+	t->deviation += (fabs(off) - t->deviation) / 8;
+	t->service_time += off / 8;
 	if (t->service_time < 0.5)
 		t->service_time = 0.5;
 	t->lost = 0;
@@ -61,6 +65,11 @@
 	return owned < t->ramp ? owned : t->ramp;
 }
 
+double ht_target_need(const struct ht_target *t)
+{
+	return t->service_time + t->deviation;
+}
+
 double ht_target_wait(const struct ht_target *t, uint32_t usable)
 {
 	uint32_t ahead = t->queued + t->in_flight;
--- a/core/targets.h
+++ b/core/targets.h
@@ -27,6 +27,7 @@
 	uint32_t lost; /**< lost or timed out in sequence */
 	ht_ms probe_at;
 	double service_time; /**< mean, in ms */
+	double deviation;    /**< mean distance from service_time, in ms */
 	bool opened;	     /**< connections were asked for */
 	bool up;
 	bool draining; /**< by its own signal */
@@ -51,6 +52,12 @@
  */
 uint32_t ht_target_usable(const struct ht_target *t, uint32_t owned, ht_ms now);
 
+/**
+ * Time in ms that a request must have left to be worth a slot: the mean and one mean deviation.
+ * With the mean alone a third of the requests that start last ran into their deadline.
+ */
+double ht_target_need(const struct ht_target *t);
+
 /** Estimated wait in ms until a new request starts: 0 with a free slot, INFINITY without slots. */
 double ht_target_wait(const struct ht_target *t, uint32_t usable);
 
