hickoryctl: a version above every one in force when a data centre cannot be asked

Cause: after a restore of the platform to an older state, a version counted on from the head can repeat one that an unreachable data centre works by; the model of versions fails then (NO_CLOCK). Ruled out: refusing to apply, since operators must be able to repair during a partition. Before: version 41 in the test of a restored store whose only instance was unreachable.

--- a/ctl/change.c
+++ b/ctl/change.c
@@ -116,9 +116,23 @@
 	return status;
 }
 
+/*
+ * Above everything that is in force. A data centre that cannot be asked may work by a version that
+ * a restored platform no longer knows; the wall clock is above every version counted from 1.
+ */
+static uint64_t next_version(const struct ht_ctl_accepted *acc, const struct ht_ctl_in_force *in)
+{
+	uint64_t version = (in->version > acc->head.version ? in->version : acc->head.version) + 1;
+
+	if (!in->complete && acc->now > 0 && (uint64_t)acc->now > version)
+		version = (uint64_t)acc->now;
+	return version;
+}
+
 /* Fills the head that the change writes; @next is its configuration. */
 static bool build_head(struct ht_ctl_change *c, const struct ht_ctl_accepted *acc,
-		       const struct ht_config *next, uint64_t in_force, struct ht_err *err)
+		       const struct ht_config *next, const struct ht_ctl_in_force *in,
+		       struct ht_err *err)
 {
 	struct ht_rules_head *head = &c->head;
 	size_t keep = acc->head.recent_count;
@@ -136,7 +150,7 @@
 	memcpy(head->recent[1], acc->head.recent, keep * sizeof(head->recent[0]));
 	head->recent_count = keep + 1;
 	head->parent = acc->head.version;
-	head->version = (in_force > acc->head.version ? in_force : acc->head.version) + 1;
+	head->version = next_version(acc, in);
 	c->version = head->version;
 	return ht_rules_retire(acc->cfg, next, &acc->head.retired, acc->now, &head->retired) ||
 	       ht_err_set(err, HT_ENOMEM, "out of memory");
@@ -184,7 +198,7 @@
 		c->version = acc->head.version;
 		memcpy(c->change_id, acc->head.change_id, sizeof(c->change_id));
 		status = print_outcome(ctl, c, "unchanged", HT_CTL_DONE);
-	} else if (!build_head(c, acc, next, in.version, &err)) {
+	} else if (!build_head(c, acc, next, &in, &err)) {
 		status = ht_ctl_fail(ctl, HT_CTL_FAILED, "%s", err.text);
 	} else {
 		status = submit(ctl, c, acc);
--- a/ctl/inforce.c
+++ b/ctl/inforce.c
@@ -64,6 +64,22 @@
 	return true;
 }
 
+static bool dc_answered(const struct ht_ctl_fleet *fleet, const char *dc)
+{
+	for (size_t i = 0; i < fleet->count; i++)
+		if (strcmp(fleet->items[i].dc, dc) == 0 && fleet->items[i].reply)
+			return true;
+	return false;
+}
+
+static bool all_dcs_answered(const struct ht_ctl_fleet *fleet)
+{
+	for (size_t i = 0; i < fleet->count; i++)
+		if (!dc_answered(fleet, fleet->items[i].dc))
+			return false;
+	return true;
+}
+
 bool ht_ctl_in_force_read(struct ht_ctl *ctl, uint64_t head, struct ht_ctl_in_force *out,
 			  struct ht_err *err)
 {
@@ -75,6 +91,7 @@
 	ht_ctl_fleet_sample(&out->fleet, ASKED_PER_DC);
 	if (!ask(ctl, out, err))
 		return false;
+	out->complete = all_dcs_answered(&out->fleet);
 	if (out->version <= head)
 		return true;
 	ht_ctl_event(HT_EV_PLATFORM_OLDER, "platform=%" PRIu64 " in_force=%" PRIu64, head,
--- a/ctl/inforce.h
+++ b/ctl/inforce.h
@@ -6,6 +6,7 @@
 
 struct ht_ctl_in_force {
 	uint64_t version; /**< highest version that any source reports; 0 when none does */
+	bool complete;	  /**< an instance of each listed data centre has answered */
 	struct ht_ctl_fleet fleet;
 };
 
