Add the term of a hand-over to claims and replies

Cause: a claim that waited on a cut link named a release from before the holder had claimed the target again, and the voter moved its vote away from an active owner.

--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -2010,7 +2010,7 @@
   (ProtobufCMessageInit) ht__returned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[7] =
 {
   {
     "target",
@@ -2084,11 +2084,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holder_term",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimedTarget, holder_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__claimed_target__field_indices_by_name[] = {
   2,   /* field[2] = granted */
   5,   /* field[5] = hold_ms */
   4,   /* field[4] = holder */
+  6,   /* field[6] = holder_term */
   1,   /* field[1] = in_flight */
   0,   /* field[0] = target */
   3,   /* field[3] = was_owner */
@@ -2096,7 +2109,7 @@
 static const ProtobufCIntRange ht__claimed_target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ht__claimed_target__descriptor =
 {
@@ -2106,14 +2119,14 @@
   "Ht__ClaimedTarget",
   "ht",
   sizeof(Ht__ClaimedTarget),
-  6,
+  7,
   ht__claimed_target__field_descriptors,
   ht__claimed_target__field_indices_by_name,
   1,  ht__claimed_target__number_ranges,
   (ProtobufCMessageInit) ht__claimed_target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__claim__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ht__claim__field_descriptors[3] =
 {
   {
     "epoch",
@@ -2139,15 +2152,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Claim, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__claim__field_indices_by_name[] = {
   0,   /* field[0] = epoch */
   1,   /* field[1] = targets */
+  2,   /* field[2] = term */
 };
 static const ProtobufCIntRange ht__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ht__claim__descriptor =
 {
@@ -2157,14 +2183,14 @@
   "Ht__Claim",
   "ht",
   sizeof(Ht__Claim),
-  2,
+  3,
   ht__claim__field_descriptors,
   ht__claim__field_indices_by_name,
   1,  ht__claim__number_ranges,
   (ProtobufCMessageInit) ht__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__claim_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ht__claim_reply__field_descriptors[3] =
 {
   {
     "epoch",
@@ -2190,15 +2216,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimReply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__claim_reply__field_indices_by_name[] = {
   0,   /* field[0] = epoch */
   1,   /* field[1] = targets */
+  2,   /* field[2] = term */
 };
 static const ProtobufCIntRange ht__claim_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ht__claim_reply__descriptor =
 {
@@ -2208,7 +2247,7 @@
   "Ht__ClaimReply",
   "ht",
   sizeof(Ht__ClaimReply),
-  2,
+  3,
   ht__claim_reply__field_descriptors,
   ht__claim_reply__field_indices_by_name,
   1,  ht__claim_reply__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -325,10 +325,14 @@
    * replies: requests of a dead owner may still run for so long
    */
   uint32_t hold_ms;
+  /*
+   * claims: term of the holder's reply that granted
+   */
+  uint64_t holder_term;
 };
 #define HT__CLAIMED_TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claimed_target__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -340,10 +344,14 @@
   uint64_t epoch;
   size_t n_targets;
   Ht__ClaimedTarget **targets;
+  /*
+   * rises with each hand-over by the sender; see ClaimReply
+   */
+  uint64_t term;
 };
 #define HT__CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claim__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 struct  Ht__ClaimReply
@@ -352,10 +360,14 @@
   uint64_t epoch;
   size_t n_targets;
   Ht__ClaimedTarget **targets;
+  /*
+   * a grant ends the sender's own claims up to this term
+   */
+  uint64_t term;
 };
 #define HT__CLAIM_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claim_reply__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 /*
