--- a/core/handover.c
+++ b/core/handover.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define BATCH_ENTRIES 128
+#define FLOW_PAIRS 4096
 /* Larger bodies are left out; the verdict "ran" is kept. Frames stay below 1 MiB. */
 #define BODY_MAX 4096
 /* A receiver that does not acknowledge for this long is given up; its copy stays incomplete. */
@@ -24,21 +25,13 @@
 	bool last;
 };
 
-/* A ledger received from another incarnation. */
-struct predecessor {
-	uint64_t incarnation;
-	uint32_t next; /* batch expected next */
-	ht_ms clock;   /* its clock minus the own clock */
-	ht_ms received;
-	bool gap;
-	bool complete;
-};
-
 struct batch {
 	struct ht_request_path *p;
 	struct follower *f;
 	uint64_t target; /* 0: all */
 	size_t count;
+	uint64_t *flows; /* pairs of flow and target, instead of entries */
+	size_t flow_count;
 	Ht__LedgerEntry *entries[BATCH_ENTRIES];
 	Ht__LedgerEntry entry[BATCH_ENTRIES];
 	Ht__RequestKey key[BATCH_ENTRIES];
@@ -55,12 +48,10 @@
 
 void ht_handover_free(struct ht_request_path *p)
 {
-	while (!ht_list_empty(&p->followers)) {
-		struct follower *f = ht_container_of(p->followers.next, struct follower, node);
+	struct ht_list *pos, *next;
 
-		ht_list_del(&f->node);
-		free(f);
-	}
+	ht_list_for_each_safe (pos, next, &p->followers)
+		free(ht_container_of(pos, struct follower, node));
 	g_hash_table_destroy(p->predecessors);
 }
 
@@ -90,8 +81,8 @@
 	free(f);
 }
 
-/* False when the follower was given up. */
-static bool flush_batch(struct batch *b, bool last)
+/* Leaves @b without a follower when that was given up. */
+static void flush_batch(struct batch *b, bool last)
 {
 	struct ht_request_path *p = b->p;
 	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
@@ -103,19 +94,20 @@
 	m.last = last;
 	m.batch = b->f->sent;
 	m.now_ms = p->env->now;
+	m.flows = b->flows;
+	m.n_flows = b->flow_count;
 	msg.kind_case = HT__PEER_MSG__KIND_LEDGER_ENTRIES;
 	msg.ledger_entries = &m;
 	b->count = 0;
 	if (!p->env->send(p->env, b->f->peer, &msg)) {
 		give_up(p, b->f, "not_sent");
 		b->f = NULL;
-		return false;
+		return;
 	}
 	if (b->f->sent == b->f->acked)
 		b->f->waiting_since = p->env->now;
 	b->f->sent++;
 	b->f->last = b->f->last || last;
-	return true;
 }
 
 static void fill_answer(struct batch *b, size_t i, const struct ht_entry *e)
@@ -165,13 +157,15 @@
 		flush_batch(b, false);
 }
 
-static void send_ledger(struct ht_request_path *p, struct follower *f, uint64_t target, bool last)
+/* False when the follower was given up. */
+static bool send_ledger(struct ht_request_path *p, struct follower *f, uint64_t target, bool last)
 {
 	struct batch *b = calloc(1, sizeof(*b));
+	bool taken;
 
 	if (!b) {
 		give_up(p, f, "memory");
-		return;
+		return false;
 	}
 	b->p = p;
 	b->f = f;
@@ -183,7 +177,9 @@
 	if (b->f)
 		p->env->emit(p->env, HT_EV_LEDGER_SENT, 0, 0, target, f->peer, "batches=%u last=%d",
 			     f->sent, last);
+	taken = b->f != NULL;
 	free(b);
+	return taken;
 }
 
 void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e)
@@ -200,7 +196,7 @@
 		b->p = p;
 		b->f = ht_container_of(pos, struct follower, node);
 		add_entry(b, (struct ht_entry *)e);
-		if (b->count)
+		if (b->f && b->count)
 			flush_batch(b, false);
 		free(b);
 	}
@@ -209,23 +205,87 @@
 /* Sends every posting; later changes follow one by one, and the mark `last` at the end. */
 static void send_whole(struct ht_request_path *p, struct follower *f)
 {
-	uint64_t peer = f->peer;
-
-	send_ledger(p, f, 0, false);
-	f = follower_of(p, peer, false);
-	if (!f)
+	if (!send_ledger(p, f, 0, false))
 		return;
 	f->whole = true;
 	if (p->ledger_closed)
 		send_ledger(p, f, 0, true);
 }
 
+/* Flows to hand over with a target: those that live there, and its exceptions. */
+struct flow_batch {
+	struct ht_request_path *p;
+	struct follower *f;
+	uint64_t target;
+	size_t count, total;
+	uint64_t pairs[FLOW_PAIRS * 2];
+};
+
+static void flush_flows(struct flow_batch *b)
+{
+	struct batch *frame = b->count ? calloc(1, sizeof(*frame)) : NULL;
+
+	if (!frame)
+		return;
+	frame->p = b->p;
+	frame->f = b->f;
+	frame->flows = b->pairs;
+	frame->flow_count = b->count * 2;
+	flush_batch(frame, false);
+	b->f = frame->f;
+	b->total += b->count;
+	b->count = 0;
+	free(frame);
+}
+
+static void add_flow(void *ctx, uint64_t flow, uint64_t target)
+{
+	struct flow_batch *b = ctx;
+	struct ht_config *cfg = b->p->config->current(b->p->config->ctx);
+	const struct ht_target_conf *conf = cfg ? ht_config_target(cfg, target) : NULL;
+	struct ht_row row;
+
+	if (!conf || !b->f)
+		return;
+	if (target != b->target) {
+		ht_placement_row(&row, ht_config_service(cfg, conf->service), flow);
+		if (!row.count || row.at[0]->id != b->target)
+			return;
+	}
+	b->pairs[b->count * 2] = flow;
+	b->pairs[b->count * 2 + 1] = target;
+	if (++b->count == FLOW_PAIRS)
+		flush_flows(b);
+}
+
+/*
+ * Without its flows the new owner could not tell an established flow from a new one after the next
+ * change of the target set. 16 bytes a flow, once for each planned change of a home.
+ */
+static void send_flows(struct ht_request_path *p, uint64_t target, uint64_t to)
+{
+	struct flow_batch *b = calloc(1, sizeof(*b));
+
+	if (!b)
+		return;
+	b->p = p;
+	b->f = follower_of(p, to, true);
+	b->target = target;
+	ht_flows_each(p->flows, add_flow, b);
+	if (b->f)
+		flush_flows(b);
+	p->env->emit(p->env, HT_EV_FLOWS_SENT, 0, 0, target, to, "flows=%zu", b->total);
+	free(b);
+}
+
 /* While stopping, the receiver gets everything: any of the tickets may be asked for there. */
 static void hand_over(void *ctx, uint64_t target, uint64_t to)
 {
 	struct ht_request_path *p = ctx;
-	struct follower *f = follower_of(p, to, true);
+	struct follower *f;
 
+	send_flows(p, target, to);
+	f = follower_of(p, to, true);
 	if (!f || f->whole)
 		return;
 	if (!p->env->stopping) {
@@ -303,81 +363,6 @@
 	return true;
 }
 
-static void take_entry(struct ht_request_path *p, const Ht__LedgerEntry *m)
-{
-	struct ht_body body = {.method = HT_POST, .has_ticket = true};
-	struct ht_answer a = {0};
-	struct ht_entry *e;
-
-	if (!m->key || !m->key->ticket || m->key->token.len > HT_TOKEN_MAX ||
-	    m->state > HT__LEDGER_STATE__LEDGER_UNKNOWN)
-		return;
-	body.flow = m->key->flow;
-	body.token_len = (uint8_t)m->key->token.len;
-	if (body.token_len)
-		memcpy(body.token, m->key->token.data, body.token_len);
-	ht_ticket_from_wire(body.ticket, m->key->ticket);
-	e = ht_ledger_find(p->ledger, &body);
-	if (!e)
-		e = ht_ledger_add(p->ledger, &body, HT_ENTRY_UNKNOWN, p->env->now);
-	if (!e || e->job)
-		return;
-	e->target = m->target;
-	ht_ledger_change(p->ledger, e, (enum ht_entry_state)m->state, p->env->now);
-	if (m->state != HT__LEDGER_STATE__LEDGER_ANSWERED || !m->answer)
-		return;
-	a.code = (uint8_t)m->answer->code;
-	a.verdict = (enum ht_verdict)m->answer->verdict;
-	a.payload = m->answer->payload.data;
-	a.payload_len = m->answer->payload.len;
-	a.content_format = m->answer->content_format;
-	if (m->answer->etag.len == sizeof(a.etag))
-		memcpy(a.etag, m->answer->etag.data, sizeof(a.etag));
-	ht_ledger_keep(p->ledger, e, &a, p->env->now);
-}
-
-static struct predecessor *predecessor_of(struct ht_request_path *p, uint64_t incarnation)
-{
-	struct predecessor *pre = g_hash_table_lookup(p->predecessors, &incarnation);
-
-	if (pre)
-		return pre;
-	pre = calloc(1, sizeof(*pre));
-	if (!pre)
-		return NULL;
-	pre->incarnation = incarnation;
-	g_hash_table_insert(p->predecessors, &pre->incarnation, pre);
-	return pre;
-}
-
-static void take_entries(void *ctx, uint64_t peer, const Ht__LedgerEntries *m)
-{
-	struct ht_request_path *p = ctx;
-	struct predecessor *pre = predecessor_of(p, m->incarnation);
-	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
-	Ht__LedgerAck ack = HT__LEDGER_ACK__INIT;
-
-	if (!pre)
-		return;
-	/* A batch that was lost with a link leaves the copy incomplete for good. */
-	if (m->batch != pre->next)
-		pre->gap = true;
-	pre->next = m->batch + 1;
-	pre->clock = m->now_ms - p->env->now;
-	pre->received = p->env->now;
-	for (size_t i = 0; i < m->n_entries; i++)
-		take_entry(p, m->entries[i]);
-	pre->complete = (pre->complete || m->last) && !pre->gap;
-	p->env->emit(p->env, HT_EV_LEDGER_RECEIVED, 0, 0, 0, peer,
-		     "incarnation=%016llx entries=%zu complete=%d",
-		     (unsigned long long)m->incarnation, m->n_entries, pre->complete);
-	ack.batch = m->batch;
-	ack.last = m->last;
-	msg.kind_case = HT__PEER_MSG__KIND_LEDGER_ACK;
-	msg.ledger_ack = &ack;
-	p->env->send(p->env, peer, &msg);
-}
-
 static void take_ack(void *ctx, uint64_t peer, const Ht__LedgerAck *m)
 {
 	struct ht_request_path *p = ctx;
@@ -389,17 +374,6 @@
 	f->waiting_since = p->env->now;
 }
 
-bool ht_handover_complete(struct ht_request_path *p, uint64_t incarnation, ht_ms *clock)
-{
-	struct predecessor *pre = g_hash_table_lookup(p->predecessors, &incarnation);
-
-	if (!pre || !pre->complete)
-		return false;
-	if (clock)
-		*clock = p->env->now + pre->clock;
-	return true;
-}
-
 void ht_handover_peer_down(struct ht_request_path *p, uint64_t peer)
 {
 	struct follower *f = follower_of(p, peer, false);
@@ -411,20 +385,11 @@
 		hand_over_all(p);
 }
 
-static gboolean too_old(void *key, void *value, void *ctx)
-{
-	const struct predecessor *pre = value;
-	const struct ht_request_path *p = ctx;
-
-	(void)key;
-	return p->env->now - pre->received > HT_LEDGER_KEEP;
-}
-
 void ht_handover_expire(struct ht_request_path *p)
 {
 	struct ht_list *pos, *tmp;
 
-	g_hash_table_foreach_remove(p->predecessors, too_old, p);
+	ht_handover_forget(p);
 	ht_list_for_each_safe (pos, tmp, &p->followers) {
 		struct follower *f = ht_container_of(pos, struct follower, node);
 
@@ -440,7 +405,7 @@
 		.hand_over = hand_over,
 		.hand_over_all = hand_over_all,
 		.handed_over = handed_over,
-		.entries = take_entries,
+		.entries = ht_handover_take,
 		.ack = take_ack,
 	};
 	ht_registry_add(p->env->registry, "ledger", &p->ledger_if);
--- a/core/path.c
+++ b/core/path.c
@@ -17,6 +17,18 @@
 	ht_ingress_request(ctx, handle, req);
 }
 
+static bool add_waiters(struct ht_job *job, const Ht__Forward *m)
+{
+	size_t n =
+		m->n_more_ingress < m->n_more_ingress_id ? m->n_more_ingress : m->n_more_ingress_id;
+
+	if (!ht_job_add_waiter(job, m->ingress, m->ingress_id))
+		return false;
+	for (size_t i = 0; i < n && i < HT_MORE_INGRESS_MAX; i++)
+		ht_job_add_waiter(job, m->more_ingress[i], m->more_ingress_id[i]);
+	return true;
+}
+
 static void router_forward(void *ctx, uint64_t peer, const Ht__Forward *m)
 {
 	struct ht_request_path *p = ctx;
@@ -26,7 +38,7 @@
 
 	p->config->seen(p->config->ctx, peer, m->config_version);
 	ht_body_put(body);
-	if (!job || !ht_job_add_waiter(job, m->ingress, m->ingress_id)) {
+	if (!job || !add_waiters(job, m)) {
 		if (job)
 			ht_job_free(p, job);
 		return;
@@ -37,6 +49,7 @@
 	job->flags = m->flags;
 	job->hops_left = m->hops_left < HT_HOP_LIMIT ? m->hops_left : HT_HOP_LIMIT - 1;
 	job->config_version = m->config_version;
+	job->known_sets = m->known_sets < 8 ? m->known_sets : 0;
 	job->wait = m->wait_ms == UINT32_MAX ? INFINITY : m->wait_ms;
 	if (m->flags & HT__FORWARD_FLAG__FORWARD_RETRY)
 		job->floor = HT_MAY_HAVE_RUN;
@@ -76,17 +89,22 @@
 	uint64_t id = m->hop_id >> 3;
 	struct ht_job *job;
 	struct ht_pending *w;
+	bool evicted;
 
 	p->config->seen(p->config->ctx, peer, m->config_version);
 	if ((m->hop_id & 7) == 7) {
 		job = g_hash_table_lookup(p->jobs, &id);
 		if (!job || job->state != HT_JOB_HOP || job->hop_peer != peer)
 			return;
-		if (m->reason == HT_RETURN_TAKEN)
+		if (m->reason == HT_RETURN_TAKEN) {
 			ht_hop_was_taken(p, job, m->target);
-		else
-			ht_hop_returned(p, job, (enum ht_return_reason)m->reason,
-					m->wait_ms == UINT32_MAX ? INFINITY : m->wait_ms);
+			return;
+		}
+		if (m->reason == HT_RETURN_UNKNOWN_FLOW && m->target)
+			ht_flows_set(p->flows, job->body->flow, m->target, p->env->now, false,
+				     &evicted);
+		ht_hop_returned(p, job, (enum ht_return_reason)m->reason,
+				m->wait_ms == UINT32_MAX ? INFINITY : m->wait_ms);
 		return;
 	}
 	w = g_hash_table_lookup(p->pending, &id);
@@ -121,6 +139,13 @@
 	return g_hash_table_size(p->pending);
 }
 
+static size_t router_flows(void *ctx)
+{
+	const struct ht_request_path *p = ctx;
+
+	return ht_flows_count(p->flows);
+}
+
 static uint32_t targets_in_flight(void *ctx, uint64_t target)
 {
 	const struct ht_request_path *p = ctx;
@@ -129,6 +154,14 @@
 	return t ? t->in_flight : 0;
 }
 
+static uint32_t targets_queued(void *ctx, uint64_t target)
+{
+	const struct ht_request_path *p = ctx;
+	const struct ht_target *t = g_hash_table_lookup(p->targets, &target);
+
+	return t ? t->queued : 0;
+}
+
 static void targets_owner_changed(void *ctx, uint64_t target)
 {
 	ht_serve_owner_changed(ctx, target);
@@ -185,10 +218,12 @@
 		.target_state = router_target_state,
 		.peer_down = router_peer_down,
 		.pending = router_pending,
+		.flows = router_flows,
 	};
 	p->targets_if = (struct ht_targets_if){
 		.ctx = p,
 		.in_flight = targets_in_flight,
+		.queued = targets_queued,
 		.owner_changed = targets_owner_changed,
 		.config_changed = targets_config_changed,
 		.open_requests = targets_open_requests,
@@ -219,6 +254,7 @@
 	p->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	p->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	p->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->open = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_list_init(&p->parked);
 	ht_list_init(&p->hops);
 	ht_handover_init(p);
@@ -250,6 +286,7 @@
 	free_all(p);
 	ht_handover_free(p);
 	g_hash_table_destroy(p->jobs);
+	g_hash_table_destroy(p->open);
 	g_hash_table_destroy(p->pending);
 	g_hash_table_destroy(p->targets);
 	ht_retries_free(p->ingress_retries);
--- a/core/path.h
+++ b/core/path.h
@@ -42,6 +42,7 @@
 	GHashTable *targets; /**< struct ht_target by id */
 	GHashTable *pending; /**< struct ht_pending by id */
 	GHashTable *jobs;    /**< struct ht_job by id */
+	GHashTable *open;    /**< parked or forwarded idempotent jobs, by request */
 	struct ht_list parked;
 	struct ht_list hops;
 	uint64_t next_id;
@@ -86,19 +87,22 @@
 	uint64_t sender; /**< instance that forwarded it; own id for the local ingress */
 	uint64_t hop_id; /**< the sender's handle, for Returned */
 	uint64_t hop_peer;
-	uint32_t flags; /**< ForwardFlag bits it arrived with */
+	uint64_t open_key; /**< key in the table of open requests, or 0 */
+	uint32_t flags;	   /**< ForwardFlag bits it arrived with */
 	uint32_t hop_flags;
 	uint64_t hop_target;
 	uint32_t hops_left;
 	uint64_t config_version;
-	double wait;	       /**< sender's estimate, with FORWARD_DEFLECTED */
-	unsigned int tried;    /**< bit per index of the row */
-	unsigned int asked;    /**< look-ups made so far */
-	bool waited;	       /**< has been parked once */
-	bool compared;	       /**< a deflection came back */
-	bool one_off;	       /**< placed for this request only: the flow stays */
-	bool tentative;	       /**< asks whether the flow was taken where it was deflected to */
-	bool replaced;	       /**< left a target: that one is not tried again */
+	double wait;		 /**< sender's estimate, with FORWARD_DEFLECTED */
+	unsigned int tried;	 /**< bit per index of the row */
+	unsigned int asked;	 /**< look-ups made so far */
+	unsigned int known_sets; /**< earlier target sets that the asking sender knows, plus 1 */
+	bool waited;		 /**< has been parked once */
+	bool compared;		 /**< a deflection came back */
+	bool one_off;		 /**< placed for this request only: the flow stays */
+	bool tentative;		 /**< asks whether the flow was taken where it was deflected to */
+	bool replaced;		 /**< left a target: that one is not tried again */
+	bool chained;	       /**< asks earlier homes for a sender that lacks their target sets */
 	bool stripped;	       /**< nobody waits for a Returned of it */
 	bool answered;	       /**< waiters are served; only the slot is still held */
 	enum ht_verdict floor; /**< least verdict that a refusal may give */
@@ -141,6 +145,8 @@
 /* router_home.c: requests at the home */
 struct ht_job *ht_job_new(struct ht_request_path *p, struct ht_body *body, uint64_t sender);
 bool ht_job_add_waiter(struct ht_job *job, uint64_t ingress, uint64_t ingress_id);
+/** All who wait for @repeat now wait for @job; false when out of memory. */
+bool ht_job_attach(struct ht_job *job, const struct ht_job *repeat);
 void ht_job_free(struct ht_request_path *p, struct ht_job *job);
 /** Decides what happens to the job now: serve, look up, deflect, park, refuse. */
 void ht_home_decide(struct ht_request_path *p, struct ht_job *job);
@@ -179,13 +185,23 @@
 bool ht_place_look_up(struct ht_request_path *p, struct ht_job *job,
 		      const struct ht_service_conf *svc, const struct ht_row *row);
 
+/** Number of earlier target sets of the service that are known here. */
+unsigned int ht_place_known_sets(struct ht_request_path *p, uint64_t service);
+
 /* router_hop.c: forwards between homes */
+/** Registers a job that is parked or sent on, so that its repeats join it. */
+void ht_open_add(struct ht_request_path *p, struct ht_job *job);
+void ht_open_del(struct ht_request_path *p, struct ht_job *job);
+/** Attaches @job to an open job of the same request; true when it did, and @job is gone. */
+bool ht_open_join(struct ht_request_path *p, struct ht_job *job);
+
 bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
 		 uint32_t flags, double wait);
 void ht_hop_return(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
 		   double wait);
 /** Tells the sender of a deflection or look-up where the flow lives; it hears no more. */
 void ht_hop_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target);
+void ht_hop_return_flow(struct ht_request_path *p, struct ht_job *job, uint64_t target);
 void ht_hop_was_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target);
 void ht_hop_returned(struct ht_request_path *p, struct ht_job *job, enum ht_return_reason reason,
 		     double wait);
@@ -229,6 +245,10 @@
 void ht_handover_free(struct ht_request_path *p);
 /** Publishes "ledger". */
 void ht_handover_publish(struct ht_request_path *p);
+/** Takes in a ledger; the "entries" of the published interface. */
+void ht_handover_take(void *ctx, uint64_t peer, const Ht__LedgerEntries *m);
+/** Drops ledgers that are too old to say anything about a ticket. */
+void ht_handover_forget(struct ht_request_path *p);
 /** Tells the instances that got the ledger about a change of a posting. */
 void ht_handover_update(struct ht_request_path *p, const struct ht_entry *e);
 /**
@@ -245,6 +265,8 @@
 void ht_cancel_decide(struct ht_request_path *p, struct ht_job *job);
 
 /* router_answer.c: answers to ingresses; all take the job's waiters */
+/** Answers all who wait for @job. */
+void ht_reply_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *answer);
 void ht_reply_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code,
 		     enum ht_verdict verdict, ht_ms retry_after, const char *why);
 void ht_reply_unavailable(struct ht_request_path *p, struct ht_job *job, const char *why);
@@ -258,12 +280,12 @@
 /* router_ingress.c: requests at the ingress */
 void ht_ingress_request(struct ht_request_path *p, uint64_t handle, const struct ht_request *req);
 void ht_ingress_answer(struct ht_request_path *p, uint64_t id, const struct ht_answer *answer);
-void ht_ingress_returned(struct ht_request_path *p, struct ht_pending *pending,
+void ht_ingress_returned(struct ht_request_path *p, struct ht_pending *w,
 			 enum ht_return_reason reason);
 void ht_ingress_peer_down(struct ht_request_path *p, uint64_t peer,
 			  enum ht_peer_down_reason reason);
 void ht_ingress_config_changed(struct ht_request_path *p);
-void ht_pending_free(struct ht_request_path *p, struct ht_pending *pending);
+void ht_pending_free(struct ht_request_path *p, struct ht_pending *w);
 
 /** Ids are unique in the instance; job ids and pending ids share one sequence. */
 static inline uint64_t ht_path_id(struct ht_request_path *p)
@@ -277,13 +299,19 @@
 	return job->id << 3 | 7;
 }
 
-/** Fills @msg and @fwd with the request; both point into @body. */
+/** Further ingresses that one forward can carry; repeats beyond them get the verdict at their
+ * deadline. */
+#define HT_MORE_INGRESS_MAX 15
+
 struct ht_forward_frame {
 	Ht__PeerMsg msg;
 	Ht__Forward forward;
 	Ht__RequestKey key;
 	Ht__Ticket ticket;
+	uint64_t more_ingress[HT_MORE_INGRESS_MAX];
+	uint64_t more_ingress_id[HT_MORE_INGRESS_MAX];
 };
+/** Fills @f with the request; it points into @body. */
 void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body);
 
 #endif
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -29,29 +29,54 @@
 	f->forward.flags = body->cancel ? HT__FORWARD_FLAG__FORWARD_CANCEL : 0;
 }
 
+/* All repeats of a request stay together, so that none is refused while another one runs. */
+static void fill_waiters(struct ht_forward_frame *f, const struct ht_job *job)
+{
+	size_t n = 0;
+
+	f->forward.ingress = job->waiters[0].ingress;
+	f->forward.ingress_id = job->waiters[0].ingress_id;
+	for (unsigned int i = 1; i < job->waiter_count && n < HT_MORE_INGRESS_MAX; i++, n++) {
+		f->more_ingress[n] = job->waiters[i].ingress;
+		f->more_ingress_id[n] = job->waiters[i].ingress_id;
+	}
+	f->forward.more_ingress = f->more_ingress;
+	f->forward.n_more_ingress = n;
+	f->forward.more_ingress_id = f->more_ingress_id;
+	f->forward.n_more_ingress_id = n;
+}
+
 static uint32_t wire_wait(double wait)
 {
 	return wait < UINT32_MAX ? (uint32_t)wait : UINT32_MAX;
 }
 
+static void fill_hop(struct ht_request_path *p, struct ht_forward_frame *f,
+		     const struct ht_job *job, uint64_t target, uint32_t flags)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+
+	ht_forward_fill(f, job->body);
+	fill_waiters(f, job);
+	f->forward.target = target;
+	f->forward.config_version = cfg ? cfg->version : 0;
+	f->forward.hops_left = job->hops_left - 1;
+	f->forward.flags |= flags;
+	if (job->floor != HT_NOT_RUN)
+		f->forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
+	f->forward.hop_id = ht_hop_id(job);
+	f->forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
+}
+
 bool ht_hop_send(struct ht_request_path *p, struct ht_job *job, uint64_t peer, uint64_t target,
 		 uint32_t flags, double wait)
 {
-	struct ht_config *cfg = p->config->current(p->config->ctx);
 	struct ht_forward_frame f;
 
-	ht_forward_fill(&f, job->body);
-	f.forward.target = target;
-	f.forward.config_version = cfg ? cfg->version : 0;
-	f.forward.hops_left = job->hops_left - 1;
-	f.forward.flags |= flags;
-	if (job->floor != HT_NOT_RUN)
-		f.forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
-	f.forward.ingress = job->waiters[0].ingress;
-	f.forward.ingress_id = job->waiters[0].ingress_id;
-	f.forward.hop_id = ht_hop_id(job);
-	f.forward.deadline_ms = (uint32_t)(job->deadline - p->env->now);
+	fill_hop(p, &f, job, target, flags);
 	f.forward.wait_ms = wire_wait(wait);
+	if (flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN)
+		f.forward.known_sets = ht_place_known_sets(p, job->body->service) + 1;
 	if (!p->env->send(p->env, peer, &f.msg))
 		return false;
 	ht_path_count(p, HT_C_forwards_sent);
@@ -63,10 +88,66 @@
 	job->hop_flags = flags;
 	ht_list_del(&job->node);
 	ht_list_add_tail(&p->hops, &job->node);
+	ht_open_add(p, job);
 	ht_timer_set(p->timers, &job->timer, job->deadline);
 	return true;
 }
 
+static bool can_repeat(const struct ht_body *body)
+{
+	return ht_body_idempotent(body) && !body->cancel && body->token_len;
+}
+
+void ht_open_add(struct ht_request_path *p, struct ht_job *job)
+{
+	if (!can_repeat(job->body))
+		return;
+	job->open_key = ht_request_event_id(job->body);
+	g_hash_table_replace(p->open, &job->open_key, job);
+}
+
+void ht_open_del(struct ht_request_path *p, struct ht_job *job)
+{
+	if (job->open_key && g_hash_table_lookup(p->open, &job->open_key) == job)
+		g_hash_table_remove(p->open, &job->open_key);
+	job->open_key = 0;
+}
+
+/* True for the same packet on its way in a circle, which is no repeat. */
+static bool same_packet(const struct ht_job *a, const struct ht_job *b)
+{
+	for (unsigned int i = 0; i < a->waiter_count; i++)
+		if (a->waiters[i].ingress == b->waiters[0].ingress &&
+		    a->waiters[i].ingress_id == b->waiters[0].ingress_id)
+			return true;
+	return false;
+}
+
+/*
+ * A repeat of a request that waits here or was sent on shares its fate: it would otherwise be
+ * placed by itself, and one of the two could be refused as not run while the other one runs.
+ */
+bool ht_open_join(struct ht_request_path *p, struct ht_job *job)
+{
+	uint64_t key = ht_request_event_id(job->body);
+	struct ht_job *open = g_hash_table_lookup(p->open, &key);
+	struct ht_forward_frame f;
+
+	if (!open || open == job || !can_repeat(job->body) || open->body->flow != job->body->flow ||
+	    open->body->content != job->body->content || same_packet(open, job))
+		return false;
+	if (open->waiter_count + job->waiter_count <= HT_MORE_INGRESS_MAX)
+		ht_job_attach(open, job);
+	if (open->state == HT_JOB_HOP && job->hops_left) {
+		fill_hop(p, &f, job, open->hop_target, HT__FORWARD_FLAG__FORWARD_FOLLOW);
+		p->env->send(p->env, open->hop_peer, &f.msg);
+	}
+	ht_path_event(p, REQUEST_ATTACHED, job->body, open->hop_target, open->hop_peer,
+		      "waiters=%u", open->waiter_count);
+	ht_job_free(p, job);
+	return true;
+}
+
 static void return_local(struct ht_request_path *p, uint64_t hop_id, enum ht_return_reason reason)
 {
 	uint64_t key = hop_id >> 3;
@@ -121,6 +202,7 @@
 {
 	if (job->stripped)
 		return;
+	job->tentative = false;
 	if (job->sender != p->env->self && (job->hop_id & 7) == 7)
 		send_returned(p, job, HT_RETURN_TAKEN, 0, target);
 	job->stripped = true;
@@ -129,11 +211,20 @@
 				  HT__FORWARD_FLAG__FORWARD_DEFLECTED);
 }
 
+/* The sender is the home of the target at which the flow lives. */
+void ht_hop_return_flow(struct ht_request_path *p, struct ht_job *job, uint64_t target)
+{
+	send_returned(p, job, HT_RETURN_UNKNOWN_FLOW, INFINITY, target);
+	ht_job_free(p, job);
+}
+
 /* The copy stays until its deadline in case the peer ends. */
 void ht_hop_was_taken(struct ht_request_path *p, struct ht_job *job, uint64_t target)
 {
 	bool evicted;
 
+	if (job->flags & HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN)
+		ht_hop_taken(p, job, target);
 	job->hop_flags = HT__FORWARD_FLAG__FORWARD_MOVED;
 	job->hop_target = target;
 	if (!job->one_off)
@@ -164,6 +255,7 @@
 
 	ht_timer_stop(&job->timer);
 	ht_list_del(&job->node);
+	ht_open_del(p, job);
 	job->state = HT_JOB_NEW;
 	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer,
 		      "reason=%d wait=%.0f", (int)reason, wait);
@@ -193,10 +285,30 @@
 	ht_home_place(p, job);
 }
 
-/*
- * Forwards to the peer may have been lost. Everything but a posting with its ticket may run
- * again; that one is only looked up again.
- */
+/* Only the ingress knows whether the request was answered meanwhile, so it decides. */
+static void report_lost(struct ht_request_path *p, struct ht_job *job)
+{
+	unsigned int local = 0;
+
+	ht_path_event(p, REQUEST_CAME_BACK, job->body, job->hop_target, job->hop_peer, "reason=%d",
+		      (int)HT_RETURN_LOST);
+	ht_open_del(p, job);
+	for (unsigned int i = 0; i < job->waiter_count; i++) {
+		const struct ht_waiter to = job->waiters[i];
+
+		job->sender = to.ingress;
+		job->hop_id = to.ingress_id;
+		if (to.ingress != p->env->self)
+			send_returned(p, job, HT_RETURN_LOST, INFINITY, 0);
+		else
+			job->waiters[local++] = to;
+	}
+	/* Last, since the local ingress sends again at once. */
+	for (unsigned int i = 0; i < local; i++)
+		return_local(p, job->waiters[i].ingress_id, HT_RETURN_LOST);
+	ht_job_free(p, job);
+}
+
 void ht_hop_peer_down(struct ht_request_path *p, uint64_t peer)
 {
 	struct ht_list lost, *pos, *tmp;
@@ -210,22 +322,6 @@
 		ht_list_del(&job->node);
 		ht_list_add_tail(&lost, &job->node);
 	}
-	while (!ht_list_empty(&lost)) {
-		struct ht_job *job = ht_container_of(lost.next, struct ht_job, node);
-
-		if (ht_body_idempotent(job->body) && !job->body->cancel) {
-			if (!ht_retries_spend(p->home_retries, job->body->service)) {
-				ht_path_count(p, HT_C_retries_denied);
-				ht_path_event(p, RETRY_DENIED, job->body, 0, peer, "why=budget");
-				ht_reply_may_have_run(p, job, "peer_down");
-				ht_job_free(p, job);
-				continue;
-			}
-			ht_path_count(p, HT_C_retries);
-			ht_path_event(p, REQUEST_RETRIED, job->body, 0, peer,
-				      "side=home why=peer_down");
-			job->floor = HT_MAY_HAVE_RUN;
-		}
-		ht_hop_returned(p, job, HT_RETURN_NOT_HOME, INFINITY);
-	}
+	ht_list_for_each_safe (pos, tmp, &lost)
+		report_lost(p, ht_container_of(pos, struct ht_job, node));
 }
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -86,7 +86,7 @@
 		job->entry->job = job;
 		job->entry->target = t->id;
 	}
-	if (wait > 0 && (wait + t->service_time > (double)rest || rest <= 0)) {
+	if (wait > 0 && (wait + ht_target_need(t) > (double)rest || rest <= 0)) {
 		ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, (ht_ms)(wait + t->service_time),
 				"deadline_cannot_be_met");
 		ht_job_free(p, job);
@@ -161,7 +161,7 @@
 			return;
 		unqueue(t, job);
 		/* Work that cannot finish in time would take a slot from work that can. */
-		if ((double)(job->deadline - p->env->now) < t->service_time && t->queued) {
+		if ((double)(job->deadline - p->env->now) < ht_target_need(t) && t->queued) {
 			ht_serve_refuse(p, job, HT_SERVICE_UNAVAILABLE, HT_RETRY_AFTER_MIN,
 					"deadline_cannot_be_met");
 			ht_job_free(p, job);
@@ -219,42 +219,11 @@
 	return true;
 }
 
-/* Each further waiter becomes a job of its own, since a forward carries one ingress. */
-static void split(struct ht_request_path *p, struct ht_job *job, struct ht_list *copies)
-{
-	for (unsigned int i = 1; i < job->waiter_count; i++) {
-		struct ht_job *copy = ht_job_new(p, job->body, p->env->self);
-
-		if (!copy)
-			continue;
-		ht_job_add_waiter(copy, job->waiters[i].ingress, job->waiters[i].ingress_id);
-		copy->deadline = job->deadline;
-		copy->target = job->target;
-		copy->hops_left = job->hops_left;
-		copy->floor = job->floor;
-		copy->waited = true;
-		copy->stripped = true;
-		ht_list_add_tail(copies, &copy->node);
-	}
-	if (job->waiter_count)
-		job->waiter_count = 1;
-}
-
-/* Finds a new place for the job; the other waiters follow and attach to it where they can. */
+/* Finds a new place for the job, with all who wait for it. */
 void ht_serve_replace_all(struct ht_request_path *p, struct ht_job *job, bool hand_over)
 {
-	struct ht_list copies;
-
-	ht_list_init(&copies);
-	split(p, job, &copies);
 	if (!hand_over || !hand_over_job(p, job))
 		ht_home_replace(p, job);
-	while (!ht_list_empty(&copies)) {
-		struct ht_job *copy = ht_container_of(copies.next, struct ht_job, node);
-
-		ht_list_del(&copy->node);
-		ht_home_decide(p, copy);
-	}
 }
 
 /* Empties the queue of a target that takes no work here any more. */
@@ -391,8 +360,7 @@
 {
 	GHashTableIter it;
 	void *value;
-	g_autofree struct ht_target **all =
-		g_new(struct ht_target *, g_hash_table_size(p->targets) + 1);
+	struct ht_target **all = g_new(struct ht_target *, g_hash_table_size(p->targets) + 1);
 	unsigned int count = 0;
 
 	g_hash_table_iter_init(&it, p->targets);
@@ -405,6 +373,7 @@
 			ht_serve_flush(p, all[i]);
 		ht_serve_owner_changed(p, all[i]->id);
 	}
+	g_free(all);
 	ht_home_resume(p, 0);
 	ht_ingress_config_changed(p);
 }
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -70,6 +70,8 @@
 		 "IP:PORT"},
 		{"comment", 'c', 0, G_OPTION_ARG_STRING, &ctl->comment,
 		 "Who asked for it and why; required", "TEXT"},
+		{"replace-damaged", 0, 0, G_OPTION_ARG_NONE, &ctl->replace_damaged,
+		 "Apply although the accepted rules at the platform cannot be read", NULL},
 		{"flow", 0, 0, G_OPTION_ARG_STRING, &ctl->flow, "Only events of this flow", "ID"},
 		{"request", 0, 0, G_OPTION_ARG_STRING, &ctl->request, "Only events of this request",
 		 "ID"},
@@ -77,8 +79,8 @@
 		 "Only events of this target, by id or address", "ID|IP:PORT"},
 		{"instance", 0, 0, G_OPTION_ARG_STRING, &ctl->instance,
 		 "Only events of or about this instance", "NAME"},
-		{"number", 'n', 0, G_OPTION_ARG_INT, &ctl->number,
-		 "Only events with this number, or with 0 all", "N"},
+		{"number", 'n', 0, G_OPTION_ARG_INT, &ctl->number, "Only events with this number",
+		 "N"},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1389,7 +1389,7 @@
   (ProtobufCMessageInit) ht__request_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__forward__field_descriptors[21] =
+static const ProtobufCFieldDescriptor ht__forward__field_descriptors[24] =
 {
   {
     "key",
@@ -1643,6 +1643,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_sets",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__Forward, known_sets),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more_ingress",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ht__Forward, n_more_ingress),
+    offsetof(Ht__Forward, more_ingress),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more_ingress_id",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ht__Forward, n_more_ingress_id),
+    offsetof(Ht__Forward, more_ingress_id),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__forward__field_indices_by_name[] = {
   16,   /* field[16] = block_num */
@@ -1659,7 +1695,10 @@
   6,   /* field[6] = ingress */
   7,   /* field[7] = ingress_id */
   0,   /* field[0] = key */
+  21,   /* field[21] = known_sets */
   8,   /* field[8] = method */
+  22,   /* field[22] = more_ingress */
+  23,   /* field[23] = more_ingress_id */
   9,   /* field[9] = path */
   11,   /* field[11] = payload */
   10,   /* field[10] = query */
@@ -1670,7 +1709,7 @@
 static const ProtobufCIntRange ht__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor ht__forward__descriptor =
 {
@@ -1680,7 +1719,7 @@
   "Ht__Forward",
   "ht",
   sizeof(Ht__Forward),
-  21,
+  24,
   ht__forward__field_descriptors,
   ht__forward__field_indices_by_name,
   1,  ht__forward__number_ranges,
@@ -2382,7 +2421,7 @@
   (ProtobufCMessageInit) ht__ledger_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ht__ledger_entries__field_descriptors[6] =
 {
   {
     "incarnation",
@@ -2444,10 +2483,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flows",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ht__LedgerEntries, n_flows),
+    offsetof(Ht__LedgerEntries, flows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__ledger_entries__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   1,   /* field[1] = entries */
+  5,   /* field[5] = flows */
   0,   /* field[0] = incarnation */
   2,   /* field[2] = last */
   4,   /* field[4] = now_ms */
@@ -2455,7 +2507,7 @@
 static const ProtobufCIntRange ht__ledger_entries__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__ledger_entries__descriptor =
 {
@@ -2465,7 +2517,7 @@
   "Ht__LedgerEntries",
   "ht",
   sizeof(Ht__LedgerEntries),
-  5,
+  6,
   ht__ledger_entries__field_descriptors,
   ht__ledger_entries__field_indices_by_name,
   1,  ht__ledger_entries__number_ranges,
@@ -3141,7 +3193,7 @@
   (ProtobufCMessageInit) ht__peer_msg__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue ht__forward_flag__enum_values_by_number[6] =
+static const ProtobufCEnumValue ht__forward_flag__enum_values_by_number[7] =
 {
   { "FORWARD_NONE", "HT__FORWARD_FLAG__FORWARD_NONE", 0 },
   { "FORWARD_RETURN_IF_UNKNOWN", "HT__FORWARD_FLAG__FORWARD_RETURN_IF_UNKNOWN", 1 },
@@ -3149,14 +3201,16 @@
   { "FORWARD_RETRY", "HT__FORWARD_FLAG__FORWARD_RETRY", 4 },
   { "FORWARD_CANCEL", "HT__FORWARD_FLAG__FORWARD_CANCEL", 8 },
   { "FORWARD_MOVED", "HT__FORWARD_FLAG__FORWARD_MOVED", 16 },
+  { "FORWARD_FOLLOW", "HT__FORWARD_FLAG__FORWARD_FOLLOW", 32 },
 };
 static const ProtobufCIntRange ht__forward_flag__value_ranges[] = {
-{0, 0},{4, 3},{8, 4},{16, 5},{0, 6}
+{0, 0},{4, 3},{8, 4},{16, 5},{32, 6},{0, 7}
 };
-static const ProtobufCEnumValueIndex ht__forward_flag__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex ht__forward_flag__enum_values_by_name[7] =
 {
   { "FORWARD_CANCEL", 4 },
   { "FORWARD_DEFLECTED", 2 },
+  { "FORWARD_FOLLOW", 6 },
   { "FORWARD_MOVED", 5 },
   { "FORWARD_NONE", 0 },
   { "FORWARD_RETRY", 3 },
@@ -3169,11 +3223,11 @@
   "ForwardFlag",
   "Ht__ForwardFlag",
   "ht",
-  6,
+  7,
   ht__forward_flag__enum_values_by_number,
-  6,
+  7,
   ht__forward_flag__enum_values_by_name,
-  4,
+  5,
   ht__forward_flag__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
