--- /dev/null
+++ b/tests/control/test_stop.c
@@ -0,0 +1,97 @@
+/* Planned stop of an instance: section 3.9 of the design. */
+#include "tests/control/net.h"
+
+/* Runs until node @i may exit; returns the time it took, or -1. */
+static int run_until_stopped(struct net *net, int i, int limit)
+{
+	for (int ms = 0; ms <= limit; ms++) {
+		if (net->nodes[i].stopped)
+			return ms;
+		net_step(net);
+	}
+	return -1;
+}
+
+/* Guards against an instance that exits before late packets have found their new homes. */
+START_TEST(lingers_after_the_last_request)
+{
+	struct net *net = net_dc(40, 3);
+	int ms;
+
+	ht_core_stop(net->nodes[0].core);
+	ms = run_until_stopped(net, 0, 10000);
+	ck_assert_int_ge(ms, 3000);
+	ck_assert_int_le(ms, 3000 + MAX_RUN_MS + 200);
+	ck_assert_int_ge(net->nodes[0].path->handed_over, 1);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against an exit while a ledger batch is not acknowledged or an answer is owed. */
+START_TEST(waits_for_the_ledger_and_for_answers)
+{
+	struct net *net = net_dc(41, 3);
+
+	net->nodes[0].path->ack_missing = true;
+	net->nodes[0].path->pending = 1;
+	ht_core_stop(net->nodes[0].core);
+	ck_assert_int_eq(run_until_stopped(net, 0, 8000), -1);
+	net->nodes[0].path->ack_missing = false;
+	ck_assert_int_eq(run_until_stopped(net, 0, 2000), -1);
+	net->nodes[0].path->pending = 0;
+	ck_assert_int_ge(run_until_stopped(net, 0, 4000), 2900);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against a stop that never ends because a peer does not acknowledge. */
+START_TEST(gives_up_after_the_limit)
+{
+	struct net *net = net_dc(42, 3);
+
+	net->nodes[0].path->ack_missing = true;
+	ht_core_stop(net->nodes[0].core);
+	ck_assert_int_ge(run_until_stopped(net, 0, 20000), 15000);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against targets that nobody serves while several instances stop one after the other. */
+START_TEST(rolling_restart_keeps_all_targets_in_service)
+{
+	struct net *net = net_dc(43, 4);
+
+	for (int i = 0; i < 4; i++) {
+		ht_core_stop(net->nodes[i].core);
+		ck_assert_int_ge(run_until_stopped(net, i, 10000), 0);
+		net_kill(net, i, true);
+		net_start(net, i);
+		net_run(net, 3000);
+		ck_assert_int_eq(net_served(net), 6);
+	}
+	/* All slots may be lent at the moment of a hand-over, until the longest request ends. */
+	ck_assert_int_le(net->longest_gap, MAX_RUN_MS);
+	for (int i = 0; i < 4; i++)
+		ck_assert_uint_eq(net->nodes[i].events[35], 0);
+	net_free(net);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("stop");
+	TCase *tc = tcase_create("stop");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, lingers_after_the_last_request);
+	tcase_add_test(tc, waits_for_the_ledger_and_for_answers);
+	tcase_add_test(tc, gives_up_after_the_limit);
+	tcase_add_test(tc, rolling_restart_keeps_all_targets_in_service);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_ENV);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed != 0;
+}
