daemon: forget instances that are neither listed nor linked for 10 min

Each name stayed in the table, and each silent instance was dialed every 5 s, for the life of the process. Tests of targets that accept and say nothing, or something that is not CoAP.

--- a/daemon/peer_dial.c
+++ b/daemon/peer_dial.c
@@ -108,6 +108,7 @@
 	p->peers = peers;
 	p->id = ht_instance_id(info->name);
 	p->info = *info;
+	p->seen_at = ht_clock_now(&ht_clock_monotonic);
 	ev_timer_init(&p->retry, on_retry, 0, 0);
 	p->retry.data = p;
 	ht_list_add_tail(&peers->all, &p->node);
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -7,6 +7,11 @@
 #include <unistd.h>
 
 #define IDLE_MS 60000
+
+/* An instance that is not listed and has no link is forgotten after this time. Thousands are
+ * replaced each day, possibly under new names. */
+#define FORGET_MS 600000
+
 #define IDLE_SCAN_S 5.0
 
 /* An end this close to the idle limit is taken for the other side's idle close. */
@@ -238,23 +243,47 @@
 	ps->unowned_count++;
 }
 
+static void peer_free(struct ht_peer *p)
+{
+	g_hash_table_remove(p->peers->by_id, &p->id);
+	ev_timer_stop(p->peers->p.loop, &p->retry);
+	if (p->session)
+		ht_peer_session_free(p->session);
+	if (p->dialing)
+		ht_peer_session_free(p->dialing);
+	ht_buffer_clear(&p->queue);
+	ht_list_del(&p->node);
+	free(p);
+}
+
+static void close_idle(struct ht_peer *p, ht_ms now)
+{
+	struct ht_peer_session *s = p->session;
+
+	if (ht_peer_same_dc(p) || now - s->link->last_activity < IDLE_MS)
+		return;
+	p->session = NULL;
+	p->demanded = false;
+	drop_session(p->peers, s);
+}
+
 static void on_idle_scan(struct ev_loop *loop, struct ev_timer *w, int revents)
 {
 	struct ht_peers *ps = w->data;
-	struct ht_list *pos;
+	struct ht_list *pos, *tmp;
 	ht_ms now = now_ms();
 
 	(void)loop;
 	(void)revents;
-	ht_list_for_each (pos, &ps->all) {
+	ht_list_for_each_safe (pos, tmp, &ps->all) {
 		struct ht_peer *p = ht_container_of(pos, struct ht_peer, node);
-		struct ht_peer_session *s = p->session;
 
-		if (!s || ht_peer_same_dc(p) || now - s->link->last_activity < IDLE_MS)
-			continue;
-		p->session = NULL;
-		p->demanded = false;
-		drop_session(ps, s);
+		if (p->session || p->listed)
+			p->seen_at = now;
+		if (p->session)
+			close_idle(p, now);
+		else if (!p->dialing && now - p->seen_at >= FORGET_MS)
+			peer_free(p);
 	}
 }
 
@@ -387,18 +416,6 @@
 	return ps;
 }
 
-static void peer_free(struct ht_peer *p)
-{
-	ev_timer_stop(p->peers->p.loop, &p->retry);
-	if (p->session)
-		ht_peer_session_free(p->session);
-	if (p->dialing)
-		ht_peer_session_free(p->dialing);
-	ht_buffer_clear(&p->queue);
-	ht_list_del(&p->node);
-	free(p);
-}
-
 void ht_peers_free(struct ht_peers *peers)
 {
 	struct ht_list *pos, *tmp;
--- a/daemon/peers_internal.h
+++ b/daemon/peers_internal.h
@@ -24,6 +24,7 @@
 	struct ht_peer_session *session;
 	struct ht_peer_session *dialing;
 	ht_ms adopted_at;
+	ht_ms seen_at; /* last time it was listed or had a link */
 	struct ht_buffer queue;
 	struct ev_timer retry;
 	unsigned int failures;
--- a/tests/daemon/test_targets.c
+++ b/tests/daemon/test_targets.c
@@ -273,6 +273,50 @@
 }
 END_TEST
 
+static int listen_at(const char *at)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct ht_addr addr;
+	int on = 1;
+
+	ck_assert(ht_addr_parse(&addr, at, NULL));
+	ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), 0);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&addr.ss, addr.len), 0);
+	ck_assert_int_eq(listen(fd, 64), 0);
+	return fd;
+}
+
+/* Guards against a target that accepts and then says nothing, or says something else than CoAP,
+ * being taken for a target that is still connecting. */
+START_TEST(mute_and_babbling_targets_are_down)
+{
+	static const uint8_t garbage[] = "220 mail.example ESMTP\r\n\xff\xff\xff\xff\xff\xff\xff";
+	char at[HT_ADDR_TEXT];
+	struct ht_target_pool *pool;
+	struct fake f;
+	int fd, conn;
+
+	rig_address(at, SOCK_STREAM);
+	fd = listen_at(at);
+	pool = pool_start(at, "almacen");
+	ck_assert(rig_run(loop, &seen.states, 1, 1500));
+	ck_assert_int_eq(seen.state, HT_TARGET_DOWN);
+	for (int i = 0; i < 6; i++) {
+		conn = accept(fd, NULL, NULL);
+		ck_assert_int_ge(conn, 0);
+		(void)send(conn, garbage, sizeof(garbage), MSG_NOSIGNAL);
+		rig_pass(loop, 50);
+		close(conn);
+	}
+	close(fd);
+	fake_start(&f, at, OK_HEALTH);
+	ck_assert(rig_run(loop, &seen.states, 2, 4000));
+	ck_assert_int_eq(seen.state, HT_TARGET_UP);
+	ht_target_pool_free(pool);
+	fake_stop(&f);
+}
+END_TEST
+
 /* Guards against requests of one service at a target of another. */
 START_TEST(other_service_gets_nothing)
 {
@@ -378,6 +422,7 @@
 	tcase_add_test(tc, results_are_mapped);
 	tcase_add_test(tc, silence_is_found_within_the_promise);
 	tcase_add_test(tc, restart_is_followed);
+	tcase_add_test(tc, mute_and_babbling_targets_are_down);
 	tcase_add_test(tc, other_service_gets_nothing);
 	tcase_add_test(tc, draining_is_read_from_health);
 	tcase_add_test(tc, cancellation_reaches_the_target);
