--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -51,10 +51,13 @@
 /* libcoap reports a datagram that it cannot parse only by this log line. */
 static uint64_t malformed_seen;
 
+/* The handler also gets lines about target connections, whose context is another one. */
+static bool processing;
+
 static void on_coap_log(coap_log_t level, const char *message)
 {
 	(void)level;
-	if (strstr(message, "discard"))
+	if (processing && strstr(message, "discard"))
 		malformed_seen++;
 }
 
@@ -227,13 +230,20 @@
 	c->reported = c->p.counters->values[HT_C_datagrams_malformed];
 }
 
+static void process(struct ht_caller *c)
+{
+	processing = true;
+	coap_io_process(c->coap, COAP_IO_NO_WAIT);
+	processing = false;
+}
+
 static void on_readable(struct ev_loop *loop, struct ev_io *w, int revents)
 {
 	struct ht_caller *c = w->data;
 
 	(void)loop;
 	(void)revents;
-	coap_io_process(c->coap, COAP_IO_NO_WAIT);
+	process(c);
 }
 
 static void on_tick(struct ev_loop *loop, struct ev_timer *w, int revents)
@@ -243,7 +253,7 @@
 
 	(void)loop;
 	(void)revents;
-	coap_io_process(c->coap, COAP_IO_NO_WAIT);
+	process(c);
 	report_malformed(c, now);
 	if (now >= c->next_rebind)
 		rebind(c, now);
