daemon: open the replacement of a connection before it counts as silent

Requests of the second before a connection counted as silent had only silent connections to go to, and the replacement waited another 50 to 100 ms. A connection whose ping waits for 150 ms is now replaced in parallel (3 connections in use, the 4th for this), and one that was up is reconnected after 20 ms without a back-off.

--- a/daemon/target_conn.h
+++ b/daemon/target_conn.h
@@ -26,6 +26,7 @@
 	void *target; /**< owner's */
 	coap_session_t *session;
 	enum ht_conn_state state;
+	bool was_up;
 	struct ht_list exchanges; /**< of the owner's exchanges, by their node */
 	unsigned int open;	  /**< requests without an answer */
 	ht_ms opened_at;
--- a/daemon/target_events.c
+++ b/daemon/target_events.c
@@ -77,8 +77,10 @@
 	}
 	t->draining = health.draining;
 	t->failures = 0;
-	if (conn->state == HT_CONN_CHECKING)
+	if (conn->state == HT_CONN_CHECKING) {
 		conn->state = HT_CONN_UP;
+		conn->was_up = true;
+	}
 	ht_target_report_state(t);
 }
 
--- a/daemon/target_pool.c
+++ b/daemon/target_pool.c
@@ -12,6 +12,10 @@
 #define TICK_S 0.02
 #define RETRY_MIN_MS 100
 #define RETRY_MAX_MS 1000
+
+/* After a connection that was up: bounds the rate at a target that closes what it accepts. */
+#define RECONNECT_MS 20
+
 #define MISASSIGNED_RETRY_MS 5000
 
 /* A target may answer exactly at its deadline; the answer needs this long to arrive. */
@@ -48,7 +52,7 @@
 static void reap_closed(struct ht_pool_target *t, ht_ms now)
 {
 	struct ht_list *pos, *tmp;
-	bool failed = false;
+	bool failed = false, ended = false;
 
 	ht_list_for_each_safe (pos, tmp, &t->conns) {
 		struct ht_target_conn *conn = ht_container_of(pos, struct ht_target_conn, node);
@@ -57,23 +61,35 @@
 			conn->state = HT_CONN_CLOSED;
 		if (conn->state != HT_CONN_CLOSED)
 			continue;
-		failed = true;
+		if (conn->was_up)
+			ended = true;
+		else
+			failed = true;
 		reap(t, conn);
 	}
 	if (failed && t->wanted && now >= t->retry_at)
 		retry_later(t, now);
+	else if (ended && now >= t->retry_at)
+		t->retry_at = now + RECONNECT_MS;
 }
 
+/*
+ * A connection that does not answer its pings gets its replacement before it counts as silent, so
+ * that new requests need not wait for that.
+ */
 static void open_missing(struct ht_pool_target *t, ht_ms now)
 {
-	unsigned int count = 0;
+	unsigned int all = 0, sound = 0;
 	struct ht_list *pos;
 
-	ht_list_for_each (pos, &t->conns)
-		count++;
+	ht_list_for_each (pos, &t->conns) {
+		all++;
+		sound += !ht_target_conn_suspect(ht_container_of(pos, struct ht_target_conn, node),
+						 now);
+	}
 	if (now < t->retry_at)
 		return;
-	for (; count < t->wanted; count++) {
+	for (; sound < t->wanted && all < HT_TARGET_CONNECTIONS; sound++, all++) {
 		struct ht_target_conn *conn = ht_target_conn_new(t->pool->coap, &t->addr, now);
 
 		if (!conn) {
@@ -217,7 +233,7 @@
 
 static unsigned int connections(const struct ht_target_conf *conf)
 {
-	unsigned int n = HT_TARGET_CONNECTIONS;
+	unsigned int n = HT_TARGET_CONNECTIONS - 1; /* one is kept for a replacement */
 
 	if (conf->slots < n)
 		n = conf->slots;
