--- a/core/router_home.c
+++ b/core/router_home.c
@@ -253,11 +253,6 @@
 	}
 	if (e->state != HT_ENTRY_ANSWERED)
 		return false;
-	if (e->verdict < job->floor) {
-		ht_reply_may_have_run(p, job, "refused_before");
-		ht_job_free(p, job);
-		return true;
-	}
 	ht_path_count(p, HT_C_replays);
 	ht_path_event(p, REQUEST_REPLAYED, job->body, e->target, 0, "verdict=%s",
 		      ht_verdict_name(e->verdict));
