--- a/bench/sim.c
+++ b/bench/sim.c
@@ -1,4 +1,4 @@
-#include "bench/sim.h"
+#include "bench/sim_private.h"
 
 #include "base/hash.h"
 #include "rules/rules.h"
@@ -9,47 +9,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FRAME_HEADER 4
 #define CONNECT_MS 2
 #define PLATFORM_MS 3
-#define WATCH_POLL_MS 20
 /* Time after which a lost request is reported, as by a closed connection. */
 #define LOST_MS 20
 
-enum event_kind {
-	EV_TIMER,
-	EV_PEER,
-	EV_TARGET_DONE,
-	EV_TARGET_STATE,
-	EV_PLATFORM,
-	EV_STOPPED,
-	EV_CALL,
-};
-
-struct sim_event {
-	ht_ms due;
-	uint64_t order;
-	enum event_kind kind;
-	int node, from;
-	uint64_t incarnation; /* of the node; an event for an earlier process is dropped */
-	uint64_t id;	      /* request, target or argument */
-	uint64_t target;
-	enum ht_target_result result;
-	enum ht_platform_call call;
-	bool ran;
-	GBytes *message; /* packed */
-};
-
-static void fatal(const char *what)
+void sim_fatal(const char *what)
 {
 	fprintf(stderr, "sim: %s\n", what);
 	abort();
 }
 
-static void *checked(void *p)
+void *sim_checked(void *p)
 {
 	if (!p)
-		fatal("out of memory");
+		sim_fatal("out of memory");
 	return p;
 }
 
@@ -63,44 +37,20 @@
 	return (double)(sim_random(s) >> 11) / 9007199254740992.0;
 }
 
-static bool before(const struct sim_event *a, const struct sim_event *b)
-{
-	return a->due < b->due || (a->due == b->due && a->order < b->order);
-}
-
-static void push(struct sim *s, struct sim_event ev)
+void sim_push(struct sim *s, struct sim_event ev)
 {
 	size_t i = s->heap_count++;
 
 	if (s->heap_count > s->heap_capacity) {
 		s->heap_capacity = s->heap_capacity ? s->heap_capacity * 2 : 1024;
-		s->heap = checked(realloc(s->heap, s->heap_capacity * sizeof(*s->heap)));
+		s->heap = sim_checked(realloc(s->heap, s->heap_capacity * sizeof(*s->heap)));
 	}
 	ev.order = s->sequence++;
-	for (; i > 0 && before(&ev, &s->heap[(i - 1) / 2]); i = (i - 1) / 2)
+	for (; i > 0 && sim_before(&ev, &s->heap[(i - 1) / 2]); i = (i - 1) / 2)
 		s->heap[i] = s->heap[(i - 1) / 2];
 	s->heap[i] = ev;
 }
 
-static struct sim_event pop(struct sim *s)
-{
-	struct sim_event top = s->heap[0], last = s->heap[--s->heap_count];
-	size_t i = 0;
-
-	while (2 * i + 1 < s->heap_count) {
-		size_t c = 2 * i + 1;
-
-		if (c + 1 < s->heap_count && before(&s->heap[c + 1], &s->heap[c]))
-			c++;
-		if (!before(&s->heap[c], &last))
-			break;
-		s->heap[i] = s->heap[c];
-		i = c;
-	}
-	s->heap[i] = last;
-	return top;
-}
-
 static int node_by_id(const struct sim *s, uint64_t id)
 {
 	for (int i = 0; i < s->node_count; i++)
@@ -109,7 +59,7 @@
 	return -1;
 }
 
-static bool is_data(const Ht__PeerMsg *msg)
+bool sim_is_data(const Ht__PeerMsg *msg)
 {
 	return msg->kind_case == HT__PEER_MSG__KIND_FORWARD ||
 	       msg->kind_case == HT__PEER_MSG__KIND_ANSWER ||
@@ -129,7 +79,7 @@
 		return false;
 	len = ht__peer_msg__get_packed_size(msg);
 	n->kind_bytes[msg->kind_case] += len + FRAME_HEADER;
-	if (is_data(msg)) {
+	if (sim_is_data(msg)) {
 		n->data_sent_bytes += len + FRAME_HEADER;
 	} else {
 		n->sent_bytes += len + FRAME_HEADER;
@@ -144,10 +94,10 @@
 	if (ev.due < s->last_due[n->index][to])
 		ev.due = s->last_due[n->index][to];
 	s->last_due[n->index][to] = ev.due;
-	data = checked(malloc(len + 1));
+	data = sim_checked(malloc(len + 1));
 	ht__peer_msg__pack(msg, data);
 	ev.message = g_bytes_new_take(data, len);
-	push(s, ev);
+	sim_push(s, ev);
 	return true;
 }
 
@@ -191,7 +141,7 @@
 			ev.due = s->now + req->deadline;
 		}
 	}
-	push(s, ev);
+	sim_push(s, ev);
 }
 
 static void op_cancel_target(void *ctx, uint64_t target, uint64_t id)
@@ -206,11 +156,11 @@
 	struct sim_node *n = ctx;
 
 	(void)service;
-	push(n->sim, (struct sim_event){.kind = EV_TARGET_STATE,
-					.node = n->index,
-					.incarnation = n->incarnation,
-					.target = conf->id,
-					.due = n->sim->now + CONNECT_MS});
+	sim_push(n->sim, (struct sim_event){.kind = EV_TARGET_STATE,
+					    .node = n->index,
+					    .incarnation = n->incarnation,
+					    .target = conf->id,
+					    .due = n->sim->now + CONNECT_MS});
 }
 
 static void op_close(void *ctx, uint64_t target)
@@ -224,10 +174,10 @@
 	struct sim_node *n = ctx;
 
 	n->timer = due;
-	push(n->sim, (struct sim_event){.kind = EV_TIMER,
-					.node = n->index,
-					.incarnation = n->incarnation,
-					.due = due});
+	sim_push(n->sim, (struct sim_event){.kind = EV_TIMER,
+					    .node = n->index,
+					    .incarnation = n->incarnation,
+					    .due = due});
 }
 
 static void op_platform(void *ctx, enum ht_platform_call call, uint64_t known, const char *body)
@@ -237,12 +187,12 @@
 	(void)body;
 	n->sim->platform_calls[call]++;
 	if (call != HT_PLATFORM_WRITE_STATUS)
-		push(n->sim, (struct sim_event){.kind = EV_PLATFORM,
-						.node = n->index,
-						.incarnation = n->incarnation,
-						.call = call,
-						.id = known,
-						.due = n->sim->now + PLATFORM_MS});
+		sim_push(n->sim, (struct sim_event){.kind = EV_PLATFORM,
+						    .node = n->index,
+						    .incarnation = n->incarnation,
+						    .call = call,
+						    .id = known,
+						    .due = n->sim->now + PLATFORM_MS});
 }
 
 static void op_event(void *ctx, const struct ht_event *ev)
@@ -260,10 +210,10 @@
 	struct sim_node *n = ctx;
 
 	n->stopped = true;
-	push(n->sim, (struct sim_event){.kind = EV_STOPPED,
-					.node = n->index,
-					.incarnation = n->incarnation,
-					.due = n->sim->now + 1});
+	sim_push(n->sim, (struct sim_event){.kind = EV_STOPPED,
+					    .node = n->index,
+					    .incarnation = n->incarnation,
+					    .due = n->sim->now + 1});
 }
 
 static const struct ht_core_ops sim_ops = {
@@ -281,7 +231,7 @@
 
 struct sim *sim_new(uint64_t seed)
 {
-	struct sim *s = checked(calloc(1, sizeof(*s)));
+	struct sim *s = sim_checked(calloc(1, sizeof(*s)));
 
 	s->now = 1000000;
 	s->seed = seed << 32;
@@ -308,7 +258,7 @@
 	struct sim_node *n = &s->nodes[s->node_count];
 
 	if (s->node_count == SIM_NODES)
-		fatal("too many instances");
+		sim_fatal("too many instances");
 	*n = (struct sim_node){.sim = s, .index = s->node_count, .size = size, .listed = true};
 	n->id = ht_instance_id(name);
 	snprintf(n->name, sizeof(n->name), "%s", name);
@@ -316,7 +266,7 @@
 	return s->node_count++;
 }
 
-static struct ht_instance_info info_of(const struct sim_node *n)
+struct ht_instance_info sim_info_of(const struct sim_node *n)
 {
 	struct ht_instance_info info = {.size = n->size};
 
@@ -331,7 +281,7 @@
 
 static void link_nodes(struct sim *s, struct sim_node *a, struct sim_node *b)
 {
-	struct ht_instance_info ia = info_of(a), ib = info_of(b);
+	struct ht_instance_info ia = sim_info_of(a), ib = sim_info_of(b);
 
 	if (!a->core || !b->core || s->cut[a->index][b->index] || s->cut[b->index][a->index])
 		return;
@@ -351,13 +301,13 @@
 	n->timer = HT_NEVER;
 	params.ops = &sim_ops;
 	params.ctx = n;
-	params.self = info_of(n);
+	params.self = sim_info_of(n);
 	params.incarnation = n->incarnation;
 	params.seed = sim_random(s);
 	for (size_t i = 0; i < sizeof(params.ticket_key); i++)
 		params.ticket_key[i] = (uint8_t)sim_random(s);
 	params.now = s->now;
-	n->core = checked(ht_core_new(&params));
+	n->core = sim_checked(ht_core_new(&params));
 	for (int i = 0; i < s->node_count; i++)
 		if (i != node)
 			link_nodes(s, n, &s->nodes[i]);
@@ -400,7 +350,8 @@
 	if (s->target_count * 2 > s->target_index_size) {
 		free(s->target_index);
 		s->target_index_size = s->target_index_size ? s->target_index_size * 2 : 64;
-		s->target_index = checked(calloc(s->target_index_size, sizeof(*s->target_index)));
+		s->target_index =
+			sim_checked(calloc(s->target_index_size, sizeof(*s->target_index)));
 		for (size_t i = 0; i < s->target_count; i++)
 			index_target(s, (uint32_t)i);
 	} else {
@@ -415,8 +366,8 @@
 	const struct ht_service_conf *svc = ht_config_service(cfg, t->service);
 
 	if (!known) {
-		s->targets =
-			checked(realloc(s->targets, (s->target_count + 1) * sizeof(*s->targets)));
+		s->targets = sim_checked(
+			realloc(s->targets, (s->target_count + 1) * sizeof(*s->targets)));
 		known = &s->targets[s->target_count++];
 		*known = (struct sim_target){.id = t->id, .speed = 1, .slots = t->slots};
 		index_targets(s);
@@ -432,7 +383,7 @@
 
 	if (!cfg) {
 		ht_rules_errors_print(&errors, "rules", stderr);
-		fatal("the rules do not parse");
+		sim_fatal("the rules do not parse");
 	}
 	cfg->version = version;
 	snprintf(cfg->change_id, sizeof(cfg->change_id), "change-%llu",
@@ -472,11 +423,11 @@
 	if ((old == SIM_TARGET_DOWN) == (mode == SIM_TARGET_DOWN))
 		return;
 	for (int i = 0; i < s->node_count; i++)
-		push(s, (struct sim_event){.kind = EV_TARGET_STATE,
-					   .node = i,
-					   .incarnation = s->nodes[i].incarnation,
-					   .target = t->id,
-					   .due = s->now + CONNECT_MS});
+		sim_push(s, (struct sim_event){.kind = EV_TARGET_STATE,
+					       .node = i,
+					       .incarnation = s->nodes[i].incarnation,
+					       .target = t->id,
+					       .due = s->now + CONNECT_MS});
 }
 
 void sim_request(struct sim *s, int node, uint64_t handle, const struct ht_request *req)
@@ -487,128 +438,7 @@
 
 void sim_call_at(struct sim *s, ht_ms due, uint64_t arg)
 {
-	push(s, (struct sim_event){.kind = EV_CALL, .node = -1, .id = arg, .due = due});
-}
-
-static void peer_message(struct sim *s, struct sim_node *n, const struct sim_event *ev)
-{
-	size_t len = g_bytes_get_size(ev->message);
-	Ht__PeerMsg *msg =
-		checked(ht__peer_msg__unpack(NULL, len, g_bytes_get_data(ev->message, NULL)));
-
-	n->kind_bytes[msg->kind_case] += len + FRAME_HEADER;
-	if (!is_data(msg)) {
-		n->received_bytes += len + FRAME_HEADER;
-		n->received_messages++;
-	}
-	ht_core_peer_msg(n->core, s->nodes[ev->from].id, msg);
-	ht__peer_msg__free_unpacked(msg, NULL);
-}
-
-static void target_done(struct sim *s, struct sim_node *n, const struct sim_event *ev, bool current)
-{
-	static const char body[] = "answer";
-	struct sim_target *t = sim_target(s, ev->target);
-	struct ht_target_answer ans = {.id = ev->id, .result = ev->result};
-
-	if (ev->ran)
-		t->in_flight--;
-	if (!current)
-		return;
-	if (ev->result == HT_TARGET_ANSWERED) {
-		ans.code = HT_CONTENT;
-		ans.payload = (const uint8_t *)body;
-		ans.payload_len = sizeof(body) - 1;
-	} else if (ev->result == HT_TARGET_REFUSED) {
-		ans.code = HT_SERVICE_UNAVAILABLE;
-		ans.retry_after = 1000;
-	}
-	ht_core_target_answer(n->core, &ans);
-}
-
-static void fill_ghost(struct ht_instance_info *info, int i)
-{
-	*info = (struct ht_instance_info){.size = 1};
-	snprintf(info->name, sizeof(info->name), "region%d-dc%02d-%d", i % 8 + 1, i % 25 + 2,
-		 i / 25 + 1);
-	snprintf(info->dc, sizeof(info->dc), "region%d-dc%02d", i % 8 + 1, i % 25 + 2);
-	snprintf(info->peer_address, sizeof(info->peer_address), "127.2.%d.%d:7000", i / 250,
-		 i % 250 + 1);
-	snprintf(info->admin_address, sizeof(info->admin_address), "127.2.%d.%d:7001", i / 250,
-		 i % 250 + 1);
-}
-
-static void list_reply(struct sim *s, struct sim_node *n, bool down)
-{
-	struct ht_instance_info *list =
-		checked(calloc((size_t)(s->node_count + s->ghosts), sizeof(*list)));
-	int count = 0;
-
-	for (int i = 0; i < s->node_count; i++)
-		if (s->nodes[i].listed)
-			list[count++] = info_of(&s->nodes[i]);
-	for (int i = 0; i < s->ghosts; i++)
-		fill_ghost(&list[count++], i);
-	ht_core_live_list(n->core, s->revision, list, down ? -1 : count);
-	free(list);
-}
-
-static void platform_reply(struct sim *s, struct sim_node *n, const struct sim_event *ev)
-{
-	bool down = s->platform_down || n->no_platform;
-
-	if (ev->call == HT_PLATFORM_WATCH_HEAD && !down && s->head && s->head->version == ev->id) {
-		struct sim_event again = *ev;
-
-		again.due = s->now + WATCH_POLL_MS;
-		push(s, again);
-		return;
-	}
-	if (ev->call != HT_PLATFORM_READ_LIVE) {
-		ht_core_platform_config(n->core, down ? NULL : s->head);
-		return;
-	}
-	list_reply(s, n, down);
-}
-
-static void dispatch(struct sim *s, const struct sim_event *ev)
-{
-	struct sim_node *n = ev->node < 0 ? NULL : &s->nodes[ev->node];
-	bool current = n && n->core && n->incarnation == ev->incarnation;
-
-	if (ev->kind == EV_CALL) {
-		s->hooks.call(s->hooks.ctx, ev->id);
-		return;
-	}
-	if (ev->kind == EV_TIMER && (!current || n->timer != ev->due))
-		return;
-	if (current)
-		ht_core_advance(n->core, s->now);
-	if (ev->kind == EV_TARGET_DONE) {
-		target_done(s, n, ev, current);
-	} else if (current && ev->kind == EV_PEER) {
-		peer_message(s, n, ev);
-	} else if (current && ev->kind == EV_PLATFORM) {
-		platform_reply(s, n, ev);
-	} else if (current && ev->kind == EV_STOPPED) {
-		sim_kill(s, ev->node, true);
-	} else if (current && ev->kind == EV_TARGET_STATE) {
-		bool down = sim_target(s, ev->target)->mode == SIM_TARGET_DOWN;
-
-		ht_core_target_state(n->core, ev->target, down ? HT_TARGET_DOWN : HT_TARGET_UP);
-	}
-}
-
-void sim_run(struct sim *s, ht_ms end)
-{
-	while (s->heap_count && s->heap[0].due <= end) {
-		struct sim_event ev = pop(s);
-
-		s->now = ev.due > s->now ? ev.due : s->now;
-		dispatch(s, &ev);
-		g_bytes_unref(ev.message);
-	}
-	s->now = end;
+	sim_push(s, (struct sim_event){.kind = EV_CALL, .node = -1, .id = arg, .due = due});
 }
 
 uint64_t sim_counter(struct sim *s, enum ht_counter id)
