--- a/core/router_place.c
+++ b/core/router_place.c
@@ -41,11 +41,16 @@
 	}
 }
 
-/* Makes the job wait for its claim once; true when it now waits. */
+/* Makes the job wait once for its claim or connection; true when it now waits. */
 bool ht_place_park(struct ht_request_path *p, struct ht_job *job)
 {
-	if (job->waited || p->ownership->slots(p->ownership->ctx, job->target) ||
-	    !claim_pending(p, job->target))
+	const struct ht_target *t = g_hash_table_lookup(p->targets, &job->target);
+
+	if (job->waited)
+		return false;
+	/* A target just taken over is not down: its flows wait for the connection. */
+	if (p->ownership->slots(p->ownership->ctx, job->target) ? !t || !t->connecting
+								: !claim_pending(p, job->target))
 		return false;
 	ht_home_park(p, job);
 	return true;
--- a/core/router_serve.c
+++ b/core/router_serve.c
@@ -287,12 +287,14 @@
 
 	if (!t)
 		return;
+	t->connecting = false;
 	switch (state) {
 	case HT_TARGET_UP:
 		ht_target_connected(t);
 		t->draining = false;
 		p->env->emit(p->env, HT_EV_TARGET_UP, 0, 0, id, 0, "in_flight=%u", t->in_flight);
 		ht_serve_run(p, t);
+		ht_home_resume(p, id);
 		return;
 	case HT_TARGET_DOWN:
 		t->up = false;
@@ -310,6 +312,7 @@
 		break;
 	}
 	ht_serve_flush(p, t);
+	ht_home_resume(p, id);
 }
 
 static void open_target(struct ht_request_path *p, struct ht_target *t,
@@ -320,6 +323,7 @@
 		ht_config_service(p->config->current(p->config->ctx), conf->service);
 
 	t->opened = true;
+	t->connecting = true;
 	params->ops->open_target(params->ctx, conf, svc ? svc->name : "");
 }
 
--- a/core/targets.h
+++ b/core/targets.h
@@ -29,6 +29,7 @@
 	double service_time; /**< mean, in ms */
 	double deviation;    /**< mean distance from service_time, in ms */
 	bool opened;	     /**< connections were asked for */
+	bool connecting;     /**< opened, and its first state is not known yet */
 	bool up;
 	bool draining; /**< by its own signal */
 	bool misassigned;
