--- a/core/path.c
+++ b/core/path.c
@@ -139,6 +139,13 @@
 	return g_hash_table_size(p->pending);
 }
 
+static size_t router_flows(void *ctx)
+{
+	const struct ht_request_path *p = ctx;
+
+	return ht_flows_count(p->flows);
+}
+
 static uint32_t targets_in_flight(void *ctx, uint64_t target)
 {
 	const struct ht_request_path *p = ctx;
@@ -147,6 +154,14 @@
 	return t ? t->in_flight : 0;
 }
 
+static uint32_t targets_queued(void *ctx, uint64_t target)
+{
+	const struct ht_request_path *p = ctx;
+	const struct ht_target *t = g_hash_table_lookup(p->targets, &target);
+
+	return t ? t->queued : 0;
+}
+
 static void targets_owner_changed(void *ctx, uint64_t target)
 {
 	ht_serve_owner_changed(ctx, target);
@@ -203,10 +218,12 @@
 		.target_state = router_target_state,
 		.peer_down = router_peer_down,
 		.pending = router_pending,
+		.flows = router_flows,
 	};
 	p->targets_if = (struct ht_targets_if){
 		.ctx = p,
 		.in_flight = targets_in_flight,
+		.queued = targets_queued,
 		.owner_changed = targets_owner_changed,
 		.config_changed = targets_config_changed,
 		.open_requests = targets_open_requests,
@@ -237,9 +254,9 @@
 	p->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
 	p->pending = g_hash_table_new(g_int64_hash, g_int64_equal);
 	p->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->open = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_list_init(&p->parked);
 	ht_list_init(&p->hops);
-	p->hop_index = g_hash_table_new(g_int64_hash, g_int64_equal);
 	ht_handover_init(p);
 	if (!p->timers || !p->flows || !p->ledger || !p->home_retries || !p->ingress_retries) {
 		ht_request_path_free(p);
@@ -268,8 +285,8 @@
 		return;
 	free_all(p);
 	ht_handover_free(p);
-	g_hash_table_destroy(p->hop_index);
 	g_hash_table_destroy(p->jobs);
+	g_hash_table_destroy(p->open);
 	g_hash_table_destroy(p->pending);
 	g_hash_table_destroy(p->targets);
 	ht_retries_free(p->ingress_retries);
--- a/daemon/peers_internal.h
+++ b/daemon/peers_internal.h
@@ -24,6 +24,7 @@
 	struct ht_peer_session *session;
 	struct ht_peer_session *dialing;
 	ht_ms adopted_at;
+	ht_ms seen_at; /* last time it was listed or had a link */
 	struct ht_buffer queue;
 	struct ev_timer retry;
 	unsigned int failures;
@@ -40,6 +41,7 @@
 	struct ht_list all;	/* of struct ht_peer */
 	struct ht_list unowned; /* accepted or retired sessions */
 	size_t unowned_count;
+	ht_ms next_stranger_log;
 };
 
 static inline bool ht_peer_same_dc(const struct ht_peer *p)
