--- a/tests/core/test_path_attach.c
+++ b/tests/core/test_path_attach.c
@@ -1,5 +1,5 @@
 /* Verdicts of idempotent requests whose copies meet at one home; found by tests/property. */
-#include "tests/core/path_net.h"
+#include "tests/core/path_calls.h"
 
 static void get(struct net *net, int node, uint64_t handle, uint64_t flow, ht_ms deadline)
 {
