--- a/core/claims.c
+++ b/core/claims.c
@@ -78,12 +78,10 @@
 	if (!live)
 		return;
 	/* A leaving member is not counted, but its vote may still be an owner's. */
-	if (!v && ht_membership_is_leaving(c->o->membership, instance))
+	if (v ? !v->granted : ht_membership_is_leaving(c->o->membership, instance))
 		c->objection = true;
 	else if (!v)
 		c->missing = true;
-	else if (!v->granted)
-		c->objection = true;
 }
 
 static struct count_votes count_all(struct ht_ownership *o, const struct ht_owned *t)
