--- a/core/path.c
+++ b/core/path.c
@@ -25,7 +25,9 @@
 	if (!ht_job_add_waiter(job, m->ingress, m->ingress_id))
 		return false;
 	for (size_t i = 0; i < n && i < HT_MORE_INGRESS_MAX; i++)
-		ht_job_add_waiter(job, m->more_ingress[i], m->more_ingress_id[i]);
+		if (ht_job_add_waiter(job, m->more_ingress[i], m->more_ingress_id[i]))
+			job->waiters[job->waiter_count - 1].block =
+				i < m->n_more_block ? m->more_block[i] : 0;
 	return true;
 }
 
--- a/core/path.h
+++ b/core/path.h
@@ -62,8 +62,15 @@
 struct ht_waiter {
 	uint64_t ingress;
 	uint64_t ingress_id;
+	uint32_t block; /**< the block it asks for, packed by ht_block_pack(); 0: none */
 };
 
+/** Block2 in one number: block number, size exponent, and 1. */
+static inline uint32_t ht_block_pack(bool has, uint32_t num, uint8_t szx)
+{
+	return has ? num << 4 | (uint32_t)szx << 1 | 1 : 0;
+}
+
 enum ht_job_state {
 	HT_JOB_NEW,
 	HT_JOB_PARKED, /**< waits for a claim or a configuration */
@@ -327,6 +334,7 @@
 	Ht__Ticket ticket;
 	uint64_t more_ingress[HT_MORE_INGRESS_MAX];
 	uint64_t more_ingress_id[HT_MORE_INGRESS_MAX];
+	uint32_t more_block[HT_MORE_INGRESS_MAX];
 };
 /** Fills @f with the request; it points into @body. */
 void ht_forward_fill(struct ht_forward_frame *f, const struct ht_body *body);
--- a/core/router_answer.c
+++ b/core/router_answer.c
@@ -7,20 +7,20 @@
 /* Largest block: 1024 bytes fit into one datagram on every usual path. */
 #define BLOCK_SZX_MAX 6
 
-/* Cuts the block that @body asks for; a small answer goes whole. False: no such block. */
-static bool cut_block(const struct ht_body *body, struct ht_answer *a)
+/* Cuts the block that a waiter asks for; a small answer goes whole. False: no such block. */
+static bool cut_block(uint32_t block, struct ht_answer *a)
 {
-	uint8_t szx = body->has_block && body->block_szx < BLOCK_SZX_MAX ? body->block_szx
-									 : BLOCK_SZX_MAX;
+	uint32_t num = block >> 4;
+	uint8_t szx = block && (block >> 1 & 7) < BLOCK_SZX_MAX ? block >> 1 & 7 : BLOCK_SZX_MAX;
 	size_t size = (size_t)16 << szx;
-	size_t start = body->has_block ? body->block_num * size : 0;
+	size_t start = num * size;
 
-	if (a->payload_len <= size && start == 0 && !body->has_block)
+	if (a->payload_len <= size && !block)
 		return true;
 	if (start && start >= a->payload_len)
 		return false;
 	a->has_block = true;
-	a->block_num = body->has_block ? body->block_num : 0;
+	a->block_num = num;
 	a->block_szx = szx;
 	a->block_more = a->payload_len - start > size;
 	if (a->payload)
@@ -74,7 +74,8 @@
 	p->env->send(p->env, to->ingress, &msg);
 }
 
-void ht_reply_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *a)
+static void send_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *a,
+		     bool cut)
 {
 	struct ht_waiter *waiters = job->waiters;
 	unsigned int count = job->waiter_count;
@@ -82,11 +83,23 @@
 	job->waiters = NULL;
 	job->waiter_count = 0;
 	job->answered = true;
-	for (unsigned int i = 0; i < count; i++)
-		ht_reply_send(p, job->body, job->target, &waiters[i], a);
+	for (unsigned int i = 0; i < count; i++) {
+		struct ht_answer part = *a;
+
+		if (cut && !cut_block(waiters[i].block, &part)) {
+			part.code = 128; /* 4.00: there is no such block */
+			part.payload_len = 0;
+		}
+		ht_reply_send(p, job->body, job->target, &waiters[i], &part);
+	}
 	g_free(waiters);
 }
 
+void ht_reply_all(struct ht_request_path *p, struct ht_job *job, const struct ht_answer *a)
+{
+	send_all(p, job, a, false);
+}
+
 void ht_reply_refuse(struct ht_request_path *p, struct ht_job *job, uint8_t code,
 		     enum ht_verdict verdict, ht_ms retry_after, const char *why)
 {
@@ -143,9 +156,5 @@
 	struct ht_answer a;
 
 	fill_answer(e, &a);
-	if (!e->evicted && e->verdict == HT_RAN && !cut_block(job->body, &a)) {
-		a.code = 128; /* 4.00: there is no such block */
-		a.payload_len = 0;
-	}
-	ht_reply_all(p, job, &a);
+	send_all(p, job, &a, !e->evicted && e->verdict == HT_RAN);
 }
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -46,7 +46,12 @@
 
 	if (!w)
 		return false;
-	w[job->waiter_count++] = (struct ht_waiter){.ingress = ingress, .ingress_id = ingress_id};
+	w[job->waiter_count++] = (struct ht_waiter){
+		.ingress = ingress,
+		.ingress_id = ingress_id,
+		.block = ht_block_pack(job->body->has_block, job->body->block_num,
+				       job->body->block_szx),
+	};
 	job->waiters = w;
 	return true;
 }
@@ -55,10 +60,13 @@
 {
 	if (!repeat->waiter_count)
 		return false;
-	for (unsigned int i = 0; i < repeat->waiter_count; i++)
-		if (!ht_job_add_waiter(job, repeat->waiters[i].ingress,
-				       repeat->waiters[i].ingress_id))
+	for (unsigned int i = 0; i < repeat->waiter_count; i++) {
+		const struct ht_waiter *w = &repeat->waiters[i];
+
+		if (!ht_job_add_waiter(job, w->ingress, w->ingress_id))
 			return false;
+		job->waiters[job->waiter_count - 1].block = w->block;
+	}
 	return true;
 }
 
@@ -333,7 +341,7 @@
 	struct ht_row row;
 
 	if (ht_body_idempotent(job->body) && !job->body->cancel && job->floor == HT_NOT_RUN &&
-	    (ht_path_in_doubt(p) || home_is_new(p, job))) {
+	    (ht_path_in_doubt(p) || home_is_new(p, job) || job->body->block_num)) {
 		job->floor = HT_MAY_HAVE_RUN;
 		job->doubt = true;
 	}
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -34,16 +34,22 @@
 {
 	size_t n = 0;
 
+	f->forward.has_block = job->waiters[0].block != 0;
+	f->forward.block_num = job->waiters[0].block >> 4;
+	f->forward.block_szx = job->waiters[0].block >> 1 & 7;
 	f->forward.ingress = job->waiters[0].ingress;
 	f->forward.ingress_id = job->waiters[0].ingress_id;
 	for (unsigned int i = 1; i < job->waiter_count && n < HT_MORE_INGRESS_MAX; i++, n++) {
 		f->more_ingress[n] = job->waiters[i].ingress;
 		f->more_ingress_id[n] = job->waiters[i].ingress_id;
+		f->more_block[n] = job->waiters[i].block;
 	}
 	f->forward.more_ingress = f->more_ingress;
 	f->forward.n_more_ingress = n;
 	f->forward.more_ingress_id = f->more_ingress_id;
 	f->forward.n_more_ingress_id = n;
+	f->forward.more_block = f->more_block;
+	f->forward.n_more_block = n;
 }
 
 static uint32_t wire_wait(double wait)
--- a/tests/core/test_path_attach.c
+++ b/tests/core/test_path_attach.c
@@ -52,6 +52,33 @@
 }
 END_TEST
 
+/* Guards against a later block's request that attaches to an open copy and gets block 0. */
+START_TEST(attached_copy_gets_its_block)
+{
+	struct net *net = net_new(3, make_config(1, 0, 1, -1, HT_AFFINITY_FLOW), net_params());
+	uint64_t flow = flow_at(net->cfg, 1, 0);
+	char body[2501];
+
+	memset(body, 'x', 2500);
+	body[2500] = 0;
+	for (int b = 0; b < 3; b++) {
+		request(net, b, (uint64_t)b + 1,
+			(struct call){
+				.flow = flow, .token = "t", .method = HT_GET, .block = b + 1});
+		net_run(net, 10);
+	}
+	ck_assert_int_eq(net->sent_count, 1);
+	target_result(net, &net->sent[0], HT_TARGET_ANSWERED, body, false);
+	net_run(net, 10);
+	for (int b = 0; b < 3; b++) {
+		ck_assert_int_eq(net->got[b + 1].count, 1);
+		ck_assert_uint_eq(net->got[b + 1].a.block_num, (unsigned int)b);
+		ck_assert_int_eq(net->got[b + 1].a.block_more, b < 2);
+	}
+	net_free(net);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("path_attach");
@@ -60,6 +87,7 @@
 	int failed;
 
 	tcase_add_test(tc, lost_retry_attaches);
+	tcase_add_test(tc, attached_copy_gets_its_block);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
 	failed = srunner_ntests_failed(sr);
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -1389,7 +1389,7 @@
   (ProtobufCMessageInit) ht__request_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__forward__field_descriptors[24] =
+static const ProtobufCFieldDescriptor ht__forward__field_descriptors[25] =
 {
   {
     "key",
@@ -1679,6 +1679,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more_block",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ht__Forward, n_more_block),
+    offsetof(Ht__Forward, more_block),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__forward__field_indices_by_name[] = {
   16,   /* field[16] = block_num */
@@ -1697,6 +1709,7 @@
   0,   /* field[0] = key */
   21,   /* field[21] = known_sets */
   8,   /* field[8] = method */
+  24,   /* field[24] = more_block */
   22,   /* field[22] = more_ingress */
   23,   /* field[23] = more_ingress_id */
   9,   /* field[9] = path */
@@ -1709,7 +1722,7 @@
 static const ProtobufCIntRange ht__forward__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor ht__forward__descriptor =
 {
@@ -1719,7 +1732,7 @@
   "Ht__Forward",
   "ht",
   sizeof(Ht__Forward),
-  24,
+  25,
   ht__forward__field_descriptors,
   ht__forward__field_indices_by_name,
   1,  ht__forward__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -256,10 +256,15 @@
   uint64_t *more_ingress;
   size_t n_more_ingress_id;
   uint64_t *more_ingress_id;
+  /*
+   * Block2 that each of them asks for: number * 16 + size exponent * 2 + 1; 0 for none.
+   */
+  size_t n_more_block;
+  uint32_t *more_block;
 };
 #define HT__FORWARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__forward__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0,NULL }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
