Give events that report a message a clock below the message's

CLAIM_SENT, REQUEST_FORWARDED and the events that follow on it (REQUEST_DEFLECTED, FLOW_LOOKUP, QUEUE_HANDED_OVER) are emitted once the send has succeeded, so their clock was above the message's, and the receiver's events could sort before them.

Emitting before the send was ruled out: the send may fail, and the event would report what did not happen. The core now keeps four clocks free below each message's clock; the next events of the same entry into the core take them. TARGET_RELEASED is emitted before the ledger that the release sends.

Before: test_timeline fails, CLAIM_SENT has clock f59b00005 and its message f59b00004.

--- a/core/core.c
+++ b/core/core.c
@@ -13,9 +13,17 @@
 /* Bytes of the length field in front of each frame. */
 #define FRAME_HEADER 4
 
+/*
+ * Clocks kept free below that of each message, for the events that report it: they are emitted
+ * when the send has succeeded, yet have to sort before what the message causes at the receiver.
+ * At most two report one message (REQUEST_FORWARDED and why it was forwarded).
+ */
+#define REPORT_CLOCKS 4
+
 struct ht_core {
 	struct ht_env env;
 	struct ht_hlc hlc;
+	uint64_t report_next, report_end; /* clocks kept free, until the end of the entry */
 	ht_ms wall_offset;
 	uint64_t random_state;
 	struct ht_wakeups wakeups;
@@ -94,6 +102,23 @@
 	return core->env.now + core->wall_offset;
 }
 
+static uint64_t message_clock(struct ht_core *core)
+{
+	if (core->report_end - core->report_next < REPORT_CLOCKS) {
+		core->report_next = ht_hlc_tick(&core->hlc, wall(core));
+		core->report_end = core->report_next + REPORT_CLOCKS;
+		core->hlc.last = core->report_end - 1;
+	}
+	return ht_hlc_tick(&core->hlc, wall(core));
+}
+
+static uint64_t event_clock(struct ht_core *core)
+{
+	if (core->report_next < core->report_end)
+		return core->report_next++;
+	return ht_hlc_tick(&core->hlc, wall(core));
+}
+
 static bool env_send(struct ht_env *env, uint64_t peer, Ht__PeerMsg *msg)
 {
 	struct ht_core *core = core_of(env);
@@ -101,7 +126,7 @@
 
 	if (peer == 0 || peer == env->self)
 		return false;
-	msg->clock = ht_hlc_tick(&core->hlc, wall(core));
+	msg->clock = message_clock(core);
 	if (!env->params.ops->send_peer(env->params.ctx, peer, msg))
 		return false;
 	if (is_data(msg)) {
@@ -124,7 +149,7 @@
 	struct ht_core *core = core_of(env);
 	struct ht_event ev = {
 		.number = number,
-		.clock = ht_hlc_tick(&core->hlc, wall(core)),
+		.clock = event_clock(core),
 		.flow = flow,
 		.request = request,
 		.target = target,
@@ -191,6 +216,7 @@
 	ht_ms first;
 
 	ht_ownership_review(core->ownership);
+	core->report_next = core->report_end = 0;
 	first = ht_wakeups_first(&core->wakeups);
 	if (first == core->armed || first == HT_NEVER)
 		return;
--- a/core/votes.c
+++ b/core/votes.c
@@ -51,9 +51,9 @@
 	t->release_until = o->env->now + o->env->params.takeover_hold;
 	ht_owned_set_state(o, t, t->release_left ? HT_OWNER_RELEASING : HT_OWNER_NONE);
 	if (ballot->was_owner) {
-		ledger_of(o)->hand_over(ledger_of(o)->ctx, t->id, to);
 		o->env->emit(o->env, HT_EV_TARGET_RELEASED, 0, 0, t->id, to, "in_flight=%u",
 			     ballot->in_flight);
+		ledger_of(o)->hand_over(ledger_of(o)->ctx, t->id, to);
 	}
 }
 
--- a/tests/core/core_net.h
+++ b/tests/core/core_net.h
@@ -35,7 +35,8 @@
 	bool frozen, leaving, stopped;
 	ht_ms thawed_at;
 	bool open[TARGETS];
-	ht_ms up_at[TARGETS]; /* when the connection is there */
+	ht_ms up_at[TARGETS];	    /* when the connection is there */
+	uint64_t sent_clock[NODES]; /* of the last message to each node */
 };
 
 struct packet {
@@ -98,6 +99,8 @@
 		enum ht_platform_call kind;
 	} watch[64];
 	int watch_count;
+	ht_ms wall_skew; /* each node's wall clock is this much behind that of the node before */
+	void (*on_event)(const struct node *n, const struct ht_event *ev); /* may be NULL */
 };
 
 static inline uint64_t rnd(struct net *net, uint64_t bound)
@@ -143,6 +146,7 @@
 			     .len = ht__peer_msg__get_packed_size(msg)};
 	p->data = malloc(p->len + 1);
 	ht__peer_msg__pack(msg, p->data);
+	n->sent_clock[to->index] = msg->clock;
 	return true;
 }
 
@@ -170,6 +174,8 @@
 {
 	const struct node *n = ctx;
 
+	if (n->net->on_event)
+		n->net->on_event(n, ev);
 	if (getenv("HT_TEST_TRACE")) {
 		printf("%lld ", (long long)n->net->now);
 		fflush(stdout);
@@ -307,6 +313,7 @@
 	params.incarnation = n->incarnation;
 	params.seed = net->seed;
 	params.now = net->now;
+	params.wall = net->now - i * net->wall_skew;
 	memcpy(params.ticket_key, &n->incarnation, 8);
 	n->core = ht_core_new(&params);
 	ck_assert_ptr_nonnull(n->core);
--- /dev/null
+++ b/tests/core/test_timeline.c
@@ -0,0 +1,103 @@
+/* The merged time line of several cores: no cause sorts after its effect, whatever the clocks. */
+#include "tests/core/core_net.h"
+
+/* Claims from one node to another: the first of the newest ms with one, and that before it. */
+struct claims {
+	ht_ms at;
+	uint64_t clock, before;
+};
+
+static struct {
+	struct claims claims[NODES][NODES];
+	unsigned int reports[3], granted;
+} seen;
+
+static void note_claim(struct claims *c, ht_ms now, uint64_t clock)
+{
+	if (c->at == now)
+		return;
+	*c = (struct claims){.at = now, .clock = clock, .before = c->clock};
+}
+
+/* A claim takes 1 ms, so that a grant answers none of the present ms. */
+static void check_grant(const struct claims *c, ht_ms now, uint64_t clock)
+{
+	seen.granted++;
+	ck_assert_uint_gt(clock, c->at < now ? c->clock : c->before);
+}
+
+static int report_kind(enum ht_event_number number)
+{
+	switch (number) {
+	case HT_EV_CLAIM_SENT:
+		return 0;
+	case HT_EV_REQUEST_FORWARDED:
+		return 1;
+	case HT_EV_REQUEST_DEFLECTED:
+	case HT_EV_FLOW_LOOKUP:
+	case HT_EV_QUEUE_HANDED_OVER:
+		return 2; /* follow on REQUEST_FORWARDED */
+	default:
+		return -1;
+	}
+}
+
+/* The receiver takes the message's clock in before it acts, so its events get higher ones. */
+static void check_event(const struct node *n, const struct ht_event *ev)
+{
+	const struct node *peer = ev->instance ? node_by_id(n->net, ev->instance) : NULL;
+	int kind = report_kind(ev->number);
+
+	if (!peer)
+		return;
+	if (kind >= 0) {
+		seen.reports[kind]++;
+		ck_assert_msg(ev->clock < n->sent_clock[peer->index],
+			      "event %d has clock %llx, its message %llx", (int)ev->number,
+			      (unsigned long long)ev->clock,
+			      (unsigned long long)n->sent_clock[peer->index]);
+	}
+	if (ev->number == HT_EV_CLAIM_SENT)
+		note_claim(&seen.claims[n->index][peer->index], n->net->now, ev->clock);
+	if (ev->number == HT_EV_CLAIM_GRANTED)
+		check_grant(&seen.claims[peer->index][n->index], n->net->now, ev->clock);
+}
+
+/* Guards against events that get their clock after the message they report, seen where the
+ * receiver's wall clock is behind. */
+START_TEST(reports_precede_effects)
+{
+	struct net *net = net_new(8, 4, 6);
+
+	net->wall_skew = 50;
+	net->on_event = check_event;
+	for (int i = 0; i < net->count; i++) {
+		node_end(net, i);
+		node_start(net, i);
+		net_run(net, 4000);
+	}
+	load(net, 4000, 600, 500);
+	set_targets(net, 0, 7, -1);
+	load(net, 4000, 600, 500);
+	for (int i = 0; i < 3; i++)
+		ck_assert_uint_gt(seen.reports[i], 0);
+	ck_assert_uint_gt(seen.granted, 0);
+	net_free(net);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("timeline");
+	TCase *tc = tcase_create("all");
+	SRunner *sr = srunner_create(s);
+	int failed;
+
+	tcase_add_test(tc, reports_precede_effects);
+	tcase_set_timeout(tc, 60);
+	suite_add_tcase(s, tc);
+	srunner_run_all(sr, CK_NORMAL);
+	failed = srunner_ntests_failed(sr);
+	srunner_free(sr);
+	return failed != 0;
+}
