Spread whole-configuration pulls and wait for parts that arrive

A pull was repeated 300 ms after it was sent, although parts of the answer were arriving; part 0 of the second answer then restarted the assembly. An arriving part now moves the next try on. Instances that start together all asked the first peer heard; they now gather announcements for 50 ms and choose by hash of the own id among the peers known to have the version, and another one at each further try. An announcement counts as knowledge of the peer's version ahead of its next heartbeat.

--- a/core/config_data.c
+++ b/core/config_data.c
@@ -206,7 +206,11 @@
 		a->parts = msg->parts;
 	}
 	if (a->peer != peer || a->version != msg->version || a->next != msg->part ||
-	    !append_part(a, msg->added[0]) || a->next < a->parts)
+	    !append_part(a, msg->added[0]))
+		return;
+	/* The rest is on its way; to pull again would make the peer send all of it twice. */
+	c->pull_until = c->env->now + HT_PULL_TIMEOUT_MS;
+	if (a->next < a->parts)
 		return;
 	text = a->text;
 	a->text = NULL;
--- a/core/config_service.c
+++ b/core/config_service.c
@@ -50,6 +50,7 @@
 	c->current = ht_config_get(cfg);
 	c->want_whole = false;
 	c->pull_until = 0;
+	c->tries = 0;
 	c->env->emit(c->env, HT_EV_CONFIG_ADOPTED, 0, 0, 0, 0, "version=%llu source=%s",
 		     (unsigned long long)cfg->version, source);
 	if (targets)
@@ -80,8 +81,15 @@
 
 void ht_config_service_announce(struct ht_config_service *c, uint64_t peer, uint64_t version)
 {
+	ht_membership_note_version(c->membership, peer, version);
 	if (version <= version_of(c))
 		return;
+	if (!c->current && c->wanted_version == 0) {
+		c->pull_until = c->env->now + HT_PULL_GATHER_MS;
+		c->env->wake_at(c->env, c->pull_until);
+	}
+	if (version > c->wanted_version)
+		c->tries = 0;
 	if (version >= c->wanted_version) {
 		c->wanted_version = version;
 		c->wanted_peer = peer;
@@ -98,13 +106,16 @@
 {
 	Ht__ConfigPull pull = HT__CONFIG_PULL__INIT;
 	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
+	uint64_t peer;
 
 	if (c->wanted_version <= version_of(c) || c->env->now < c->pull_until)
 		return;
 	pull.have_version = c->want_whole ? 0 : version_of(c);
 	msg.kind_case = HT__PEER_MSG__KIND_CONFIG_PULL;
 	msg.config_pull = &pull;
-	c->env->send(c->env, c->wanted_peer, &msg);
+	peer = ht_membership_config_peer(c->membership, c->wanted_version, c->tries++);
+	/* An announcer of another data centre is not among the peers. */
+	c->env->send(c->env, peer ? peer : c->wanted_peer, &msg);
 	c->pull_until = c->env->now + HT_PULL_TIMEOUT_MS;
 	c->env->wake_at(c->env, c->pull_until);
 }
--- a/core/config_service.h
+++ b/core/config_service.h
@@ -10,8 +10,13 @@
 #define HT_KEPT_CHANGES 8
 /* Peers told of a new version at once; the others learn it from these or from heartbeats. */
 #define HT_ANNOUNCE_PEERS 4
-/* A pull without answer is sent again after this time, in ms. */
+/* A pull is sent again when for this time, in ms, no part of an answer has come. */
 #define HT_PULL_TIMEOUT_MS 300
+/*
+ * An instance that starts waits this long, in ms, for the announcements of more peers: the whole
+ * text has 2 MB at the two-year size, and all that start with it would ask the first one heard.
+ */
+#define HT_PULL_GATHER_MS 50
 /* Text bytes per ConfigData message; a frame holds 1 MiB. */
 #define HT_DATA_PART_BYTES (256 * 1024)
 /* Whole texts beyond this are refused: 21,000 targets take about 2 MB. */
@@ -48,7 +53,8 @@
 	size_t previous_count;
 	struct ht_kept_change kept[HT_KEPT_CHANGES]; /* oldest first */
 	size_t kept_count;
-	uint64_t wanted_version, wanted_peer;
+	uint64_t wanted_version, wanted_peer; /* newest announced, and who did so last */
+	unsigned int tries;		      /* pulls of the wanted version so far */
 	uint64_t older_logged;
 	bool want_whole; /* the last difference did not fit */
 	ht_ms pull_until;
@@ -66,7 +72,7 @@
 void ht_config_keep_change(struct ht_config_service *c, const struct ht_config *next);
 void ht_config_free_changes(struct ht_config_service *c);
 void ht_config_free_assembly(struct ht_config_service *c);
-/** Sends a pull to the peer that has the newest known version, unless one is under way. */
+/** Sends a pull to a peer that has the newest known version, unless one is under way. */
 void ht_config_send_pull(struct ht_config_service *c);
 
 #endif
--- a/core/control.h
+++ b/core/control.h
@@ -36,6 +36,15 @@
 uint64_t ht_membership_list_revision(const struct ht_membership *m);
 /** True when another live, not leaving instance of the data centre exists. */
 bool ht_membership_has_successor(const struct ht_membership *m);
+/** The peer is known to work by @version, ahead of its next heartbeat. */
+void ht_membership_note_version(struct ht_membership *m, uint64_t peer, uint64_t version);
+/**
+ * A live peer of the data centre that works by @version or a newer one, or 0. The choice is by
+ * hash of the own id, so that instances which ask at the same time ask different peers; each
+ * @attempt makes another choice.
+ */
+uint64_t ht_membership_config_peer(const struct ht_membership *m, uint64_t version,
+				   unsigned int attempt);
 /** A random live peer of the own data centre, or 0. */
 uint64_t ht_membership_random_peer(struct ht_membership *m);
 /** Calls @visit with the configuration version of each live peer of the data centre. */
--- a/core/membership_view.c
+++ b/core/membership_view.c
@@ -238,6 +238,33 @@
 	return chosen;
 }
 
+void ht_membership_note_version(struct ht_membership *m, uint64_t peer, uint64_t version)
+{
+	struct ht_member *p = ht_members_find(m, peer);
+
+	if (p && version > p->config_version)
+		p->config_version = version;
+}
+
+uint64_t ht_membership_config_peer(const struct ht_membership *m, uint64_t version,
+				   unsigned int attempt)
+{
+	uint64_t salt = ht_hash_pair(m->env->self, attempt), chosen = 0, highest = 0;
+
+	for (size_t i = 0; i < m->count; i++) {
+		const struct ht_member *p = &m->members[i];
+		uint64_t rank = ht_hash_pair(p->id, salt);
+
+		if (!ht_member_is_live_peer(p) || p->config_version < version)
+			continue;
+		if (!chosen || rank > highest) {
+			chosen = p->id;
+			highest = rank;
+		}
+	}
+	return chosen;
+}
+
 void ht_membership_versions(const struct ht_membership *m,
 			    void (*visit)(void *vctx, const char *name, uint64_t version),
 			    void *vctx)
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -102,6 +102,8 @@
 	uint64_t lost;			     /* packets dropped by cuts */
 	bool drop;			     /* cut links lose packets instead of delaying them */
 	char last_status[512];
+	/* Sees each packet and may put off its arrival; may be NULL. */
+	void (*on_send)(struct packet *p, const Ht__PeerMsg *msg);
 };
 
 static inline uint64_t net_random(struct net *net)
@@ -252,6 +254,8 @@
 			     .len = ht__peer_msg__get_packed_size(msg)};
 	p->data = malloc(p->len + 1);
 	ht__peer_msg__pack(msg, p->data);
+	if (n->net->on_send)
+		n->net->on_send(p, msg);
 	return true;
 }
 
--- a/tests/control/test_config.c
+++ b/tests/control/test_config.c
@@ -159,6 +159,90 @@
 }
 END_TEST
 
+static unsigned int pulls[MAX_NODES], pulled[MAX_NODES]; /* by sender and by receiver */
+
+static void count_pulls(struct packet *p, const Ht__PeerMsg *msg)
+{
+	if (msg->kind_case != HT__PEER_MSG__KIND_CONFIG_PULL)
+		return;
+	pulls[p->from]++;
+	pulled[p->to]++;
+}
+
+/* Each part of a text takes 200 ms. */
+static void slow_parts(struct packet *p, const Ht__PeerMsg *msg)
+{
+	count_pulls(p, msg);
+	if (msg->kind_case == HT__PEER_MSG__KIND_CONFIG_DATA)
+		p->due += 200 * ((ht_ms)msg->config_data->part + 1);
+}
+
+/* Guards against a whole text that is asked for again, and sent twice, while it is arriving. */
+START_TEST(arriving_parts_put_the_next_pull_off)
+{
+	struct net *net = start(9, 3, 0);
+	int ms;
+
+	net->load = false;
+	net_set_head(net, make_config(2, 8000, "second"));
+	ck_assert_int_ge(run_until_version(net, 2, SPREAD_MS), 0);
+	net->platform_down = true;
+	net->on_send = slow_parts;
+	net_add(net, "n", "salto");
+	net_start(net, 3);
+	ms = run_until_version(net, 2, 3000);
+	ck_assert_int_gt(ms, 600); /* three parts or more */
+	ck_assert_uint_eq(pulls[3], 1);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against a pull that is never repeated, or only at the peer that does not answer. */
+START_TEST(pull_without_answer_goes_to_another_peer)
+{
+	struct net *net = start(10, 4, 0);
+	int asked = 0;
+
+	net->load = false;
+	net->platform_down = true;
+	net->on_send = count_pulls;
+	net_add(net, "n", "salto");
+	net_start(net, 4);
+	for (int ms = 0; ms < 1000 && pulls[4] == 0; ms++)
+		net_step(net);
+	while (!pulled[asked])
+		asked++;
+	net->nodes[asked].frozen = true;
+	ck_assert_int_ge(run_until_version(net, 1, 1500), 0);
+	ck_assert_uint_ge(pulls[4], 2);
+	net_free(net);
+}
+END_TEST
+
+/* Guards against one peer that sends its whole text to all instances that start together. */
+START_TEST(starting_instances_pull_from_different_peers)
+{
+	static const char *const names[] = {"n", "o", "p", "q", "r", "s"};
+	struct net *net = start(11, 6, 0);
+	unsigned int most = 0;
+
+	net->load = false;
+	net->platform_down = true;
+	net->on_send = count_pulls;
+	for (int i = 6; i < 12; i++) {
+		net_add(net, names[i - 6], "salto");
+		net_start(net, i);
+	}
+	ck_assert_int_ge(run_until_version(net, 1, 1000), 0);
+	for (int i = 0; i < 12; i++) {
+		ck_assert_uint_eq(pulls[i], i < 6 ? 0 : 1);
+		most = pulled[i] > most ? pulled[i] : most;
+	}
+	ck_assert_uint_le(most, 3);
+	net_free(net);
+}
+END_TEST
+
 /* Guards against whole rules being sent for each change of a line. */
 START_TEST(changes_travel_as_differences)
 {
@@ -249,6 +333,9 @@
 	tcase_add_test(tc, platform_outage);
 	tcase_add_test(tc, platform_restored_with_an_older_version);
 	tcase_add_test(tc, new_instance_learns_from_peers);
+	tcase_add_test(tc, arriving_parts_put_the_next_pull_off);
+	tcase_add_test(tc, pull_without_answer_goes_to_another_peer);
+	tcase_add_test(tc, starting_instances_pull_from_different_peers);
 	tcase_add_test(tc, changes_travel_as_differences);
 	tcase_add_test(tc, platform_calls_are_few);
 	tcase_add_test(tc, earlier_target_sets_are_kept);
