--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # hickorytrestle: a workspace of packages with two binaries, hickorytrestled and hickoryctl.
 #
-#   make            build everything        make check    set-up, format, lint, tests, sanitizers
+#   make            build everything        make check    set-up, format, lint, manual pages, tests, sanitizers
 #   make demo       one deployment, end to end
 #   make prove      the eight promises      make measure  imbalance, control bytes, platform calls
 #
@@ -95,6 +95,7 @@
 	$(MAKE) all
 	$(MAKE) format-check
 	$(MAKE) lint
+	$(MAKE) man-check
 	$(MAKE) test
 	$(MAKE) SAN=1 test
 
--- a/mk/standins.mk
+++ b/mk/standins.mk
@@ -7,3 +7,4 @@
 test: test-scripts
 test-scripts:
 	@python3 tests/scripts/test_evidence.py
+	@python3 tests/scripts/test_pages.py
