--- a/tests/control/fake_path.h
+++ b/tests/control/fake_path.h
@@ -105,6 +105,8 @@
 	bool trace;			     /* print events: NET_TRACE is set */
 	bool drop;			     /* cut links lose packets instead of delaying them */
 	char last_status[512];
+	/* Sees each packet and may put off its arrival; may be NULL. */
+	void (*on_send)(struct packet *p, const Ht__PeerMsg *msg);
 };
 
 static inline uint64_t net_random(struct net *net)
--- a/tests/control/nodes.h
+++ b/tests/control/nodes.h
@@ -41,6 +41,8 @@
 			     .len = ht__peer_msg__get_packed_size(msg)};
 	p->data = malloc(p->len + 1);
 	ht__peer_msg__pack(msg, p->data);
+	if (n->net->on_send)
+		n->net->on_send(p, msg);
 	return true;
 }
 
--- a/tests/control/test_random.c
+++ b/tests/control/test_random.c
@@ -118,8 +118,10 @@
 {
 	const struct ht_config *cfg = ht_core_config(net->nodes[0].core);
 
-	for (int i = 0; i < net->count; i++)
+	for (int i = 0; i < net->count; i++) {
 		ck_assert_uint_eq(net->nodes[i].last_version, cfg->version);
+		ck_assert_str_eq(ht_core_config(net->nodes[i].core)->text, cfg->text);
+	}
 	ck_assert_int_eq(net_served(net), (int)cfg->target_count);
 }
 
