core: an owner that lets go overrules the hold of voters that know less

Cause: in a rolling replacement the new home held a target idle for up to 2 s although its owner had just released it. A voter that restarted within the last 2 s, often the claimant itself, knows no former owner and assumes that one died; the longest hold of all votes counted.

--- a/core/owned.h
+++ b/core/owned.h
@@ -40,6 +40,8 @@
 	size_t vote_count, vote_capacity;
 	bool self_vote, taken_over;
 	uint64_t former_owner; /* live instance that handed the target over, or 0 */
+	bool let_go;	       /* the present owner has released it to this claim */
+	ht_ms let_go_hold;     /* end of the hold that it passed on */
 	ht_ms hold_until, taken_over_at;
 	struct ht_borrow borrows[HT_BORROWERS];
 
@@ -84,6 +86,7 @@
 	uint32_t hold_ms;
 	uint32_t in_flight;
 	bool was_owner;
+	bool let_go; /* owned it with a valid majority until now */
 };
 
 /**
--- a/core/votes.c
+++ b/core/votes.c
@@ -41,6 +41,8 @@
 {
 	bool owner = t->state == HT_OWNER_OWNED || t->state == HT_OWNER_HOLDING;
 
+	ballot->let_go = owner && ht_membership_majority(o->membership, t->votes, t->vote_count,
+							 t->self_vote);
 	ballot->in_flight = ht_owned_in_flight(o, t->id);
 	ballot->was_owner = owner || ballot->in_flight > 0;
 	for (int i = 0; i < HT_BORROWERS; i++)
@@ -155,6 +157,7 @@
 		out[n].target = in->target;
 		out[n].granted = b.granted;
 		out[n].was_owner = b.was_owner;
+		out[n].let_go = b.let_go;
 		out[n].in_flight = b.in_flight;
 		out[n].holder = b.holder;
 		out[n].hold_ms = b.hold_ms;
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -2062,7 +2062,7 @@
   (ProtobufCMessageInit) ht__returned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ht__claimed_target__field_descriptors[8] =
 {
   {
     "target",
@@ -2148,6 +2148,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "let_go",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ht__ClaimedTarget, let_go),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__claimed_target__field_indices_by_name[] = {
   2,   /* field[2] = granted */
@@ -2155,13 +2167,14 @@
   4,   /* field[4] = holder */
   6,   /* field[6] = holder_term */
   1,   /* field[1] = in_flight */
+  7,   /* field[7] = let_go */
   0,   /* field[0] = target */
   3,   /* field[3] = was_owner */
 };
 static const ProtobufCIntRange ht__claimed_target__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ht__claimed_target__descriptor =
 {
@@ -2171,7 +2184,7 @@
   "Ht__ClaimedTarget",
   "ht",
   sizeof(Ht__ClaimedTarget),
-  7,
+  8,
   ht__claimed_target__field_descriptors,
   ht__claimed_target__field_indices_by_name,
   1,  ht__claimed_target__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -353,10 +353,15 @@
    * claims: term of the holder's reply that granted
    */
   uint64_t holder_term;
+  /*
+   * Replies: the sender owned the target with a valid majority until now, so that no earlier owner's
+   * request runs beyond hold_ms, whatever voters that know less assume.
+   */
+  protobuf_c_boolean let_go;
 };
 #define HT__CLAIMED_TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claimed_target__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
