--- a/tests/control/test_stop.c
+++ b/tests/control/test_stop.c
@@ -77,6 +77,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a target that is held idle after its owner released it, because the new owner has
+ * just restarted and knows no former owner.
+ */
+START_TEST(release_to_a_restarted_instance_has_no_hold)
+{
+	struct net *net = net_dc(44, 3);
+
+	net->load = false;
+	ht_core_stop(net->nodes[0].core);
+	ck_assert_int_ge(run_until_stopped(net, 0, 10000), 0);
+	net_kill(net, 0, true);
+	net_start(net, 0);
+	net_run(net, 1000);
+	net->longest_gap = 0;
+	ht_core_stop(net->nodes[1].core);
+	net_run(net, 3000);
+	ck_assert_int_eq(net_served(net), 6);
+	ck_assert_int_le(net->longest_gap, 600);
+	net_free(net);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("stop");
@@ -89,6 +112,7 @@
 	tcase_add_test(tc, waits_for_the_ledger_and_for_answers);
 	tcase_add_test(tc, gives_up_after_the_limit);
 	tcase_add_test(tc, rolling_restart_keeps_all_targets_in_service);
+	tcase_add_test(tc, release_to_a_restarted_instance_has_no_hold);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
 	failed = srunner_ntests_failed(sr);
