--- a/Makefile
+++ b/Makefile
@@ -98,6 +98,8 @@
 	$(MAKE) man-check
 	$(MAKE) test
 	$(MAKE) SAN=1 test
+	$(MAKE) fuzz FUZZ_RUNS=20000 FUZZ_SECONDS=30
+	$(MAKE) model
 
 clean:
 	rm -rf build build-san
--- a/mk/demo.mk
+++ b/mk/demo.mk
@@ -1,3 +1,4 @@
 .PHONY: demo
-demo: all
+demo: setup
+	$(Q)$(MAKE) all
 	$(Q)HT_BUILD=$(B) PYTHONDONTWRITEBYTECODE=1 python3 scripts/demo.py
