core: a posting moves its flow when the flow's home cannot be reached

Cause: the posting was placed at another target for that one request, so the flow kept its unreachable home; the ticket issued there was sealed when it came back, and the next 4.01 followed, up to 8 times in 4 ms. Ruled out: running the posting at any target of the row, which broke the test that a posting follows its flow to a new home. Before: the new test fails (1 request sent, 2 expected). After: it passes; the other path tests and both property programs pass.

--- a/core/router_home.c
+++ b/core/router_home.c
@@ -154,7 +154,9 @@
 		if (home && job->hops_left && ht_hop_send(p, job, home, conf->id, flag, INFINITY))
 			return;
 		job->tried |= 1U << ht_row_index(row, conf->id);
-		job->one_off = true;
+		/* A posting moves its flow: its ticket must find the target for which it was
+		 * issued. */
+		job->one_off = ht_body_idempotent(job->body);
 		ht_home_place(p, job);
 		return;
 	}
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -287,8 +287,8 @@
 	} else if (reason == HT_RETURN_UNAVAILABLE || reason == HT_RETURN_NOT_SERVED) {
 		forget_hop(p, job);
 	} else {
-		/* The views differ for a moment; the flow stays where it is. */
-		job->one_off = true;
+		/* The views differ for a moment; the flow stays where it is, but for a posting. */
+		job->one_off = ht_body_idempotent(job->body);
 	}
 	ht_home_place(p, job);
 }
--- a/tests/core/test_path_handover.c
+++ b/tests/core/test_path_handover.c
@@ -112,6 +112,30 @@
 }
 END_TEST
 
+/* Guards against one ticket after another for a posting whose flow lives at an unreachable home. */
+START_TEST(unreachable_home_ends_in_a_run)
+{
+	struct net *net = net_new(2, make_config(1, 0, 1, -1, HT_AFFINITY_FLOW), net_params());
+	uint64_t flow = flow_at(net->cfg, 0, 1);
+	struct ht_router_if *router = net->nodes[0].router;
+	uint8_t ticket[HT_TICKET_LEN];
+
+	router->target_state(router->ctx, target_id(0), HT_TARGET_DOWN);
+	request(net, 0, 1, (struct call){.flow = flow, .token = "g", .method = HT_GET});
+	net_run(net, 10);
+	ck_assert_int_eq(net->sent[0].node, 1);
+	target_result(net, &net->sent[0], HT_TARGET_ANSWERED, "x", false);
+	net_run(net, 10);
+	target_up(net, 0, 0);
+	net->cut[0][1] = net->cut[1][0] = true;
+	get_ticket(net, 0, 2, flow, ticket);
+	post(net, 0, 3, flow, ticket);
+	ck_assert_int_eq(net->sent_count, 2);
+	ck_assert_int_eq(net->sent[1].node, 0);
+	net_free(net);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("path_handover");
@@ -122,6 +146,7 @@
 	tcase_add_test(tc, ledger_is_handed_over);
 	tcase_add_test(tc, incomplete_hand_over_proves_nothing);
 	tcase_add_test(tc, issuer_lost_the_target);
+	tcase_add_test(tc, unreachable_home_ends_in_a_run);
 	tcase_set_timeout(tc, 60);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_NORMAL);
