--- a/core/claims.c
+++ b/core/claims.c
@@ -50,12 +50,12 @@
 	t->self_vote = false;
 	t->taken_over = false;
 	t->former_owner = 0;
-	t->let_go = false;
+	t->owner_released = false;
 	t->blocker = 0;
 	t->next_claim = HT_NEVER;
 	/* The hold that other voters told of counts for the next claim too. */
-	if (t->hold_until > t->quiet_until)
-		t->quiet_until = t->hold_until;
+	if (t->hold_until > t->known_hold_until)
+		t->known_hold_until = t->hold_until;
 	t->hold_until = 0;
 }
 
@@ -129,8 +129,8 @@
 	if (t->taken_over)
 		t->taken_over_at = now;
 	/* The owner itself knows better than voters that have restarted since. */
-	if (t->let_go)
-		t->hold_until = t->let_go_hold;
+	if (t->owner_released)
+		t->hold_until = t->owner_released_hold;
 	o->env->emit(o->env, HT_EV_TARGET_OWNED, 0, 0, t->id, 0, "hold=%lld borrowed=%u",
 		     (long long)(t->hold_until > now ? t->hold_until - now : 0), ht_borrowed(t));
 	ht_owned_set_state(o, t, t->hold_until > now ? HT_OWNER_HOLDING : HT_OWNER_OWNED);
@@ -396,9 +396,9 @@
 			continue;
 		if (in->granted)
 			take_loan(o, t, peer, in);
-		if (in->granted && in->let_go && valid && msg->epoch >= t->epoch) {
-			t->let_go = true;
-			t->let_go_hold = o->env->now + in->hold_ms;
+		if (in->granted && in->owner_released && valid && msg->epoch >= t->epoch) {
+			t->owner_released = true;
+			t->owner_released_hold = o->env->now + in->hold_ms;
 		}
 		vote.granted = in->granted;
 		vote.holder = in->granted ? 0 : in->holder;
--- a/core/owned.h
+++ b/core/owned.h
@@ -30,7 +30,7 @@
 	/* The claimant that has this instance's own vote; 0 for none. */
 	uint64_t lock_holder, lock_incarnation, lock_term;
 	/* Requests of a dead owner may run until then, whoever claims. */
-	ht_ms quiet_until;
+	ht_ms known_hold_until;
 
 	/* Own claim. */
 	uint64_t epoch; /* of the first claim of this term */
@@ -39,9 +39,9 @@
 	struct ht_vote *votes;
 	size_t vote_count, vote_capacity;
 	bool self_vote, taken_over;
-	uint64_t former_owner; /* live instance that handed the target over, or 0 */
-	bool let_go;	       /* the present owner has released it to this claim */
-	ht_ms let_go_hold;     /* end of the hold that it passed on */
+	uint64_t former_owner;	   /* live instance that handed the target over, or 0 */
+	bool owner_released;	   /* the present owner has released it to this claim */
+	ht_ms owner_released_hold; /* end of the hold that it passed on */
 	ht_ms hold_until, taken_over_at;
 	struct ht_borrow borrows[HT_BORROWERS];
 
@@ -86,7 +86,7 @@
 	uint32_t hold_ms;
 	uint32_t in_flight;
 	bool was_owner;
-	bool let_go; /* owned it with a valid majority until now */
+	bool owner_released; /* owned it with a valid majority until now */
 };
 
 /**
--- a/core/path.c
+++ b/core/path.c
@@ -55,9 +55,9 @@
 	job->wait = m->wait_ms == UINT32_MAX ? INFINITY : m->wait_ms;
 	if (m->flags & HT__FORWARD_FLAG__FORWARD_RETRY)
 		job->floor = HT_MAY_HAVE_RUN;
-	if (m->flags & HT__FORWARD_FLAG__FORWARD_DOUBT) {
+	if (m->flags & HT__FORWARD_FLAG__FORWARD_UNCERTAIN) {
 		job->floor = HT_MAY_HAVE_RUN;
-		job->doubt = true;
+		job->uncertain = true;
 	}
 	ht_home_decide(p, job);
 }
@@ -132,7 +132,7 @@
 
 static void router_peer_down(void *ctx, uint64_t peer, enum ht_peer_down_reason reason)
 {
-	ht_path_doubt(ctx);
+	ht_path_set_uncertain(ctx);
 	ht_handover_peer_down(ctx, peer);
 	if (reason == HT_PEER_GONE)
 		ht_hop_peer_down(ctx, peer);
@@ -175,7 +175,7 @@
 	enum ht_owner_state state = p->ownership->state(p->ownership->ctx, target);
 
 	if (state == HT_OWNER_CLAIMING || state == HT_OWNER_HOLDING)
-		ht_path_doubt(p);
+		ht_path_set_uncertain(p);
 	ht_serve_owner_changed(p, target);
 }
 
--- a/core/path.h
+++ b/core/path.h
@@ -45,7 +45,7 @@
 	GHashTable *open;    /**< parked or forwarded idempotent jobs, by request */
 	struct ht_list parked;
 	struct ht_list hops;
-	ht_ms doubt_until; /**< until then, copies of idempotent requests may have run unseen */
+	ht_ms uncertain_until; /**< until then, copies of idempotent requests may have run unseen */
 	uint64_t next_id;
 	uint32_t ticket_sequence;
 	bool handing_over;
@@ -107,7 +107,7 @@
 	unsigned int known_sets; /**< earlier target sets that the asking sender knows, plus 1 */
 	bool waited;		 /**< has been parked once */
 	bool compared;		 /**< a deflection came back */
-	bool doubt;		 /**< a copy may have run at a home that has changed */
+	bool uncertain;		 /**< a copy may have run at a home that has changed */
 	bool one_off;		 /**< placed for this request only: the flow stays */
 	bool tentative;		 /**< asks whether the flow was taken where it was deflected to */
 	bool replaced;		 /**< left a target: that one is not tried again */
@@ -312,15 +312,15 @@
  * Homes have changed or ended: for the longest usual life of a request, a refusal of an idempotent
  * request says that it may have run, since its earlier copies are not known to the new home.
  */
-#define HT_DOUBT 10000
-static inline void ht_path_doubt(struct ht_request_path *p)
+#define HT_UNCERTAIN_PERIOD 10000
+static inline void ht_path_set_uncertain(struct ht_request_path *p)
 {
-	p->doubt_until = p->env->now + HT_DOUBT;
+	p->uncertain_until = p->env->now + HT_UNCERTAIN_PERIOD;
 }
 
-static inline bool ht_path_in_doubt(const struct ht_request_path *p)
+static inline bool ht_path_uncertain(const struct ht_request_path *p)
 {
-	return p->env->now < p->doubt_until;
+	return p->env->now < p->uncertain_until;
 }
 
 /** Further ingresses that one forward can carry; repeats beyond them get the verdict at their
--- a/core/router_home.c
+++ b/core/router_home.c
@@ -331,7 +331,7 @@
 	ht_ms since = p->ownership->taken_over_at(p->ownership->ctx, job->target);
 
 	return p->ownership->state(p->ownership->ctx, job->target) == HT_OWNER_CLAIMING ||
-	       (since != HT_NEVER && p->env->now - since < HT_DOUBT);
+	       (since != HT_NEVER && p->env->now - since < HT_UNCERTAIN_PERIOD);
 }
 
 void ht_home_decide(struct ht_request_path *p, struct ht_job *job)
@@ -343,9 +343,9 @@
 	struct ht_row row;
 
 	if (ht_body_idempotent(job->body) && !job->body->cancel && job->floor == HT_NOT_RUN &&
-	    (ht_path_in_doubt(p) || home_is_new(p, job) || job->body->block_num)) {
+	    (ht_path_uncertain(p) || home_is_new(p, job) || job->body->block_num)) {
 		job->floor = HT_MAY_HAVE_RUN;
-		job->doubt = true;
+		job->uncertain = true;
 	}
 	if (behind(p, job))
 		return;
--- a/core/router_hop.c
+++ b/core/router_hop.c
@@ -68,8 +68,8 @@
 	f->forward.config_version = cfg ? cfg->version : 0;
 	f->forward.hops_left = job->hops_left - 1;
 	f->forward.flags |= flags;
-	if (job->doubt)
-		f->forward.flags |= HT__FORWARD_FLAG__FORWARD_DOUBT;
+	if (job->uncertain)
+		f->forward.flags |= HT__FORWARD_FLAG__FORWARD_UNCERTAIN;
 	else if (job->floor != HT_NOT_RUN)
 		f->forward.flags |= HT__FORWARD_FLAG__FORWARD_RETRY;
 	f->forward.hop_id = ht_hop_id(job);
--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -49,7 +49,7 @@
 
 	/* Another ingress may have sent the same ticket before: only its issuer can rule that out.
 	 */
-	if (((w->forwarded || ht_path_in_doubt(p) || w->body->block_num) && !w->body->cancel &&
+	if (((w->forwarded || ht_path_uncertain(p) || w->body->block_num) && !w->body->cancel &&
 	     ht_body_idempotent(w->body)) ||
 	    w->body->has_ticket) {
 		a.code = HT_GATEWAY_TIMEOUT;
--- a/core/votes.c
+++ b/core/votes.c
@@ -20,11 +20,12 @@
 }
 
 /* Time for which requests of the holder that is replaced may still run. */
-static uint32_t hold_after(const struct ht_ownership *o, const struct ht_owned *t, bool let_go)
+static uint32_t hold_after(const struct ht_ownership *o, const struct ht_owned *t,
+			   bool owner_released)
 {
 	bool alive = false;
 
-	if (let_go || t->lock_holder == o->env->self)
+	if (owner_released || t->lock_holder == o->env->self)
 		return 0;
 	if (t->lock_holder &&
 	    ht_membership_incarnation(o->membership, t->lock_holder, &alive) ==
@@ -41,8 +42,8 @@
 {
 	bool owner = t->state == HT_OWNER_OWNED || t->state == HT_OWNER_HOLDING;
 
-	ballot->let_go = owner && ht_membership_majority(o->membership, t->votes, t->vote_count,
-							 t->self_vote);
+	ballot->owner_released = owner && ht_membership_majority(o->membership, t->votes,
+								 t->vote_count, t->self_vote);
 	ballot->in_flight = ht_owned_in_flight(o, t->id);
 	ballot->was_owner = owner || ballot->in_flight > 0;
 	for (int i = 0; i < HT_BORROWERS; i++)
@@ -82,10 +83,10 @@
 	return alive && incarnation == t->lock_incarnation && !released(t, bid);
 }
 
-static void keep_quiet(struct ht_ownership *o, struct ht_owned *t, uint32_t hold_ms)
+static void remember_hold(struct ht_ownership *o, struct ht_owned *t, uint32_t hold_ms)
 {
-	if (o->env->now + hold_ms > t->quiet_until)
-		t->quiet_until = o->env->now + hold_ms;
+	if (o->env->now + hold_ms > t->known_hold_until)
+		t->known_hold_until = o->env->now + hold_ms;
 }
 
 static void grant(struct ht_ownership *o, struct ht_owned *t, const struct ht_bid *bid,
@@ -95,12 +96,12 @@
 
 	ballot->granted = true;
 	if (!again)
-		keep_quiet(o, t, hold_after(o, t, released(t, bid)));
+		remember_hold(o, t, hold_after(o, t, released(t, bid)));
 	if (bid->claimant != o->env->self &&
 	    (!again || t->state != HT_OWNER_NONE || ht_owned_in_flight(o, t->id) || ht_borrowed(t)))
 		release(o, t, bid->claimant, ballot);
-	if (t->quiet_until > o->env->now)
-		ballot->hold_ms = (uint32_t)(t->quiet_until - o->env->now);
+	if (t->known_hold_until > o->env->now)
+		ballot->hold_ms = (uint32_t)(t->known_hold_until - o->env->now);
 	t->lock_holder = bid->claimant;
 	t->lock_incarnation = bid->incarnation;
 	t->lock_term = bid->term;
@@ -157,7 +158,7 @@
 		out[n].target = in->target;
 		out[n].granted = b.granted;
 		out[n].was_owner = b.was_owner;
-		out[n].let_go = b.let_go;
+		out[n].owner_released = b.owner_released;
 		out[n].in_flight = b.in_flight;
 		out[n].holder = b.holder;
 		out[n].hold_ms = b.hold_ms;
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -2149,12 +2149,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "let_go",
+    "owner_released",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Ht__ClaimedTarget, let_go),
+    offsetof(Ht__ClaimedTarget, owner_released),
     NULL,
     NULL,
     0,             /* flags */
@@ -2167,7 +2167,7 @@
   4,   /* field[4] = holder */
   6,   /* field[6] = holder_term */
   1,   /* field[1] = in_flight */
-  7,   /* field[7] = let_go */
+  7,   /* field[7] = owner_released */
   0,   /* field[0] = target */
   3,   /* field[3] = was_owner */
 };
@@ -3228,7 +3228,7 @@
   { "FORWARD_CANCEL", "HT__FORWARD_FLAG__FORWARD_CANCEL", 8 },
   { "FORWARD_MOVED", "HT__FORWARD_FLAG__FORWARD_MOVED", 16 },
   { "FORWARD_FOLLOW", "HT__FORWARD_FLAG__FORWARD_FOLLOW", 32 },
-  { "FORWARD_DOUBT", "HT__FORWARD_FLAG__FORWARD_DOUBT", 64 },
+  { "FORWARD_UNCERTAIN", "HT__FORWARD_FLAG__FORWARD_UNCERTAIN", 64 },
 };
 static const ProtobufCIntRange ht__forward_flag__value_ranges[] = {
 {0, 0},{4, 3},{8, 4},{16, 5},{32, 6},{64, 7},{0, 8}
@@ -3237,12 +3237,12 @@
 {
   { "FORWARD_CANCEL", 4 },
   { "FORWARD_DEFLECTED", 2 },
-  { "FORWARD_DOUBT", 7 },
   { "FORWARD_FOLLOW", 6 },
   { "FORWARD_MOVED", 5 },
   { "FORWARD_NONE", 0 },
   { "FORWARD_RETRY", 3 },
   { "FORWARD_RETURN_IF_UNKNOWN", 1 },
+  { "FORWARD_UNCERTAIN", 7 },
 };
 const ProtobufCEnumDescriptor ht__forward_flag__descriptor =
 {
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -56,7 +56,7 @@
   /*
    * an earlier copy may have run at a home that has changed
    */
-  HT__FORWARD_FLAG__FORWARD_DOUBT = 64,
+  HT__FORWARD_FLAG__FORWARD_UNCERTAIN = 64,
   /*
    * the sender records the flow as living at this target
    */
@@ -357,7 +357,7 @@
    * Replies: the sender owned the target with a valid majority until now, so that no earlier owner's
    * request runs beyond hold_ms, whatever voters that know less assume.
    */
-  protobuf_c_boolean let_go;
+  protobuf_c_boolean owner_released;
 };
 #define HT__CLAIMED_TARGET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__claimed_target__descriptor) \
