--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 # The generated code is committed; run this after a change of the schema.
 .PHONY: generate
 generate:
-	cd wire && protoc-c --c_out=. peer.proto
+	cd wire && protoc-c --c_out=. peer.proto entry.proto
 
 FORMATTED = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' | grep -v pb-c)
 LINTED = $(shell git ls-files -co --exclude-standard '*.c' | grep -v -e pb-c -e '^fuzz/')
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -304,7 +304,8 @@
 }
 
 enum ht_catalog_change ht_catalog_put_target(struct ht_catalog *cat,
-					     const struct ht_target_entry *e, ht_ms now)
+					     const struct ht_target_entry *e,
+					     enum ht_catalog_source source, ht_ms now)
 {
 	struct ht_target *t = ht_catalog_by_name(cat, e->name);
 	struct ht_service *service = find_service(cat, e->service);
@@ -315,7 +316,7 @@
 		t = add_target(cat, e);
 	if (!t || !service || !dc)
 		return HT_CATALOG_FAILED;
-	t->seen = true;
+	t->seen |= 1U << source;
 	if (e->revision < t->revision)
 		return HT_CATALOG_OLDER;
 	same = same_place(t, e);
@@ -363,24 +364,24 @@
 	return HT_CATALOG_CHANGED;
 }
 
-void ht_catalog_begin_listing(struct ht_catalog *cat)
+void ht_catalog_begin_listing(struct ht_catalog *cat, enum ht_catalog_source source)
 {
 	struct ht_list *pos;
 
 	ht_list_for_each (pos, &cat->targets)
-		ht_container_of(pos, struct ht_target, node)->seen = false;
+		ht_container_of(pos, struct ht_target, node)->seen &= ~(1U << source);
 }
 
-void ht_catalog_skip_target(struct ht_catalog *cat, const char *name)
+void ht_catalog_skip_target(struct ht_catalog *cat, const char *name, enum ht_catalog_source source)
 {
 	struct ht_target *t = ht_catalog_by_name(cat, name);
 
 	if (t)
-		t->seen = true;
+		t->seen |= 1U << source;
 }
 
-size_t ht_catalog_end_listing(struct ht_catalog *cat, uint64_t revision, ht_ms now,
-			      ht_ms held_until)
+size_t ht_catalog_end_listing(struct ht_catalog *cat, enum ht_catalog_source source,
+			      uint64_t revision, ht_ms now, ht_ms held_until)
 {
 	struct ht_list *pos;
 	size_t removed = 0;
@@ -388,7 +389,7 @@
 	ht_list_for_each (pos, &cat->targets) {
 		struct ht_target *t = ht_container_of(pos, struct ht_target, node);
 
-		if (t->seen || t->gone_at != HT_NEVER || t->revision > revision)
+		if (t->seen & (1U << source) || t->gone_at != HT_NEVER || t->revision > revision)
 			continue;
 		set_gone(t, revision, now, held_until);
 		removed++;
@@ -460,3 +461,19 @@
 	ht_list_for_each (pos, &cat->targets)
 		visit(ctx, ht_container_of(pos, struct ht_target, node));
 }
+
+void ht_catalog_each_route(const struct ht_catalog *cat,
+			   void (*visit)(void *ctx, const struct ht_route *route), void *ctx)
+{
+	for (size_t i = 0; i <= cat->routes.mask; i++) {
+		struct ht_list *pos;
+
+		ht_list_for_each (pos, &cat->routes.buckets[i])
+			visit(ctx, ht_container_of(pos, struct ht_route, hnode.link));
+	}
+}
+
+size_t ht_catalog_route_count(const struct ht_catalog *cat)
+{
+	return cat->routes.count;
+}
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -94,11 +94,11 @@
 	struct ht_dc *dc;
 	uint32_t slots;
 	bool draining;
-	bool listed;	  /**< in service->targets */
-	bool seen;	  /**< by the listing that is under way */
-	ht_ms warm_at;	  /**< when its cold start ends */
-	ht_ms gone_at;	  /**< when the platform's entry was found missing, or HT_NEVER */
-	ht_ms held_until; /**< a missing entry is used until then */
+	bool listed;	   /**< in service->targets */
+	unsigned int seen; /**< bit of each source whose listing under way has held it */
+	ht_ms warm_at;	   /**< when its cold start ends */
+	ht_ms gone_at;	   /**< when the platform's entry was found missing, or HT_NEVER */
+	ht_ms held_until;  /**< a missing entry is used until then */
 	int64_t started;
 	uint64_t revision;
 	struct ht_mark marks[HT_TARGET_MARKS];
@@ -124,6 +124,12 @@
 struct ht_catalog *ht_catalog_new(const char *dc);
 void ht_catalog_free(struct ht_catalog *cat);
 
+/** Where whole listings of targets come from; two may be under way at a time. */
+enum ht_catalog_source {
+	HT_CATALOG_STORE,
+	HT_CATALOG_NEIGHBOUR,
+};
+
 enum ht_catalog_change {
 	HT_CATALOG_SAME, /**< nothing that matters for a packet changed */
 	HT_CATALOG_CHANGED,
@@ -141,7 +147,8 @@
 
 /** Adds a target or updates it. */
 enum ht_catalog_change ht_catalog_put_target(struct ht_catalog *cat,
-					     const struct ht_target_entry *entry, ht_ms now);
+					     const struct ht_target_entry *entry,
+					     enum ht_catalog_source source, ht_ms now);
 /**
  * The entry of target @name is gone as of @revision. New flows may use the target until
  * @held_until; packets of its flows go on to it until the entry is purged.
@@ -149,13 +156,14 @@
 enum ht_catalog_change ht_catalog_remove_target(struct ht_catalog *cat, const char *name,
 						uint64_t revision, ht_ms now, ht_ms held_until);
 
-/** A listing of all targets begins; each ht_catalog_put_target() until its end is part of it. */
-void ht_catalog_begin_listing(struct ht_catalog *cat);
+/** A listing of all targets begins; each ht_catalog_put_target() from @source is part of it. */
+void ht_catalog_begin_listing(struct ht_catalog *cat, enum ht_catalog_source source);
 /** An entry of the listing that names no usable target, but that is there. */
-void ht_catalog_skip_target(struct ht_catalog *cat, const char *name);
+void ht_catalog_skip_target(struct ht_catalog *cat, const char *name,
+			    enum ht_catalog_source source);
 /** Removes what a whole listing as of @revision did not hold; returns how many. */
-size_t ht_catalog_end_listing(struct ht_catalog *cat, uint64_t revision, ht_ms now,
-			      ht_ms held_until);
+size_t ht_catalog_end_listing(struct ht_catalog *cat, enum ht_catalog_source source,
+			      uint64_t revision, ht_ms now, ht_ms held_until);
 
 /** Ends holds that are due, and forgets targets that have been gone for @keep. */
 void ht_catalog_expire(struct ht_catalog *cat, ht_ms now, ht_ms keep);
@@ -172,5 +180,9 @@
 /** Calls @visit for each known target, also for those that are gone and not yet purged. */
 void ht_catalog_each_target(struct ht_catalog *cat,
 			    void (*visit)(void *ctx, struct ht_target *target), void *ctx);
+/** Calls @visit for each route of the configuration in force. */
+void ht_catalog_each_route(const struct ht_catalog *cat,
+			   void (*visit)(void *ctx, const struct ht_route *route), void *ctx);
+size_t ht_catalog_route_count(const struct ht_catalog *cat);
 
 #endif
--- /dev/null
+++ b/core/neighbours.c
@@ -0,0 +1,269 @@
+#include "core/neighbours.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One greeting in a round goes to another data centre, so that a view can cross when a whole data
+ * centre has lost the store. */
+#define REMOTE_GREETINGS 1
+
+/* A neighbour counts as live for this long after its last greeting: a few missed rounds. */
+#define LIVE_MS 5000
+
+struct ht_neighbours {
+	struct ht_neighbours_params params;
+	char name[HT_CATALOG_NAME], dc[HT_CATALOG_NAME];
+	struct ht_list list;
+	size_t count;
+	ht_ms started_at, snapshot_at;
+};
+
+void ht_neighbours_params_default(struct ht_neighbours_params *params)
+{
+	*params = (struct ht_neighbours_params){
+		.max = 256,
+		.forget = 120000,
+		.start_wait = 150,
+		.stale_after = 3000,
+		.snapshot_pause = 1000,
+	};
+}
+
+struct ht_neighbours *ht_neighbours_new(const struct ht_neighbours_params *params, ht_ms now)
+{
+	struct ht_neighbours *nb = calloc(1, sizeof(*nb));
+
+	if (!nb)
+		return NULL;
+	nb->params = *params;
+	snprintf(nb->name, sizeof(nb->name), "%s", params->name);
+	snprintf(nb->dc, sizeof(nb->dc), "%s", params->dc);
+	nb->started_at = now;
+	nb->snapshot_at = HT_NEVER;
+	ht_list_init(&nb->list);
+	return nb;
+}
+
+static void forget(struct ht_neighbours *nb, struct ht_neighbour *n)
+{
+	ht_list_del(&n->node);
+	nb->count--;
+	free(n);
+}
+
+void ht_neighbours_free(struct ht_neighbours *nb)
+{
+	struct ht_list *pos, *tmp;
+
+	if (!nb)
+		return;
+	ht_list_for_each_safe (pos, tmp, &nb->list)
+		forget(nb, ht_container_of(pos, struct ht_neighbour, node));
+	free(nb);
+}
+
+static struct ht_neighbour *find(const struct ht_neighbours *nb, struct ht_endpoint at)
+{
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &nb->list) {
+		struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (ht_endpoint_equal(n->at, at))
+			return n;
+	}
+	return NULL;
+}
+
+static struct ht_neighbour *find_or_add(struct ht_neighbours *nb, struct ht_endpoint at, ht_ms now)
+{
+	struct ht_neighbour *n = find(nb, at);
+
+	if (n)
+		return n;
+	if (nb->count >= nb->params.max)
+		forget(nb, ht_container_of(nb->list.prev, struct ht_neighbour, node));
+	n = calloc(1, sizeof(*n));
+	if (!n)
+		return NULL;
+	n->at = at;
+	n->added_at = now;
+	n->heard_at = HT_NEVER;
+	n->greeted_at = HT_NEVER;
+	ht_list_add_tail(&nb->list, &n->node);
+	nb->count++;
+	return n;
+}
+
+static void set_identity(const struct ht_neighbours *nb, struct ht_neighbour *n, const char *name,
+			 const char *dc)
+{
+	snprintf(n->name, sizeof(n->name), "%s", name);
+	snprintf(n->dc, sizeof(n->dc), "%s", dc);
+	n->local = strcmp(n->dc, nb->dc) == 0;
+}
+
+void ht_neighbours_add_address(struct ht_neighbours *nb, struct ht_endpoint at, ht_ms now)
+{
+	struct ht_neighbour *n = find(nb, at);
+
+	if (n)
+		return;
+	n = find_or_add(nb, at, now);
+	/* It may be the one that answers first: greeted as if it were near. */
+	if (n)
+		n->local = true;
+}
+
+void ht_neighbours_add(struct ht_neighbours *nb, const char *name, const char *dc,
+		       struct ht_endpoint at, ht_ms now)
+{
+	struct ht_neighbour *n;
+
+	if (strcmp(name, nb->name) == 0)
+		return;
+	n = find_or_add(nb, at, now);
+	if (n && n->heard_at == HT_NEVER)
+		set_identity(nb, n, name, dc);
+}
+
+void ht_neighbours_heard(struct ht_neighbours *nb, const char *name, const char *dc,
+			 struct ht_endpoint at, const struct ht_view_state *view, ht_ms now)
+{
+	struct ht_neighbour *n;
+
+	if (strcmp(name, nb->name) == 0)
+		return;
+	n = find_or_add(nb, at, now);
+	if (!n)
+		return;
+	set_identity(nb, n, name, dc);
+	n->heard_at = now;
+	n->usable = view->usable;
+	n->routes_revision = view->routes_revision;
+	n->targets_revision = view->targets_revision;
+	n->age = view->age;
+	ht_list_del(&n->node);
+	ht_list_add_head(&nb->list, &n->node);
+}
+
+static bool greeted_before(const struct ht_neighbour *a, const struct ht_neighbour *b)
+{
+	if (a->greeted_at == HT_NEVER || b->greeted_at == HT_NEVER)
+		return a->greeted_at == HT_NEVER && b->greeted_at != HT_NEVER;
+	return a->greeted_at < b->greeted_at;
+}
+
+static struct ht_neighbour *next_to_greet(struct ht_neighbours *nb, bool local, ht_ms now)
+{
+	struct ht_neighbour *best = NULL;
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &nb->list) {
+		struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (n->local == local && n->greeted_at != now && (!best || greeted_before(n, best)))
+			best = n;
+	}
+	return best;
+}
+
+size_t ht_neighbours_greet(struct ht_neighbours *nb, struct ht_endpoint out[HT_GREETING_FANOUT],
+			   ht_ms now)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < HT_GREETING_FANOUT; i++) {
+		bool local = i < HT_GREETING_FANOUT - REMOTE_GREETINGS;
+		struct ht_neighbour *n = next_to_greet(nb, local, now);
+
+		if (!n)
+			continue;
+		n->greeted_at = now;
+		out[count++] = n->at;
+	}
+	return count;
+}
+
+static bool live(const struct ht_neighbour *n, ht_ms now)
+{
+	return n->heard_at != HT_NEVER && now - n->heard_at < LIVE_MS;
+}
+
+size_t ht_neighbours_known(const struct ht_neighbours *nb,
+			   const struct ht_neighbour *out[HT_GREETING_KNOWN], ht_ms now)
+{
+	size_t count = 0;
+
+	for (int remote = 0; remote < 2; remote++) {
+		const struct ht_list *pos;
+
+		ht_list_for_each (pos, &nb->list) {
+			struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+			if (count < HT_GREETING_KNOWN && live(n, now) && n->local == !remote)
+				out[count++] = n;
+		}
+	}
+	return count;
+}
+
+static bool snapshot_wanted(const struct ht_neighbours *nb, const struct ht_view_state *own,
+			    ht_ms now)
+{
+	if (nb->snapshot_at != HT_NEVER && now - nb->snapshot_at < nb->params.snapshot_pause)
+		return false;
+	if (!own->usable)
+		return now - nb->started_at >= nb->params.start_wait;
+	return own->age == HT_NEVER || own->age >= nb->params.stale_after;
+}
+
+/* Newest targets first; of equals, one of the own data centre. */
+static bool better_source(const struct ht_neighbour *a, const struct ht_neighbour *b)
+{
+	if (a->targets_revision != b->targets_revision)
+		return a->targets_revision > b->targets_revision;
+	return a->local && !b->local;
+}
+
+const struct ht_neighbour *ht_neighbours_source(struct ht_neighbours *nb,
+						const struct ht_view_state *own, ht_ms now)
+{
+	const struct ht_neighbour *best = NULL;
+	struct ht_list *pos;
+
+	if (!snapshot_wanted(nb, own, now))
+		return NULL;
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (!live(n, now) || !n->usable ||
+		    (own->usable && n->targets_revision <= own->targets_revision &&
+		     n->routes_revision <= own->routes_revision))
+			continue;
+		if (!best || better_source(n, best))
+			best = n;
+	}
+	if (best)
+		nb->snapshot_at = now;
+	return best;
+}
+
+void ht_neighbours_expire(struct ht_neighbours *nb, ht_ms now)
+{
+	struct ht_list *pos, *tmp;
+
+	ht_list_for_each_safe (pos, tmp, &nb->list) {
+		struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+		ht_ms since = n->heard_at == HT_NEVER ? n->added_at : n->heard_at;
+
+		if (now - since >= nb->params.forget)
+			forget(nb, n);
+	}
+}
+
+size_t ht_neighbours_count(const struct ht_neighbours *nb)
+{
+	return nb->count;
+}
--- /dev/null
+++ b/core/neighbours.h
@@ -0,0 +1,82 @@
+/*
+ * The other instances, as heard from their greetings: whom to greet, and from whom to take a
+ * snapshot when the platform's store cannot be read. Nothing here is needed while it can.
+ */
+#ifndef HT_CORE_NEIGHBOURS_H
+#define HT_CORE_NEIGHBOURS_H
+
+#include "core/catalog.h"
+
+/** Neighbours named in one greeting at most. */
+#define HT_GREETING_KNOWN 8
+/** Greetings sent at one time at most. */
+#define HT_GREETING_FANOUT 4
+
+struct ht_neighbour {
+	struct ht_list node; /**< most recently heard first */
+	char name[HT_CATALOG_NAME];
+	char dc[HT_CATALOG_NAME];
+	struct ht_endpoint at;
+	bool local;
+	ht_ms added_at;
+	ht_ms heard_at;	  /**< last greeting, or HT_NEVER */
+	ht_ms greeted_at; /**< last greeting sent, or HT_NEVER */
+	bool usable;	  /**< it knows routes and targets */
+	uint64_t routes_revision, targets_revision;
+	ht_ms age; /**< of its targets when heard */
+};
+
+/** What an instance says of its own view, or of itself. */
+struct ht_view_state {
+	bool usable;
+	uint64_t routes_revision, targets_revision;
+	ht_ms age; /**< since the last exact read, or HT_NEVER */
+};
+
+struct ht_neighbours_params {
+	const char *name, *dc;
+	size_t max;	      /**< neighbours kept; the one heard longest ago goes first */
+	ht_ms forget;	      /**< one that has been silent for this long is forgotten */
+	ht_ms start_wait;     /**< an instance without a view gives the store this long at first */
+	ht_ms stale_after;    /**< a view of this age is renewed from a neighbour */
+	ht_ms snapshot_pause; /**< between two snapshots */
+};
+
+void ht_neighbours_params_default(struct ht_neighbours_params *params);
+
+struct ht_neighbours;
+
+struct ht_neighbours *ht_neighbours_new(const struct ht_neighbours_params *params, ht_ms now);
+void ht_neighbours_free(struct ht_neighbours *nb);
+
+/** An address at which an instance may be, of which nothing else is known. */
+void ht_neighbours_add_address(struct ht_neighbours *nb, struct ht_endpoint at, ht_ms now);
+/** An instance that another one names. */
+void ht_neighbours_add(struct ht_neighbours *nb, const char *name, const char *dc,
+		       struct ht_endpoint at, ht_ms now);
+/** A greeting came from the instance itself. */
+void ht_neighbours_heard(struct ht_neighbours *nb, const char *name, const char *dc,
+			 struct ht_endpoint at, const struct ht_view_state *view, ht_ms now);
+
+/**
+ * Fills @out with addresses to greet now and returns their number: those greeted longest ago,
+ * mostly in the own data centre.
+ */
+size_t ht_neighbours_greet(struct ht_neighbours *nb, struct ht_endpoint out[HT_GREETING_FANOUT],
+			   ht_ms now);
+/** Fills @out with neighbours to name in a greeting: recently heard, own data centre first. */
+size_t ht_neighbours_known(const struct ht_neighbours *nb,
+			   const struct ht_neighbour *out[HT_GREETING_KNOWN], ht_ms now);
+
+/**
+ * Neighbour from which to take a snapshot now, or NULL: when this instance has no view, or an old
+ * one, and the neighbour's is newer.
+ */
+const struct ht_neighbour *ht_neighbours_source(struct ht_neighbours *nb,
+						const struct ht_view_state *own, ht_ms now);
+
+/** Forgets neighbours that have been silent. */
+void ht_neighbours_expire(struct ht_neighbours *nb, ht_ms now);
+size_t ht_neighbours_count(const struct ht_neighbours *nb);
+
+#endif
--- a/core/placing.c
+++ b/core/placing.c
@@ -26,8 +26,7 @@
 
 static bool doubted(const struct ht_target *t, ht_ms now)
 {
-	return ht_evidence_doubted(&t->evidence, now) ||
-	       (!t->dc->local && ht_evidence_doubted(&t->dc->evidence, now));
+	return ht_evidence_doubted(&t->evidence, now);
 }
 
 /* Answer time relative to the service's mean, within bounds; 1 while unknown. */
@@ -47,8 +46,13 @@
 {
 	double c = (t->open + 1.0) / t->slots * slowness(t);
 
-	if (!t->dc->local)
+	if (!t->dc->local) {
 		c *= pl->params->remote_cost;
+		if (ht_evidence_doubted(&t->dc->evidence, now))
+			c *= pl->params->doubted_cost;
+	}
+	if (doubted(t, now))
+		c *= pl->params->doubted_cost;
 	if (now < t->warm_at)
 		c *= pl->params->cold_cost;
 	return c;
--- a/core/steering.c
+++ b/core/steering.c
@@ -41,6 +41,7 @@
 		.flow_silence = 3000,
 		.remote_cost = 4.0,
 		.cold_cost = 2.0,
+		.doubted_cost = 16.0,
 		.doubted_share = 0.5,
 	};
 }
--- a/core/steering.h
+++ b/core/steering.h
@@ -55,6 +55,7 @@
 	double remote_cost; /**< cost of a target in another data centre, times that of a local one
 			     */
 	double cold_cost;   /**< cost of a target that has just started, times that of a warm one */
+	double doubted_cost;  /**< cost of a target, or a data centre, in doubt, times that of others */
 	double doubted_share; /**< at most this part of a service's targets is left out for doubt */
 };
 
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -5,7 +5,7 @@
 #include "base/addr.h"
 #include "base/clock.h"
 #include "base/list.h"
-#include "wire/frame.h"
+#include "wire/peer_frame.h"
 
 #include <ev.h>
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 #include "core/leaving.h"
 #include "entry/feed.h"
+#include "entry/link.h"
 #include "entry/packets.h"
 #include "entry/readiness.h"
 #include "entry/settings.h"
@@ -17,6 +18,12 @@
 /* Silent flows are dropped, and a changed settings file is noticed, at this interval. */
 #define TICK_MS 500
 
+/* Neighbours are greeted once a second; an instance without a view greets each tick. */
+#define TICKS_PER_GREETING 2
+
+/* An instance that starts gives the store this long before it turns to a neighbour. */
+#define START_WAIT_MS 160
+
 /* Routers ask twice a second and take an instance out after two refusals; a second more lets
  * packets on the way arrive. */
 #define STOP_NOTICE_MS 2000
@@ -33,9 +40,13 @@
 	struct ht_packets *packets;
 	struct ht_readiness *readiness;
 	struct ht_feed *feed;
+	struct ht_link *link;
 	ev_signal term, interrupt, hup;
 	ev_timer tick, end;
+	ev_timer start_wait;
+	uint64_t snapshot_revision; /* of the newest snapshot's targets, or 0 */
 	bool usable, stopping;
+	unsigned int ticks;
 	ht_ms stop_asked;
 };
 
@@ -44,12 +55,26 @@
 	return ht_clock_now(&ht_clock_monotonic);
 }
 
-static void on_view(void *ctx, bool usable, bool complete)
+/* The store's view, or the newer one of a snapshot that a neighbour gave. */
+static void current_view(void *ctx, struct ht_view_state *view)
 {
-	struct ht_entry *e = ctx;
+	const struct ht_entry *e = ctx;
 
-	ht_steering_set_complete(e->steering, complete);
-	if (usable && !e->usable) {
+	ht_feed_view(e->feed, view);
+	if (!e->snapshot_revision)
+		return;
+	view->usable = true;
+	if (e->snapshot_revision > view->targets_revision)
+		view->targets_revision = e->snapshot_revision;
+}
+
+static void update_state(struct ht_entry *e)
+{
+	struct ht_view_state view;
+
+	current_view(e, &view);
+	ht_steering_set_complete(e->steering, ht_feed_complete(e->feed));
+	if (view.usable && !e->usable) {
 		e->usable = true;
 		ht_entry_log(&e->log, HT_EV_ENTRY_READY, "targets=%zu version=%llu",
 			     ht_catalog_target_count(e->catalog),
@@ -58,6 +83,26 @@
 	ht_readiness_set(e->readiness, e->usable && !e->stopping);
 }
 
+static void on_read(void *ctx)
+{
+	update_state(ctx);
+}
+
+static void on_snapshot(void *ctx, uint64_t targets_revision)
+{
+	struct ht_entry *e = ctx;
+
+	e->snapshot_revision = targets_revision;
+	update_state(e);
+}
+
+static ht_ms missing_held_until(void *ctx)
+{
+	const struct ht_entry *e = ctx;
+
+	return ht_feed_hold(e->feed);
+}
+
 static void arm_end(struct ht_entry *e)
 {
 	const struct ht_leaving_params params = {
@@ -114,12 +159,29 @@
 		.settings = &e->settings,
 		.log = &e->log,
 		.seed = ht_hash_str(e->settings.instance) ^ (uint64_t)getpid(),
-		.changed = on_view,
+		.changed = on_read,
 		.ctx = e,
 	});
 	return e->feed || ht_err_set(err, HT_ENOMEM, "out of memory");
 }
 
+static bool link_start(struct ht_entry *e, struct ht_err *err)
+{
+	e->link = ht_link_new(
+		&(struct ht_link_params){
+			.loop = e->loop,
+			.settings = &e->settings,
+			.catalog = e->catalog,
+			.log = &e->log,
+			.view = current_view,
+			.hold = missing_held_until,
+			.applied = on_snapshot,
+			.ctx = e,
+		},
+		err);
+	return e->link;
+}
+
 static bool same_addr(const struct ht_addr *a, const struct ht_addr *b)
 {
 	char x[HT_ADDR_TEXT], y[HT_ADDR_TEXT];
@@ -170,10 +232,21 @@
 	(void)revents;
 	ht_steering_expire(e->steering, now);
 	ht_catalog_expire(e->catalog, now, e->settings.flow_max_s * 1000);
+	if (!e->usable || ++e->ticks % TICKS_PER_GREETING == 0)
+		ht_link_round(e->link);
 	if (modified.tv_sec != e->modified.tv_sec || modified.tv_nsec != e->modified.tv_nsec)
 		reload(e);
 }
 
+static void on_start_wait(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct ht_entry *e = timer->data;
+
+	(void)loop;
+	(void)revents;
+	ht_link_refresh(e->link);
+}
+
 static void watch_signal(struct ht_entry *e, ev_signal *sig, int number,
 			 void (*cb)(struct ev_loop *loop, ev_signal *sig, int revents))
 {
@@ -208,7 +281,7 @@
 		err);
 	e->readiness =
 		e->packets ? ht_readiness_new(e->loop, &e->settings.ready_address, err) : NULL;
-	return e->readiness && feed_start(e, err);
+	return e->readiness && feed_start(e, err) && link_start(e, err);
 }
 
 struct ht_entry *ht_entry_new(struct ev_loop *loop, const char *path, struct ht_err *err)
@@ -223,6 +296,8 @@
 	e->path = path;
 	ev_timer_init(&e->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
 	e->tick.data = e;
+	ev_timer_init(&e->start_wait, on_start_wait, START_WAIT_MS / 1000.0, 0);
+	e->start_wait.data = e;
 	ev_timer_init(&e->end, on_end, 0, 0);
 	e->end.data = e;
 	watch_signal(e, &e->term, SIGTERM, on_stop);
@@ -230,6 +305,7 @@
 	watch_signal(e, &e->hup, SIGHUP, on_hup);
 	if (start(e, err)) {
 		ev_timer_start(loop, &e->tick);
+		ev_timer_start(loop, &e->start_wait);
 		ht_entry_log(&e->log, HT_EV_ENTRY_STARTED, "dc=%s", e->settings.data_centre);
 		return e;
 	}
@@ -246,6 +322,8 @@
 	ev_signal_stop(e->loop, &e->term);
 	ev_signal_stop(e->loop, &e->interrupt);
 	ev_signal_stop(e->loop, &e->hup);
+	ev_timer_stop(e->loop, &e->start_wait);
+	ht_link_free(e->link);
 	ht_feed_free(e->feed);
 	ht_readiness_free(e->readiness);
 	ht_packets_free(e->packets);
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -8,8 +8,10 @@
 
 /* Targets report about once a second: one watch gathers the reports of this time. */
 #define TARGETS_PAUSE_MS 700
-/* Longest wait of a watch. A connection that has gone silent is noticed after it. */
-#define WATCH_WAIT_MS 3000
+/* A watch may hang unheard since just before the store became stable again. Its wait, the time for
+ * its answer and this margin for the next read together stay below the calm time after which the
+ * bounds count, plus the bound itself. */
+#define NEXT_READ_MARGIN_MS 1000
 /* An exact read must start, and be answered, within the bound on applying a change. */
 #define EXACT_MARGIN_MS 900
 /* The store answers a watch at its own limit; this much later the answer is lost. */
@@ -32,9 +34,8 @@
 	struct source routes, targets;
 };
 
-static ht_ms loop_now(const struct ht_feed *feed)
+static ht_ms now_ms(void)
 {
-	(void)feed;
 	return ht_clock_now(&ht_clock_monotonic);
 }
 
@@ -47,7 +48,7 @@
 	enum ht_catalog_change change;
 
 	if (t->usable) {
-		change = ht_catalog_put_target(cat, &t->entry, now);
+		change = ht_catalog_put_target(cat, &t->entry, HT_CATALOG_STORE, now);
 		if (change == HT_CATALOG_CHANGED)
 			ht_entry_log(src->feed->params.log, HT_EV_TARGET_CHANGED,
 				     "target=%s service=%s dc=%s state=%s revision=%llu",
@@ -58,7 +59,7 @@
 		change = ht_catalog_remove_target(cat, t->entry.name, t->entry.revision, now,
 						  t->deleted ? hold : now);
 		if (!t->deleted) {
-			ht_catalog_skip_target(cat, t->entry.name);
+			ht_catalog_skip_target(cat, t->entry.name, HT_CATALOG_STORE);
 			ht_entry_log(src->feed->params.log, HT_EV_TARGET_UNUSABLE,
 				     "target=%s revision=%llu reason=\"%s\"", t->entry.name,
 				     (unsigned long long)t->entry.revision, t->problem);
@@ -103,7 +104,7 @@
 	bool listing_starts = !reply->watch && src->reading.first_page;
 
 	if (listing_starts && src->kind == HT_STORE_TARGETS)
-		ht_catalog_begin_listing(cat);
+		ht_catalog_begin_listing(cat, HT_CATALOG_STORE);
 	for (size_t i = 0; i < reply->target_count; i++)
 		put_target(src, &reply->targets[i], now);
 	if (reply->has_routes)
@@ -118,7 +119,7 @@
 	if (ht_reading_page(&src->reading, reply->revision, reply->more, reply->last, now) ==
 		    HT_READING_WHOLE &&
 	    src->kind == HT_STORE_TARGETS)
-		ht_catalog_end_listing(cat, src->reading.list_revision, now,
+		ht_catalog_end_listing(cat, HT_CATALOG_STORE, src->reading.list_revision, now,
 				       ht_reading_hold(&src->reading, now));
 }
 
@@ -142,7 +143,7 @@
 {
 	struct source *src = ctx;
 	struct ht_feed *feed = src->feed;
-	ht_ms now = loop_now(feed);
+	ht_ms now = now_ms();
 
 	src->op = NULL;
 	note_health(src, reply);
@@ -159,10 +160,7 @@
 		ht_reading_failed(&src->reading, now);
 		break;
 	}
-	feed->params.changed(feed->params.ctx,
-			     feed->routes.reading.listed && feed->targets.reading.listed,
-			     ht_reading_complete(&feed->routes.reading) &&
-				     ht_reading_complete(&feed->targets.reading));
+	feed->params.changed(feed->params.ctx);
 	run(src);
 }
 
@@ -170,7 +168,7 @@
 {
 	struct ht_feed *feed = src->feed;
 	struct ht_reading_call call;
-	ht_ms now = loop_now(feed), due;
+	ht_ms now = now_ms(), due;
 
 	ev_timer_stop(feed->params.loop, &src->timer);
 	if (ht_reading_next(&src->reading, now, &call, &due)) {
@@ -195,12 +193,17 @@
 	run(timer->data);
 }
 
+static ht_ms watch_wait(ht_ms calm, ht_ms bound)
+{
+	return calm + bound - ANSWER_MARGIN_MS - NEXT_READ_MARGIN_MS;
+}
+
 static void source_init(struct source *src, struct ht_feed *feed, enum ht_store_kind kind,
 			const struct ht_reading_params *params)
 {
 	src->feed = feed;
 	src->kind = kind;
-	ht_reading_init(&src->reading, params, loop_now(feed));
+	ht_reading_init(&src->reading, params, now_ms());
 	ev_timer_init(&src->timer, on_timer, 0, 0);
 	src->timer.data = src;
 }
@@ -221,14 +224,14 @@
 	source_init(&feed->routes, feed, HT_STORE_ROUTES,
 		    &(struct ht_reading_params){
 			    .seed = params->seed,
-			    .wait = WATCH_WAIT_MS,
+			    .wait = watch_wait(set->calm_time, set->config_bound),
 			    .settle = SETTLE_MS,
 		    });
 	source_init(&feed->targets, feed, HT_STORE_TARGETS,
 		    &(struct ht_reading_params){
 			    .seed = params->seed + 1,
 			    .pause = TARGETS_PAUSE_MS,
-			    .wait = WATCH_WAIT_MS,
+			    .wait = watch_wait(set->calm_time, set->drain_bound),
 			    .exact_every = set->drain_bound - EXACT_MARGIN_MS,
 			    .settle = SETTLE_MS,
 		    });
@@ -237,6 +240,27 @@
 	return feed;
 }
 
+void ht_feed_view(const struct ht_feed *feed, struct ht_view_state *view)
+{
+	ht_ms now = now_ms();
+
+	view->usable = feed->routes.reading.listed && feed->targets.reading.listed;
+	view->routes_revision = ht_catalog_routes_revision(feed->params.catalog);
+	view->targets_revision = feed->targets.reading.revision;
+	view->age = ht_reading_age(&feed->targets.reading, now);
+}
+
+bool ht_feed_complete(const struct ht_feed *feed)
+{
+	return ht_reading_complete(&feed->routes.reading) &&
+	       ht_reading_complete(&feed->targets.reading);
+}
+
+ht_ms ht_feed_hold(const struct ht_feed *feed)
+{
+	return ht_reading_hold(&feed->targets.reading, now_ms());
+}
+
 void ht_feed_free(struct ht_feed *feed)
 {
 	if (!feed)
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -3,6 +3,7 @@
 #define HT_ENTRY_FEED_H
 
 #include "core/catalog.h"
+#include "core/neighbours.h"
 #include "entry/log.h"
 #include "entry/settings.h"
 
@@ -15,8 +16,8 @@
 	const struct ht_entry_settings *settings;
 	struct ht_entry_log *log;
 	uint64_t seed;
-	/** Routes and targets are both known: @complete when exact reads have confirmed them. */
-	void (*changed)(void *ctx, bool usable, bool complete);
+	/** A read has ended; see ht_feed_view(). */
+	void (*changed)(void *ctx);
 	void *ctx;
 };
 
@@ -24,4 +25,11 @@
 struct ht_feed *ht_feed_new(const struct ht_feed_params *params);
 void ht_feed_free(struct ht_feed *feed);
 
+/** What has been read from the store itself. */
+void ht_feed_view(const struct ht_feed *feed, struct ht_view_state *view);
+/** True once exact reads have confirmed routes and targets. */
+bool ht_feed_complete(const struct ht_feed *feed);
+/** Until when a target that is found missing now may still be used. */
+ht_ms ht_feed_hold(const struct ht_feed *feed);
+
 #endif
--- /dev/null
+++ b/entry/transfer.c
@@ -0,0 +1,289 @@
+#include "entry/transfer.h"
+
+#include "base/list.h"
+#include "wire/frame.h"
+
+#include <errno.h>
+#include <ev.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A neighbour answers in milliseconds: after this time another one is asked. */
+#define EXCHANGE_MS 800
+
+/* Snapshots given out at one time; an instance that is turned away asks another neighbour. */
+#define SERVED_MAX 8
+
+#define READ_CHUNK ((size_t)16 * 1024)
+
+/* Length of a request frame; longer ones are no requests. */
+#define REQUEST_MAX 64
+
+struct exchange {
+	struct ht_list node;
+	struct ht_transfer *owner;
+	int fd;
+	bool fetching; /* else serving */
+	bool connected, answering;
+	struct ht_buffer in, out;
+	ev_io io;
+	ev_timer timer;
+};
+
+struct ht_transfer {
+	struct ht_transfer_params params;
+	int fd;
+	ev_io io;
+	struct ht_list exchanges;
+	unsigned int served;
+	bool fetching;
+};
+
+static void exchange_free(struct exchange *x)
+{
+	struct ht_transfer *tr = x->owner;
+
+	ev_io_stop(tr->params.loop, &x->io);
+	ev_timer_stop(tr->params.loop, &x->timer);
+	ht_list_del(&x->node);
+	if (x->fetching)
+		tr->fetching = false;
+	else
+		tr->served--;
+	ht_buffer_clear(&x->in);
+	ht_buffer_clear(&x->out);
+	close(x->fd);
+	free(x);
+}
+
+static void end(struct exchange *x, const char *error)
+{
+	struct ht_transfer *tr = x->owner;
+	bool fetching = x->fetching;
+
+	exchange_free(x);
+	if (fetching)
+		tr->params.received(tr->params.ctx, NULL, error);
+}
+
+static void set_events(struct exchange *x, int events)
+{
+	ev_io_stop(x->owner->params.loop, &x->io);
+	ev_io_set(&x->io, x->fd, events);
+	ev_io_start(x->owner->params.loop, &x->io);
+}
+
+static void write_out(struct exchange *x)
+{
+	ssize_t n = send(x->fd, x->out.data + x->out.start, ht_buffer_len(&x->out), MSG_NOSIGNAL);
+
+	if (n < 0 && errno != EAGAIN && errno != EINTR) {
+		end(x, strerror(errno));
+		return;
+	}
+	if (n > 0)
+		ht_buffer_consume(&x->out, (size_t)n);
+	if (ht_buffer_len(&x->out))
+		return;
+	if (x->answering)
+		end(x, "");
+	else
+		set_events(x, EV_READ);
+}
+
+static void serve(struct exchange *x, ProtobufCMessage *request)
+{
+	struct ht_transfer *tr = x->owner;
+
+	protobuf_c_message_free_unpacked(request, NULL);
+	if (!tr->params.write(tr->params.ctx, &x->out)) {
+		end(x, "");
+		return;
+	}
+	x->answering = true;
+	set_events(x, EV_WRITE);
+}
+
+static void receive(struct exchange *x, ProtobufCMessage *answer)
+{
+	struct ht_transfer *tr = x->owner;
+
+	exchange_free(x);
+	tr->params.received(tr->params.ctx, (const Ht__EntrySnapshot *)answer, NULL);
+	protobuf_c_message_free_unpacked(answer, NULL);
+}
+
+static void read_in(struct exchange *x)
+{
+	uint8_t *to = ht_buffer_reserve(&x->in, READ_CHUNK);
+	ssize_t n = to ? recv(x->fd, to, READ_CHUNK, 0) : -1;
+	ProtobufCMessage *msg = NULL;
+	struct ht_err err;
+
+	if (n < 0 && to && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		end(x, n ? "read failed" : "connection closed");
+		return;
+	}
+	x->in.end += (size_t)n;
+	switch (ht_frame_take(&x->in, x->fetching ? HT_FRAME_MAX : REQUEST_MAX,
+			      x->fetching ? &ht__entry_snapshot__descriptor
+					  : &ht__entry_snapshot_request__descriptor,
+			      &msg, &err)) {
+	case HT_FRAME_MORE:
+		break;
+	case HT_FRAME_BAD:
+		end(x, err.text);
+		break;
+	case HT_FRAME_OK:
+		if (x->fetching)
+			receive(x, msg);
+		else
+			serve(x, msg);
+		break;
+	}
+}
+
+static void on_ready(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct exchange *x = io->data;
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	(void)loop;
+	if (!x->connected) {
+		getsockopt(x->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+		x->connected = !error;
+	}
+	if (error)
+		end(x, strerror(error));
+	else if (revents & EV_WRITE)
+		write_out(x);
+	else
+		read_in(x);
+}
+
+static void on_timeout(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)revents;
+	end(timer->data, "timeout");
+}
+
+/* Takes over @fd, also when there is no memory. */
+static struct exchange *exchange_new(struct ht_transfer *tr, int fd, bool fetching)
+{
+	struct exchange *x = calloc(1, sizeof(*x));
+
+	if (!x) {
+		close(fd);
+		return NULL;
+	}
+	x->owner = tr;
+	x->fd = fd;
+	x->fetching = fetching;
+	x->connected = !fetching;
+	if (fetching)
+		tr->fetching = true;
+	else
+		tr->served++;
+	ht_list_add_tail(&tr->exchanges, &x->node);
+	ev_timer_init(&x->timer, on_timeout, EXCHANGE_MS / 1000.0, 0);
+	x->timer.data = x;
+	ev_timer_start(tr->params.loop, &x->timer);
+	ev_io_init(&x->io, on_ready, fd, fetching ? EV_WRITE : EV_READ);
+	x->io.data = x;
+	ev_io_start(tr->params.loop, &x->io);
+	return x;
+}
+
+static void on_connection(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct ht_transfer *tr = io->data;
+	int fd = accept4(tr->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	(void)loop;
+	(void)revents;
+	if (fd < 0)
+		return;
+	if (tr->served < SERVED_MAX)
+		exchange_new(tr, fd, false);
+	else
+		close(fd);
+}
+
+void ht_transfer_fetch(struct ht_transfer *tr, struct ht_endpoint from)
+{
+	Ht__EntrySnapshotRequest msg = HT__ENTRY_SNAPSHOT_REQUEST__INIT;
+	struct sockaddr_in sin = {
+		.sin_family = AF_INET,
+		.sin_port = htons(from.port),
+		.sin_addr.s_addr = htonl(from.ip),
+	};
+	struct exchange *x;
+	struct ht_err err;
+	int fd;
+
+	if (tr->fetching)
+		return;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0) {
+		tr->params.received(tr->params.ctx, NULL, strerror(errno));
+		return;
+	}
+	x = exchange_new(tr, fd, true);
+	if (!x)
+		tr->params.received(tr->params.ctx, NULL, "out of memory");
+	else if (!ht_frame_put(&x->out, &msg.base, &err))
+		end(x, err.text);
+	else if (connect(fd, (const struct sockaddr *)&sin, sizeof(sin)) != 0 &&
+		 errno != EINPROGRESS)
+		end(x, strerror(errno));
+}
+
+struct ht_transfer *ht_transfer_new(const struct ht_transfer_params *params, struct ht_err *err)
+{
+	static const int on = 1;
+	const struct ht_addr *addr = params->address;
+	struct ht_transfer *tr = calloc(1, sizeof(*tr));
+	char text[HT_ADDR_TEXT];
+
+	if (!tr) {
+		ht_err_set(err, HT_ENOMEM, "out of memory");
+		return NULL;
+	}
+	tr->params = *params;
+	ht_list_init(&tr->exchanges);
+	tr->fd = socket(addr->ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (tr->fd >= 0)
+		setsockopt(tr->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (tr->fd < 0 || bind(tr->fd, (const struct sockaddr *)&addr->ss, addr->len) != 0 ||
+	    listen(tr->fd, SERVED_MAX) != 0) {
+		ht_err_set(err, HT_EIO, "snapshots at %s: %s", ht_addr_format(addr, text),
+			   strerror(errno));
+		if (tr->fd >= 0)
+			close(tr->fd);
+		free(tr);
+		return NULL;
+	}
+	ev_io_init(&tr->io, on_connection, tr->fd, EV_READ);
+	tr->io.data = tr;
+	ev_io_start(params->loop, &tr->io);
+	return tr;
+}
+
+void ht_transfer_free(struct ht_transfer *tr)
+{
+	struct ht_list *pos, *tmp;
+
+	if (!tr)
+		return;
+	ht_list_for_each_safe (pos, tmp, &tr->exchanges)
+		exchange_free(ht_container_of(pos, struct exchange, node));
+	ev_io_stop(tr->params.loop, &tr->io);
+	close(tr->fd);
+	free(tr);
+}
--- a/fuzz/fuzz_frame.c
+++ b/fuzz/fuzz_frame.c
@@ -1,5 +1,5 @@
 /* Peer frames: any bytes, in pieces whose size the first byte gives. */
-#include "wire/frame.h"
+#include "wire/peer_frame.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/tests/daemon/test_peers.c
+++ b/tests/daemon/test_peers.c
@@ -3,7 +3,7 @@
 #include "daemon/handshake.h"
 #include "daemon/peers.h"
 #include "tests/daemon/rig.h"
-#include "wire/frame.h"
+#include "wire/peer_frame.h"
 
 #include <check.h>
 #include <sodium.h>
--- a/tests/wire/test_frame.c
+++ b/tests/wire/test_frame.c
@@ -1,5 +1,5 @@
 /* Tests of the frame codec. */
-#include "wire/frame.h"
+#include "wire/peer_frame.h"
 
 #include <check.h>
 #include <stdlib.h>
