core: answers that look like errors speak against a target, and neighbours hear of it

An answer much shorter and much sooner than others of its route counts as an error; errors and misses are told to the data centre within 150 ms.

--- a/core/catalog.h
+++ b/core/catalog.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/hmap.h"
+#include "core/answers.h"
 #include "core/evidence.h"
 
 #include <stddef.h>
@@ -116,6 +117,7 @@
 	ht_ms latency_goal;
 	ht_ms timeout;
 	uint64_t revision; /**< of the newest configuration that holds it */
+	struct ht_answers answers;
 };
 
 struct ht_catalog;
--- a/core/placing.c
+++ b/core/placing.c
@@ -3,6 +3,9 @@
 /* Targets looked at for one flow; a larger service is sampled. */
 #define SAMPLE_MAX 64
 
+/* An error costs its caller another try: a target with errors only costs this many times more. */
+#define ERROR_COST 8.0
+
 /* A target's smoothed answer time moves its cost by at most this factor either way. */
 #define SPEED_MAX 2.0
 
@@ -44,7 +47,8 @@
 
 static double cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
-	double c = (t->open + 1.0) / t->slots * slowness(t);
+	double c = (t->open + 1.0) / t->slots * slowness(t) *
+		   (1 + ERROR_COST * t->evidence.error_rate);
 
 	if (!t->dc->local) {
 		c *= pl->params->remote_cost;
--- a/core/steering.c
+++ b/core/steering.c
@@ -24,6 +24,8 @@
 	ht_ms placed_at, asked_at, seen_at;
 	uint32_t acknowledged; /* in the first packet after the opening one */
 	uint32_t asked_sequence;
+	ht_ms took; /* from the request to the first data of the answer */
+	bool overdue;
 };
 
 struct ht_steering {
@@ -38,6 +40,8 @@
 {
 	*params = (struct ht_steering_params){
 		.flows_max = 65536,
+		.overdue = 600,
+		.overdue_times = 5,
 		.flow_silence = 3000,
 		.remote_cost = 4.0,
 		.cold_cost = 2.0,
@@ -140,9 +144,11 @@
 	f->placed_at = now;
 }
 
-static void miss(struct ht_target *t, ht_ms sent, ht_ms now)
+static void miss(struct ht_steering *st, struct ht_target *t, ht_ms sent, ht_ms now)
 {
 	ht_evidence_miss(&t->evidence, sent, now);
+	if (t->evidence.misses)
+		ht_reports_miss(st->params.reports, t->marks[0].value);
 	if (!t->dc->local)
 		ht_evidence_miss(&t->dc->evidence, sent, now);
 }
@@ -195,7 +201,7 @@
 	}
 	again = f != NULL;
 	if (again)
-		miss(f->target, f->placed_at, now);
+		miss(st, f->target, f->placed_at, now);
 	t = ht_placing_choose(&st->placing, route->service, f ? f->tried : NULL,
 			      f ? f->tried_count : 0, now);
 	mark = t ? ht_catalog_mark(st->params.catalog, t) : 0;
@@ -220,13 +226,26 @@
 	ht_ms took = now - f->asked_at;
 
 	f->phase = PHASE_ANSWERED;
+	f->took = took;
 	ht_evidence_answer(&t->evidence, took);
 	*mean = *mean > 0 ? *mean + 0.02 * ((double)took - *mean) : (double)took;
 }
 
+/* The caller has received all that it will: what it acknowledged is the whole answer. */
+static void judge(struct ht_steering *st, const struct flow *f, struct ht_route *route,
+		  struct ht_target *t, const struct ht_packet *pkt, ht_ms now)
+{
+	bool error =
+		ht_answers_error(&route->answers, pkt->acknowledged - f->acknowledged, f->took);
+
+	ht_evidence_result(&t->evidence, error, now);
+	if (error)
+		ht_reports_error(st->params.reports, t->marks[0].value);
+}
+
 /* Learns from a packet of a flow whose opening packet went through this instance. */
-static void observe(struct ht_steering *st, struct flow *f, struct ht_target *t,
-		    const struct ht_packet *pkt, ht_ms now)
+static void observe(struct ht_steering *st, struct flow *f, struct ht_route *route,
+		    struct ht_target *t, const struct ht_packet *pkt, ht_ms now)
 {
 	if (f->phase == PHASE_OPENING) {
 		f->phase = PHASE_OPEN;
@@ -243,9 +262,11 @@
 		answered(f, t, now);
 		alive(t, now);
 	} else if (f->phase == PHASE_ASKED && pkt->length && pkt->sequence == f->asked_sequence) {
-		miss(t, f->asked_at, now);
+		miss(st, t, f->asked_at, now);
 	}
 	touch(st, f, now);
+	if (pkt->closes && f->phase == PHASE_ANSWERED)
+		judge(st, f, route, t, pkt, now);
 	if (pkt->closes || pkt->resets)
 		flow_end(st, f);
 }
@@ -265,7 +286,7 @@
 		return decide(HT_STEER_DROP, HT_STEER_FOREIGN_TARGET);
 	f = find_flow(st, pkt);
 	if (f)
-		observe(st, f, t, pkt, now);
+		observe(st, f, route, t, pkt, now);
 	return forward(t, pkt->mark, HT_STEER_MARKED);
 }
 
@@ -275,6 +296,25 @@
 	return pkt->opens ? steer_opening(st, pkt, now) : steer_marked(st, pkt, now);
 }
 
+void ht_steering_hear(struct ht_steering *st, const struct ht_report *report, ht_ms now)
+{
+	struct ht_target *t = ht_catalog_by_mark(st->params.catalog, report->mark);
+
+	if (!t)
+		return;
+	ht_evidence_hearsay(&t->evidence, report->misses, now);
+	for (uint32_t i = 0; i < report->errors; i++)
+		ht_evidence_result(&t->evidence, true, now);
+}
+
+static bool is_overdue(const struct ht_steering *st, const struct flow *f, ht_ms now)
+{
+	ht_ms waited = now - f->asked_at;
+
+	return f->phase == PHASE_ASKED && !f->overdue && waited > st->params.overdue &&
+	       (double)waited > st->params.overdue_times * f->target->service->answer_ms;
+}
+
 void ht_steering_expire(struct ht_steering *st, ht_ms now)
 {
 	struct ht_list *pos, *tmp;
@@ -282,9 +322,14 @@
 	ht_list_for_each_safe (pos, tmp, &st->used) {
 		struct flow *f = ht_container_of(pos, struct flow, used);
 
-		if (now - f->seen_at < st->params.flow_silence)
+		if (now - f->seen_at < st->params.overdue)
 			return;
-		flow_end(st, f);
+		if (is_overdue(st, f, now)) {
+			f->overdue = true;
+			miss(st, f->target, f->asked_at, now);
+		}
+		if (now - f->seen_at >= st->params.flow_silence)
+			flow_end(st, f);
 	}
 }
 
--- a/core/steering.h
+++ b/core/steering.h
@@ -8,6 +8,7 @@
 #define HT_CORE_STEERING_H
 
 #include "core/catalog.h"
+#include "core/reports.h"
 
 /** Head of a packet from a caller, decoded. */
 struct ht_packet {
@@ -49,13 +50,17 @@
 /** Limits and weights; ht_steering_params_default() fills in the design's values. */
 struct ht_steering_params {
 	struct ht_catalog *catalog; /**< borrowed */
+	struct ht_reports *reports; /**< borrowed; takes what other instances should hear */
 	uint64_t seed;
-	size_t flows_max;   /**< flows in the table; the least recently used go first */
-	ht_ms flow_silence; /**< a flow without packets for this long is no longer counted */
+	size_t flows_max;     /**< flows in the table; the least recently used go first */
+	ht_ms overdue;	      /**< an answer that takes longer speaks against its target... */
+	double overdue_times; /**< ...if that is also this many times the service's mean */
+	ht_ms flow_silence;   /**< a flow without packets for this long is no longer counted */
 	double remote_cost; /**< cost of a target in another data centre, times that of a local one
 			     */
 	double cold_cost;   /**< cost of a target that has just started, times that of a warm one */
-	double doubted_cost;  /**< cost of a target, or a data centre, in doubt, times that of others */
+	double doubted_cost; /**< cost of a target, or a data centre, in doubt, times that of others
+			      */
 	double doubted_share; /**< at most this part of a service's targets is left out for doubt */
 };
 
@@ -74,7 +79,10 @@
 struct ht_steering_decision ht_steering_packet(struct ht_steering *st, const struct ht_packet *pkt,
 					       ht_ms now);
 
-/** Drops flows that have been silent; call it several times a second. */
+/** Other instances have seen @report. */
+void ht_steering_hear(struct ht_steering *st, const struct ht_report *report, ht_ms now);
+
+/** Looks for overdue answers and drops silent flows; call it several times a second. */
 void ht_steering_expire(struct ht_steering *st, ht_ms now);
 
 size_t ht_steering_flow_count(const struct ht_steering *st);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -36,6 +36,7 @@
 	struct ht_entry_settings settings;
 	struct ht_entry_log log;
 	struct ht_catalog *catalog;
+	struct ht_reports reports;
 	struct ht_steering *steering;
 	struct ht_packets *packets;
 	struct ht_readiness *readiness;
@@ -161,6 +162,8 @@
 			.loop = e->loop,
 			.settings = &e->settings,
 			.catalog = e->catalog,
+			.steering = e->steering,
+			.reports = &e->reports,
 			.log = &e->log,
 			.feed = current_feed,
 			.changed = on_neighbour,
@@ -262,6 +265,7 @@
 	e->catalog = ht_catalog_new(e->settings.data_centre);
 	ht_steering_params_default(&params);
 	params.catalog = e->catalog;
+	params.reports = &e->reports;
 	params.seed = ht_hash_pair(ht_hash_str(e->settings.instance), (uint64_t)ht_clock_wall());
 	e->steering = e->catalog ? ht_steering_new(&params) : NULL;
 	if (!e->steering)
--- a/entry/link.c
+++ b/entry/link.c
@@ -14,6 +14,10 @@
 /* Largest greeting: names of HT_CATALOG_NAME and a few numbers for each known neighbour. */
 #define GREETING_MAX 2048
 
+/* Evidence is gathered for this long before it is sent: a dead target costs each flow at least the
+ * 200 ms after which a caller sends again, so that little is lost by the delay. */
+#define REPORT_DELAY_MS 150
+
 /* Sizes of instances are told in thousandths of a core. */
 #define SIZE_UNIT 1000
 
@@ -31,6 +35,7 @@
 	uint64_t announced; /* revision of the targets in the last announcement */
 	int fd;
 	ev_io io;
+	ev_timer report_timer;
 };
 
 static ht_ms now_ms(void)
@@ -163,6 +168,42 @@
 	ht_neighbours_each_local(link->neighbours, now_ms(), announce_to, &a);
 }
 
+static void on_report_timer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct ht_link *link = timer->data;
+	struct ht_reports *reports = link->params.reports;
+	Ht__EntryEvidence evidence[HT_REPORTS_MAX], *list[HT_REPORTS_MAX];
+	struct announcement a = {.link = link};
+	Ht__EntryInstance self;
+	Ht__EntryGreeting msg;
+
+	(void)loop;
+	(void)revents;
+	describe(link, &msg, &self);
+	for (size_t i = 0; i < reports->count; i++) {
+		ht__entry_evidence__init(&evidence[i]);
+		evidence[i].mark = reports->list[i].mark;
+		evidence[i].misses = reports->list[i].misses;
+		evidence[i].errors = reports->list[i].errors;
+		list[i] = &evidence[i];
+	}
+	msg.n_evidence = reports->count;
+	msg.evidence = list;
+	reports->count = 0;
+	a.len = ht__entry_greeting__pack(&msg, a.buf);
+	ht_neighbours_each_local(link->neighbours, now_ms(), announce_to, &a);
+}
+
+static void on_report(void *ctx)
+{
+	struct ht_link *link = ctx;
+
+	if (ev_is_active(&link->report_timer))
+		return;
+	ev_timer_set(&link->report_timer, REPORT_DELAY_MS / 1000.0, 0);
+	ev_timer_start(link->params.loop, &link->report_timer);
+}
+
 static size_t apply(struct ht_link *link, const Ht__EntrySnapshot *msg)
 {
 	struct ht_feed *feed = feed_of(link);
@@ -218,6 +259,15 @@
 	    ht_snapshot_fits(msg->changes, own.targets_revision))
 		apply(link, msg->changes);
 	learn(link, msg);
+	for (size_t i = 0; i < msg->n_evidence && i < HT_REPORTS_MAX; i++) {
+		const struct ht_report report = {
+			.mark = msg->evidence[i]->mark,
+			.misses = msg->evidence[i]->misses,
+			.errors = msg->evidence[i]->errors,
+		};
+
+		ht_steering_hear(link->params.steering, &report, now);
+	}
 	ht_feed_set_standby(feed_of(link), ht_neighbours_covered(link->neighbours, now));
 	if (msg->answer_wanted)
 		send_greeting(link, at, false);
@@ -365,6 +415,8 @@
 	}
 	link->params = *params;
 	link->fd = -1;
+	ev_timer_init(&link->report_timer, on_report_timer, 0, 0);
+	link->report_timer.data = link;
 	link->self = endpoint_of(&set->peer_address);
 	ht_neighbours_params_default(&nb);
 	nb.name = set->instance;
@@ -388,6 +440,8 @@
 		return NULL;
 	}
 	add_seeds(link);
+	params->reports->pending = on_report;
+	params->reports->ctx = link;
 	return link;
 }
 
@@ -395,6 +449,8 @@
 {
 	if (!link)
 		return;
+	link->params.reports->pending = NULL;
+	ev_timer_stop(link->params.loop, &link->report_timer);
 	ht_transfer_free(link->transfer);
 	if (link->fd >= 0) {
 		ev_io_stop(link->params.loop, &link->io);
--- a/entry/link.h
+++ b/entry/link.h
@@ -3,6 +3,7 @@
 #define HT_ENTRY_LINK_H
 
 #include "core/neighbours.h"
+#include "core/steering.h"
 #include "entry/feed.h"
 #include "entry/log.h"
 #include "entry/settings.h"
@@ -14,6 +15,8 @@
 	struct ev_loop *loop;
 	const struct ht_entry_settings *settings;
 	struct ht_catalog *catalog;
+	struct ht_steering *steering;
+	struct ht_reports *reports; /**< sent to neighbours soon after they come */
 	struct ht_entry_log *log;
 	struct ht_feed *(*feed)(void *ctx); /**< borrowed; may change when settings do */
 	/** A neighbour's changes have been applied, or its proofs learned. */
--- a/mk/entry.mk
+++ b/mk/entry.mk
@@ -1,6 +1,6 @@
 # The program for the users' platform. It links only the objects that it needs, so that starting it
 # loads no other library; `make entry` builds it into target/ with the packages of deploy/system.toml.
-ENTRY_CORE := catalog evidence leaving neighbours placing reading steering
+ENTRY_CORE := answers catalog evidence leaving neighbours placing reading reports steering
 ENTRY_PLATFORM := http packet store store_decode
 ENTRY_WIRE := buffer frame entry.pb-c
 ENTRY_BASE := addr clock err event file hash hmap options
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &ht__entry_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ht__entry_evidence__init
+                     (Ht__EntryEvidence         *message)
+{
+  static const Ht__EntryEvidence init_value = HT__ENTRY_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t ht__entry_evidence__get_packed_size
+                     (const Ht__EntryEvidence *message)
+{
+  assert(message->base.descriptor == &ht__entry_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_evidence__pack
+                     (const Ht__EntryEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_evidence__pack_to_buffer
+                     (const Ht__EntryEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryEvidence *
+       ht__entry_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryEvidence *)
+     protobuf_c_message_unpack (&ht__entry_evidence__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_evidence__free_unpacked
+                     (Ht__EntryEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ht__entry_greeting__init
                      (Ht__EntryGreeting         *message)
 {
@@ -412,7 +457,71 @@
   (ProtobufCMessageInit) ht__entry_instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ht__entry_evidence__field_descriptors[3] =
+{
+  {
+    "mark",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryEvidence, mark),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "misses",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryEvidence, misses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "errors",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryEvidence, errors),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_evidence__field_indices_by_name[] = {
+  2,   /* field[2] = errors */
+  0,   /* field[0] = mark */
+  1,   /* field[1] = misses */
+};
+static const ProtobufCIntRange ht__entry_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ht__entry_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryEvidence",
+  "EntryEvidence",
+  "Ht__EntryEvidence",
+  "ht",
+  sizeof(Ht__EntryEvidence),
+  3,
+  ht__entry_evidence__field_descriptors,
+  ht__entry_evidence__field_indices_by_name,
+  1,  ht__entry_evidence__number_ranges,
+  (ProtobufCMessageInit) ht__entry_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[11] =
 {
   {
     "self",
@@ -534,10 +643,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evidence",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntryGreeting, n_evidence),
+    offsetof(Ht__EntryGreeting, evidence),
+    &ht__entry_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_greeting__field_indices_by_name[] = {
   6,   /* field[6] = answer_wanted */
   8,   /* field[8] = changes */
+  10,   /* field[10] = evidence */
   7,   /* field[7] = known */
   4,   /* field[4] = routes_age_ms */
   9,   /* field[9] = routes_read_to */
@@ -550,7 +672,7 @@
 static const ProtobufCIntRange ht__entry_greeting__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ht__entry_greeting__descriptor =
 {
@@ -560,7 +682,7 @@
   "Ht__EntryGreeting",
   "ht",
   sizeof(Ht__EntryGreeting),
-  10,
+  11,
   ht__entry_greeting__field_descriptors,
   ht__entry_greeting__field_indices_by_name,
   1,  ht__entry_greeting__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Ht__EntryInstance Ht__EntryInstance;
+typedef struct Ht__EntryEvidence Ht__EntryEvidence;
 typedef struct Ht__EntryGreeting Ht__EntryGreeting;
 typedef struct Ht__EntrySnapshotRequest Ht__EntrySnapshotRequest;
 typedef struct Ht__EntryRoute Ht__EntryRoute;
@@ -46,6 +47,30 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * What an instance has seen of a target lately.
+ */
+struct  Ht__EntryEvidence
+{
+  ProtobufCMessage base;
+  /*
+   * first mark of the target
+   */
+  uint32_t mark;
+  /*
+   * packets without effect
+   */
+  uint32_t misses;
+  /*
+   * answers that look like errors
+   */
+  uint32_t errors;
+};
+#define HT__ENTRY_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_evidence__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * What an instance knows, how old that is, and whom it knows.
  */
@@ -71,6 +96,8 @@
    * the latest ones, when they are few
    */
   Ht__EntrySnapshot *changes;
+  size_t n_evidence;
+  Ht__EntryEvidence **evidence;
   /*
    * no later change of the routes up to this revision
    */
@@ -78,7 +105,7 @@
 };
 #define HT__ENTRY_GREETING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_greeting__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0 }
 
 
 /*
@@ -188,6 +215,25 @@
 void   ht__entry_instance__free_unpacked
                      (Ht__EntryInstance *message,
                       ProtobufCAllocator *allocator);
+/* Ht__EntryEvidence methods */
+void   ht__entry_evidence__init
+                     (Ht__EntryEvidence         *message);
+size_t ht__entry_evidence__get_packed_size
+                     (const Ht__EntryEvidence   *message);
+size_t ht__entry_evidence__pack
+                     (const Ht__EntryEvidence   *message,
+                      uint8_t             *out);
+size_t ht__entry_evidence__pack_to_buffer
+                     (const Ht__EntryEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryEvidence *
+       ht__entry_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_evidence__free_unpacked
+                     (Ht__EntryEvidence *message,
+                      ProtobufCAllocator *allocator);
 /* Ht__EntryGreeting methods */
 void   ht__entry_greeting__init
                      (Ht__EntryGreeting         *message);
@@ -307,6 +353,9 @@
 typedef void (*Ht__EntryInstance_Closure)
                  (const Ht__EntryInstance *message,
                   void *closure_data);
+typedef void (*Ht__EntryEvidence_Closure)
+                 (const Ht__EntryEvidence *message,
+                  void *closure_data);
 typedef void (*Ht__EntryGreeting_Closure)
                  (const Ht__EntryGreeting *message,
                   void *closure_data);
@@ -332,6 +381,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor ht__entry_instance__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_evidence__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_greeting__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_snapshot_request__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_route__descriptor;
