--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -22,6 +22,7 @@
 	struct ht_list list;
 	size_t count;
 	ht_ms started_at, snapshot_at;
+	size_t turn; /* where the next greeting begins to name neighbours */
 };
 
 void ht_neighbours_params_default(struct ht_neighbours_params *params)
@@ -29,6 +30,7 @@
 	*params = (struct ht_neighbours_params){
 		.max = 256,
 		.forget = 120000,
+		.settle = 1500,
 		.start_wait = 150,
 		.stale_after = 3000,
 		.snapshot_pause = 1000,
@@ -173,8 +175,8 @@
 	return best;
 }
 
-size_t ht_neighbours_greet(struct ht_neighbours *nb, struct ht_endpoint out[HT_GREETING_FANOUT],
-			   ht_ms now)
+size_t ht_neighbours_greet(struct ht_neighbours *nb,
+			   const struct ht_neighbour *out[HT_GREETING_FANOUT], ht_ms now)
 {
 	size_t count = 0;
 
@@ -185,7 +187,7 @@
 		if (!n)
 			continue;
 		n->greeted_at = now;
-		out[count++] = n->at;
+		out[count++] = n;
 	}
 	return count;
 }
@@ -195,21 +197,33 @@
 	return n->heard_at != HT_NEVER && now - n->heard_at < LIVE_MS;
 }
 
-size_t ht_neighbours_known(const struct ht_neighbours *nb,
-			   const struct ht_neighbour *out[HT_GREETING_KNOWN], ht_ms now)
+/* Appends up to the limit from those that are, or are not, in @dc, starting at the turn's place. */
+static size_t add_known(const struct ht_neighbours *nb, const char *dc, bool in_dc,
+			const struct ht_neighbour *out[HT_GREETING_KNOWN], size_t count, ht_ms now)
 {
-	size_t count = 0;
-
-	for (int remote = 0; remote < 2; remote++) {
-		const struct ht_list *pos;
+	const struct ht_list *pos = nb->list.next;
+
+	for (size_t i = 0; nb->count && i < nb->turn % nb->count; i++)
+		pos = pos->next;
+	for (size_t i = 0; i < nb->count && count < HT_GREETING_KNOWN; i++, pos = pos->next) {
+		const struct ht_neighbour *n;
+
+		if (pos == &nb->list)
+			pos = pos->next;
+		n = ht_container_of(pos, struct ht_neighbour, node);
+		if (live(n, now) && (strcmp(n->dc, dc) == 0) == in_dc)
+			out[count++] = n;
+	}
+	return count;
+}
 
-		ht_list_for_each (pos, &nb->list) {
-			struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+size_t ht_neighbours_known(struct ht_neighbours *nb, const char *dc,
+			   const struct ht_neighbour *out[HT_GREETING_KNOWN], ht_ms now)
+{
+	size_t count = add_known(nb, dc, true, out, 0, now);
 
-			if (count < HT_GREETING_KNOWN && live(n, now) && n->local == !remote)
-				out[count++] = n;
-		}
-	}
+	count = add_known(nb, dc, false, out, count, now);
+	nb->turn += HT_GREETING_KNOWN / 2 + 1;
 	return count;
 }
 
@@ -224,6 +238,8 @@
 {
 	const struct ht_list *pos;
 
+	if (now - nb->started_at < nb->params.settle)
+		return true;
 	ht_list_for_each (pos, &nb->list) {
 		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
 
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -40,6 +40,7 @@
 	uint32_t size;	      /**< own share of a core, in thousandths */
 	size_t max;	      /**< neighbours kept; the one heard longest ago goes first */
 	ht_ms forget;	      /**< one that has been silent for this long is forgotten */
+	ht_ms settle;	      /**< after its start an instance leaves reading to others this long */
 	ht_ms start_wait;     /**< an instance without a view gives the store this long at first */
 	ht_ms stale_after;    /**< a view of this age is renewed from a neighbour */
 	ht_ms snapshot_pause; /**< between two snapshots that trouble asks for */
@@ -64,7 +65,8 @@
 
 /**
  * True if a live neighbour of the own data centre reads the store before this instance: the larger
- * one does, and of equals the one whose name hashes lower.
+ * one does, and of equals the one whose name hashes lower. Also while this instance has only just
+ * started and may not have heard of one.
  */
 bool ht_neighbours_covered(const struct ht_neighbours *nb, ht_ms now);
 /** Calls @visit for each neighbour of the own data centre that has been heard lately. */
@@ -72,13 +74,16 @@
 			      void (*visit)(void *ctx, const struct ht_neighbour *n), void *ctx);
 
 /**
- * Fills @out with addresses to greet now and returns their number: those greeted longest ago,
+ * Fills @out with neighbours to greet now and returns their number: those greeted longest ago,
  * mostly in the own data centre.
  */
-size_t ht_neighbours_greet(struct ht_neighbours *nb, struct ht_endpoint out[HT_GREETING_FANOUT],
-			   ht_ms now);
-/** Fills @out with neighbours to name in a greeting: recently heard, own data centre first. */
-size_t ht_neighbours_known(const struct ht_neighbours *nb,
+size_t ht_neighbours_greet(struct ht_neighbours *nb,
+			   const struct ht_neighbour *out[HT_GREETING_FANOUT], ht_ms now);
+/**
+ * Fills @out with live neighbours to name in a greeting to an instance of @dc, those of its own
+ * data centre first, and others of them each time.
+ */
+size_t ht_neighbours_known(struct ht_neighbours *nb, const char *dc,
 			   const struct ht_neighbour *out[HT_GREETING_KNOWN], ht_ms now);
 
 /**
--- a/entry/link.c
+++ b/entry/link.c
@@ -109,10 +109,11 @@
 	(void)sendto(link->fd, data, len, MSG_NOSIGNAL, (const struct sockaddr *)&sin, sizeof(sin));
 }
 
-static void send_greeting(struct ht_link *link, struct ht_endpoint to, bool answer_wanted)
+static void send_greeting(struct ht_link *link, struct ht_endpoint to, const char *dc,
+			  bool answer_wanted)
 {
 	const struct ht_neighbour *known[HT_GREETING_KNOWN];
-	size_t n = ht_neighbours_known(link->neighbours, known, now_ms());
+	size_t n = ht_neighbours_known(link->neighbours, dc, known, now_ms());
 	Ht__EntryInstance self, others[HT_GREETING_KNOWN], *list[HT_GREETING_KNOWN];
 	Ht__EntryGreeting msg;
 	uint8_t buf[GREETING_MAX];
@@ -270,7 +271,7 @@
 	}
 	ht_feed_set_standby(feed_of(link), ht_neighbours_covered(link->neighbours, now));
 	if (msg->answer_wanted)
-		send_greeting(link, at, false);
+		send_greeting(link, at, self->dc, false);
 }
 
 static void on_greeting(struct ev_loop *loop, ev_io *io, int revents)
@@ -351,7 +352,7 @@
 
 void ht_link_round(struct ht_link *link)
 {
-	struct ht_endpoint to[HT_GREETING_FANOUT];
+	const struct ht_neighbour *to[HT_GREETING_FANOUT];
 	struct ht_view_state view = view_of(link);
 	ht_ms now = now_ms();
 	size_t n;
@@ -359,7 +360,7 @@
 	ht_neighbours_expire(link->neighbours, now);
 	n = ht_neighbours_greet(link->neighbours, to, now);
 	for (size_t i = 0; i < n; i++)
-		send_greeting(link, to[i], view.targets_age == HT_NEVER);
+		send_greeting(link, to[i]->at, to[i]->dc, view.targets_age == HT_NEVER);
 	ht_feed_set_standby(feed_of(link), ht_neighbours_covered(link->neighbours, now));
 	ht_link_refresh(link);
 }
