core: open flows are counted while they send; copies are deferred where targets would shed

Cause: after all instances were restarted, routers move most flows each time one returns, so that their ends are seen elsewhere and counts of open flows stay up for three seconds. Flows without packets for 400 ms are no longer counted.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -36,6 +36,7 @@
 	if (!s)
 		return NULL;
 	copy_name(s->name, name);
+	s->urgent = UINT32_MAX;
 	ht_list_add_tail(&cat->services, &s->node);
 	return s;
 }
@@ -197,6 +198,8 @@
 		r->service = service;
 	}
 	r->idempotent = e->idempotent;
+	if (e->priority < service->urgent)
+		service->urgent = e->priority;
 	r->priority = e->priority;
 	r->latency_goal = e->latency_goal;
 	r->timeout = e->timeout;
@@ -223,12 +226,15 @@
 enum ht_catalog_change ht_catalog_set_routes(struct ht_catalog *cat,
 					     const struct ht_route_table *table)
 {
+	struct ht_list *pos;
 	bool ok = true;
 
 	if (table->revision < cat->routes_revision || table->version < cat->version)
 		return HT_CATALOG_OLDER;
 	if (table->revision == cat->routes_revision)
 		return HT_CATALOG_SAME;
+	ht_list_for_each (pos, &cat->services)
+		ht_container_of(pos, struct ht_service, node)->urgent = UINT32_MAX;
 	for (size_t i = 0; i < table->count; i++)
 		ok = set_route(cat, &table->entries[i], table->revision) && ok;
 	if (ok)
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -70,6 +70,7 @@
 	struct ht_target **targets; /**< that may get new flows, as far as the platform says */
 	size_t count, capacity;
 	double answer_ms; /**< smoothed time to an answer over all targets; 0: none seen */
+	uint32_t urgent;  /**< lowest priority number among its routes */
 };
 
 struct ht_dc {
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -249,6 +249,19 @@
 	return false;
 }
 
+size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now)
+{
+	const struct ht_list *pos;
+	size_t count = 1;
+
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		count += n->local && n->name[0] && (live(n, now) || now - n->added_at < LIVE_MS);
+	}
+	return count;
+}
+
 void ht_neighbours_each_local(const struct ht_neighbours *nb, ht_ms now,
 			      void (*visit)(void *ctx, const struct ht_neighbour *n), void *ctx)
 {
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -69,6 +69,8 @@
  * started and may not have heard of one.
  */
 bool ht_neighbours_covered(const struct ht_neighbours *nb, ht_ms now);
+/** Number of live instances of the own data centre, this one included. */
+size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now);
 /** Calls @visit for each neighbour of the own data centre that has been heard lately. */
 void ht_neighbours_each_local(const struct ht_neighbours *nb, ht_ms now,
 			      void (*visit)(void *ctx, const struct ht_neighbour *n), void *ctx);
--- a/core/steering.c
+++ b/core/steering.c
@@ -13,14 +13,18 @@
 	PHASE_ANSWERED, /* the caller has acknowledged data of the target */
 };
 
+/* Opening packets come three times; the copies are counted from 0. */
+#define LAST_COPY 2
+
 struct flow {
 	struct ht_hnode hnode;
-	struct ht_list used; /* by time of the last packet, newest last */
+	struct ht_list node; /* in ht_steering.active or .quiet, by time of the last packet */
 	struct ht_endpoint src, dst;
 	enum phase phase;
 	struct ht_target *tried[HT_PLACING_TRIES];
 	size_t tried_count;
-	struct ht_target *target; /* counted in its open flows */
+	struct ht_target *target;
+	bool counted; /* in the target's open flows */
 	ht_ms placed_at, asked_at, seen_at;
 	uint32_t acknowledged; /* in the first packet after the opening one */
 	uint32_t asked_sequence;
@@ -32,8 +36,10 @@
 	struct ht_steering_params params;
 	struct ht_placing placing;
 	struct ht_hmap flows;
-	struct ht_list used;
+	struct ht_list active; /* flows that count as open, newest packet last */
+	struct ht_list quiet;  /* flows without packets: perhaps they go through others now */
 	bool complete;
+	size_t sharers;
 };
 
 void ht_steering_params_default(struct ht_steering_params *params)
@@ -42,9 +48,12 @@
 		.flows_max = 65536,
 		.overdue = 600,
 		.overdue_times = 5,
+		.flow_quiet = 400,
 		.flow_silence = 3000,
 		.remote_cost = 4.0,
 		.cold_cost = 2.0,
+		.depth = 6.0,
+		.urgent_share = 0.2,
 		.doubted_cost = 16.0,
 		.doubted_share = 0.5,
 	};
@@ -58,19 +67,27 @@
 		return NULL;
 	st->params = *params;
 	st->placing = (struct ht_placing){.params = &st->params, .random = params->seed};
-	ht_list_init(&st->used);
+	st->sharers = 1;
+	ht_list_init(&st->active);
+	ht_list_init(&st->quiet);
 	if (ht_hmap_init(&st->flows))
 		return st;
 	free(st);
 	return NULL;
 }
 
-static void flow_end(struct ht_steering *st, struct flow *f)
+static void uncount(struct flow *f)
 {
-	if (f->target)
+	if (f->counted)
 		f->target->open--;
+	f->counted = false;
+}
+
+static void flow_end(struct ht_steering *st, struct flow *f)
+{
+	uncount(f);
 	ht_hmap_del(&st->flows, &f->hnode);
-	ht_list_del(&f->used);
+	ht_list_del(&f->node);
 	free(f);
 }
 
@@ -80,8 +97,10 @@
 
 	if (!st)
 		return;
-	ht_list_for_each_safe (pos, tmp, &st->used)
-		flow_end(st, ht_container_of(pos, struct flow, used));
+	ht_list_for_each_safe (pos, tmp, &st->active)
+		flow_end(st, ht_container_of(pos, struct flow, node));
+	ht_list_for_each_safe (pos, tmp, &st->quiet)
+		flow_end(st, ht_container_of(pos, struct flow, node));
 	ht_hmap_clear(&st->flows);
 	free(st);
 }
@@ -91,6 +110,11 @@
 	st->complete = complete;
 }
 
+void ht_steering_set_sharers(struct ht_steering *st, size_t count)
+{
+	st->sharers = count;
+}
+
 static uint64_t flow_hash(const struct ht_packet *pkt)
 {
 	uint64_t src = ((uint64_t)pkt->src.ip << 16) | pkt->src.port;
@@ -112,38 +136,65 @@
 	return NULL;
 }
 
+static struct flow *oldest(struct ht_steering *st)
+{
+	struct ht_list *list = ht_list_empty(&st->quiet) ? &st->active : &st->quiet;
+
+	return ht_container_of(list->next, struct flow, node);
+}
+
 static struct flow *add_flow(struct ht_steering *st, const struct ht_packet *pkt)
 {
 	struct flow *f;
 
 	if (st->flows.count >= st->params.flows_max)
-		flow_end(st, ht_container_of(st->used.next, struct flow, used));
+		flow_end(st, oldest(st));
 	f = calloc(1, sizeof(*f));
 	if (!f)
 		return NULL;
 	f->src = pkt->src;
 	f->dst = pkt->dst;
 	ht_hmap_add(&st->flows, &f->hnode, flow_hash(pkt));
-	ht_list_add_tail(&st->used, &f->used);
+	ht_list_add_tail(&st->active, &f->node);
 	return f;
 }
 
 static void touch(struct ht_steering *st, struct flow *f, ht_ms now)
 {
 	f->seen_at = now;
-	ht_list_del(&f->used);
-	ht_list_add_tail(&st->used, &f->used);
+	ht_list_del(&f->node);
+	ht_list_add_tail(&st->active, &f->node);
+	if (!f->counted)
+		f->target->open++;
+	f->counted = true;
 }
 
 static void set_target(struct flow *f, struct ht_target *t, ht_ms now)
 {
-	if (f->target)
-		f->target->open--;
+	uncount(f);
 	f->target = t;
-	t->open++;
 	f->placed_at = now;
 }
 
+/*
+ * Flows without packets are no longer counted: when instances come or go, the routers send most
+ * flows through others, and their ends are not seen here.
+ */
+static void uncount_quiet(struct ht_steering *st, ht_ms now)
+{
+	struct ht_list *pos, *tmp;
+
+	ht_list_for_each_safe (pos, tmp, &st->active) {
+		struct flow *f = ht_container_of(pos, struct flow, node);
+
+		if (now - f->seen_at < st->params.flow_quiet)
+			return;
+		uncount(f);
+		ht_list_del(&f->node);
+		ht_list_add_tail(&st->quiet, &f->node);
+	}
+}
+
 static void miss(struct ht_steering *st, struct ht_target *t, ht_ms sent, ht_ms now)
 {
 	ht_evidence_miss(&t->evidence, sent, now);
@@ -180,6 +231,31 @@
 			    : decide(HT_STEER_DROP, HT_STEER_NO_VIEW);
 }
 
+/*
+ * True if this instance's share of the service is so full that targets would shed a new flow. The
+ * last copy of an opening packet is always let in.
+ */
+static bool deferred(const struct ht_steering *st, const struct ht_route *route,
+		     const struct ht_packet *pkt)
+{
+	const struct ht_service *s = route->service;
+	double room = 0, open = 0;
+
+	if (pkt->acknowledged >= LAST_COPY)
+		return false;
+	for (size_t i = 0; i < s->count; i++) {
+		const struct ht_target *t = s->targets[i];
+
+		open += t->open;
+		if (t->dc->local)
+			room += t->slots * st->params.depth;
+	}
+	room /= (double)st->sharers;
+	if (route->priority > s->urgent)
+		room *= 1 - st->params.urgent_share;
+	return room > 0 && open >= room + 1;
+}
+
 static struct ht_steering_decision steer_opening(struct ht_steering *st,
 						 const struct ht_packet *pkt, ht_ms now)
 {
@@ -189,6 +265,7 @@
 	uint32_t mark;
 	bool again;
 
+	uncount_quiet(st, now);
 	if (!route)
 		return refuse(st, HT_STEER_NO_ROUTE);
 	if (f && f->phase != PHASE_OPENING) {
@@ -200,6 +277,8 @@
 		f = NULL;
 	}
 	again = f != NULL;
+	if (!again && deferred(st, route, pkt))
+		return decide(HT_STEER_DROP, HT_STEER_DEFERRED);
 	if (again)
 		miss(st, f->target, f->placed_at, now);
 	t = ht_placing_choose(&st->placing, route->service, f ? f->tried : NULL,
@@ -319,11 +398,10 @@
 {
 	struct ht_list *pos, *tmp;
 
-	ht_list_for_each_safe (pos, tmp, &st->used) {
-		struct flow *f = ht_container_of(pos, struct flow, used);
+	uncount_quiet(st, now);
+	ht_list_for_each_safe (pos, tmp, &st->quiet) {
+		struct flow *f = ht_container_of(pos, struct flow, node);
 
-		if (now - f->seen_at < st->params.overdue)
-			return;
 		if (is_overdue(st, f, now)) {
 			f->overdue = true;
 			miss(st, f->target, f->asked_at, now);
@@ -344,6 +422,7 @@
 		[HT_STEER_PLACED] = "placed",
 		[HT_STEER_REPLACED] = "replaced",
 		[HT_STEER_MARKED] = "marked",
+		[HT_STEER_DEFERRED] = "deferred",
 		[HT_STEER_NO_VIEW] = "no-view",
 		[HT_STEER_NO_ROUTE] = "no-route",
 		[HT_STEER_NO_TARGET] = "no-target",
--- a/core/steering.h
+++ b/core/steering.h
@@ -32,6 +32,7 @@
 	HT_STEER_PLACED,	 /**< new flow */
 	HT_STEER_REPLACED,	 /**< copy of an opening packet: another target than before */
 	HT_STEER_MARKED,	 /**< the flow's own target */
+	HT_STEER_DEFERRED,	 /**< all targets are busy: the caller's next copy may find room */
 	HT_STEER_NO_VIEW,	 /**< nothing has been read from the platform yet */
 	HT_STEER_NO_ROUTE,	 /**< the configuration has no such address */
 	HT_STEER_NO_TARGET,	 /**< no target can take a new flow */
@@ -55,10 +56,13 @@
 	size_t flows_max;     /**< flows in the table; the least recently used go first */
 	ht_ms overdue;	      /**< an answer that takes longer speaks against its target... */
 	double overdue_times; /**< ...if that is also this many times the service's mean */
-	ht_ms flow_silence;   /**< a flow without packets for this long is no longer counted */
+	ht_ms flow_quiet;     /**< a flow without packets for this long no longer counts as open */
+	ht_ms flow_silence;   /**< ...and after this time it is forgotten */
 	double remote_cost; /**< cost of a target in another data centre, times that of a local one
 			     */
 	double cold_cost;   /**< cost of a target that has just started, times that of a warm one */
+	double depth;	    /**< flows per slot, in work and in queue, that a target is given */
+	double urgent_share; /**< part of the room that is left for the most urgent routes */
 	double doubted_cost; /**< cost of a target, or a data centre, in doubt, times that of others
 			      */
 	double doubted_share; /**< at most this part of a service's targets is left out for doubt */
@@ -75,6 +79,9 @@
 /** True as soon as routes and targets have been read whole: from then on flows may be reset. */
 void ht_steering_set_complete(struct ht_steering *st, bool complete);
 
+/** Number of instances of the data centre, between which its flows are spread. */
+void ht_steering_set_sharers(struct ht_steering *st, size_t count);
+
 /** Decides on one packet. */
 struct ht_steering_decision ht_steering_packet(struct ht_steering *st, const struct ht_packet *pkt,
 					       ht_ms now);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -21,8 +21,8 @@
 /* Neighbours are greeted once a second; an instance without a view greets each tick. */
 #define TICKS_PER_GREETING 2
 
-/* An instance that starts gives the store this long before it turns to a neighbour. */
-#define START_WAIT_MS 160
+/* An instance that starts greets this often until its view is proven. */
+#define START_ROUND_MS 100
 
 /* Routers ask twice a second and take an instance out after two refusals; a second more lets
  * packets on the way arrive. */
@@ -44,7 +44,7 @@
 	struct ht_link *link;
 	ev_signal term, interrupt, hup;
 	ev_timer tick, end;
-	ev_timer start_wait;
+	ev_timer start_round;
 	bool usable, stopping;
 	unsigned int ticks;
 	ht_ms stop_asked;
@@ -230,19 +230,20 @@
 	(void)revents;
 	ht_steering_expire(e->steering, now);
 	ht_catalog_expire(e->catalog, now, e->settings.flow_max_s * 1000);
-	if (!e->usable || ++e->ticks % TICKS_PER_GREETING == 0)
+	if (!ht_feed_complete(e->feed) || ++e->ticks % TICKS_PER_GREETING == 0)
 		ht_link_round(e->link);
 	if (modified.tv_sec != e->modified.tv_sec || modified.tv_nsec != e->modified.tv_nsec)
 		reload(e);
 }
 
-static void on_start_wait(struct ev_loop *loop, ev_timer *timer, int revents)
+static void on_start_round(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	struct ht_entry *e = timer->data;
 
-	(void)loop;
 	(void)revents;
-	ht_link_refresh(e->link);
+	ht_link_round(e->link);
+	if (ht_feed_complete(e->feed))
+		ev_timer_stop(loop, timer);
 }
 
 static void watch_signal(struct ht_entry *e, ev_signal *sig, int number,
@@ -295,8 +296,9 @@
 	e->path = path;
 	ev_timer_init(&e->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
 	e->tick.data = e;
-	ev_timer_init(&e->start_wait, on_start_wait, START_WAIT_MS / 1000.0, 0);
-	e->start_wait.data = e;
+	ev_timer_init(&e->start_round, on_start_round, START_ROUND_MS / 1000.0,
+		      START_ROUND_MS / 1000.0);
+	e->start_round.data = e;
 	ev_timer_init(&e->end, on_end, 0, 0);
 	e->end.data = e;
 	watch_signal(e, &e->term, SIGTERM, on_stop);
@@ -304,7 +306,7 @@
 	watch_signal(e, &e->hup, SIGHUP, on_hup);
 	if (start(e, err)) {
 		ev_timer_start(loop, &e->tick);
-		ev_timer_start(loop, &e->start_wait);
+		ev_timer_start(loop, &e->start_round);
 		ht_entry_log(&e->log, HT_EV_ENTRY_STARTED, "dc=%s", e->settings.data_centre);
 		return e;
 	}
@@ -321,7 +323,7 @@
 	ev_signal_stop(e->loop, &e->term);
 	ev_signal_stop(e->loop, &e->interrupt);
 	ev_signal_stop(e->loop, &e->hup);
-	ev_timer_stop(e->loop, &e->start_wait);
+	ev_timer_stop(e->loop, &e->start_round);
 	ht_link_free(e->link);
 	ht_feed_free(e->feed);
 	ht_readiness_free(e->readiness);
--- a/entry/link.c
+++ b/entry/link.c
@@ -233,6 +233,13 @@
 	ht_feed_learn(feed_of(link), routes, targets);
 }
 
+static void follow_neighbours(struct ht_link *link, ht_ms now)
+{
+	ht_feed_set_standby(feed_of(link), ht_neighbours_covered(link->neighbours, now));
+	ht_steering_set_sharers(link->params.steering,
+				ht_neighbours_local_count(link->neighbours, now));
+}
+
 static void take_greeting(struct ht_link *link, const Ht__EntryGreeting *msg)
 {
 	const Ht__EntryInstance *self = msg->self;
@@ -269,7 +276,7 @@
 
 		ht_steering_hear(link->params.steering, &report, now);
 	}
-	ht_feed_set_standby(feed_of(link), ht_neighbours_covered(link->neighbours, now));
+	follow_neighbours(link, now);
 	if (msg->answer_wanted)
 		send_greeting(link, at, self->dc, false);
 }
@@ -361,7 +368,7 @@
 	n = ht_neighbours_greet(link->neighbours, to, now);
 	for (size_t i = 0; i < n; i++)
 		send_greeting(link, to[i]->at, to[i]->dc, view.targets_age == HT_NEVER);
-	ht_feed_set_standby(feed_of(link), ht_neighbours_covered(link->neighbours, now));
+	follow_neighbours(link, now);
 	ht_link_refresh(link);
 }
 
