--- a/entry/settings.c
+++ b/entry/settings.c
@@ -41,25 +41,30 @@
 	{.name = NULL},
 };
 
-bool ht_entry_settings_load(struct ht_entry_settings *set, const char *path, struct ht_err *err)
+bool ht_entry_settings_parse(struct ht_entry_settings *set, const char *file, const char *text,
+			     size_t len, struct ht_err *err)
 {
-	size_t len;
-	char *text = ht_read_file(path, SETTINGS_MAX, &len, err);
-	bool ok;
-
 	*set = (struct ht_entry_settings){0};
-	if (!text)
+	if (!ht_options_load(table, file, text, len, set, err))
 		return false;
-	ok = ht_options_load(table, path, text, len, set, err);
-	free(text);
-	if (!ok || ht_level_parse(set->log_level) >= 0)
-		return ok;
-	ht_err_set(err, HT_EINVAL, "%s: key 'log_level': '%s' is not a level", path,
+	if (ht_level_parse(set->log_level) >= 0)
+		return true;
+	ht_err_set(err, HT_EINVAL, "%s: key 'log_level': '%s' is not a level", file,
 		   set->log_level);
 	ht_entry_settings_clear(set);
 	return false;
 }
 
+bool ht_entry_settings_load(struct ht_entry_settings *set, const char *path, struct ht_err *err)
+{
+	size_t len;
+	char *text = ht_read_file(path, SETTINGS_MAX, &len, err);
+	bool ok = text && ht_entry_settings_parse(set, path, text, len, err);
+
+	free(text);
+	return ok;
+}
+
 void ht_entry_settings_clear(struct ht_entry_settings *set)
 {
 	ht_options_clear(table, set);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -23,6 +23,9 @@
 	int64_t flow_max_s;   /**< s; a flow that is older may be dropped */
 };
 
+/** Reads and checks @text; errors name @file. Clear the settings only after success. */
+bool ht_entry_settings_parse(struct ht_entry_settings *set, const char *file, const char *text,
+			     size_t len, struct ht_err *err);
 bool ht_entry_settings_load(struct ht_entry_settings *set, const char *path, struct ht_err *err);
 void ht_entry_settings_clear(struct ht_entry_settings *set);
 void ht_entry_settings_describe(FILE *out);
--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,64 @@
+/* What the platform sends: the first byte chooses packets, listings, changes or settings. */
+#include "entry/settings.h"
+#include "platform/packet.h"
+#include "platform/store.h"
+
+#include <string.h>
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void packet(const uint8_t *data, size_t len)
+{
+	uint8_t out[HT_PACKET_HEAD];
+	struct ht_packet pkt;
+
+	if (!ht_packet_decode(&pkt, data, len))
+		return;
+	if (pkt.length != len - HT_PACKET_HEAD)
+		__builtin_trap();
+	ht_packet_reset(out, &pkt);
+}
+
+static void answer(enum ht_store_kind kind, bool watch, const char *text, size_t len)
+{
+	struct ht_store_reply reply = {.watch = watch};
+	struct ht_catalog *cat = ht_catalog_new("here");
+
+	if (ht_store_decode(kind, text, len, &reply)) {
+		for (size_t i = 0; i < reply.target_count; i++)
+			if (reply.targets[i].usable)
+				ht_catalog_put_target(cat, &reply.targets[i].entry,
+						      HT_CATALOG_STORE, 0);
+		if (reply.has_routes)
+			ht_catalog_set_routes(cat, &reply.routes);
+	}
+	ht_store_reply_clear(&reply);
+	ht_catalog_free(cat);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct ht_entry_settings set;
+	struct ht_err err;
+
+	if (!size)
+		return 0;
+	switch (data[0] % 5) {
+	case 0:
+		packet(data + 1, size - 1);
+		break;
+	case 1:
+		answer(HT_STORE_TARGETS, false, (const char *)data + 1, size - 1);
+		break;
+	case 2:
+		answer(HT_STORE_TARGETS, true, (const char *)data + 1, size - 1);
+		break;
+	case 3:
+		answer(HT_STORE_ROUTES, false, (const char *)data + 1, size - 1);
+		break;
+	default:
+		if (ht_entry_settings_parse(&set, "fuzz", (const char *)data + 1, size - 1, &err))
+			ht_entry_settings_clear(&set);
+	}
+	return 0;
+}
--- /dev/null
+++ b/tests/core/steering_world.h
@@ -0,0 +1,140 @@
+/* A catalogue with targets and one steering instance, driven by a fake clock. */
+#ifndef TESTS_STEERING_WORLD_H
+#define TESTS_STEERING_WORLD_H
+
+#include "core/reports.h"
+#include "core/steering.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#define STOCK_PORT 443
+#define DOCS_PORT 80
+#define ADDRESS 0xc6120001U
+
+static struct ht_catalog *cat;
+static struct ht_steering *st;
+static struct ht_steering_params params;
+static struct ht_reports reports;
+static ht_ms now;
+static uint64_t revision;
+
+static inline struct ht_target_entry entry_of(int i, const char *service, const char *dc)
+{
+	struct ht_target_entry e = {
+		.id = 0x1000U + (unsigned int)i,
+		.at = {.ip = 0x0a000001U + (unsigned int)i, .port = 8080},
+		.slots = 3,
+		.started = 1700000000000 + i,
+		.revision = ++revision,
+	};
+
+	snprintf(e.name, sizeof(e.name), "i-%x", 0x1000 + i);
+	snprintf(e.service, sizeof(e.service), "%s", service);
+	snprintf(e.dc, sizeof(e.dc), "%s", dc);
+	return e;
+}
+
+static inline struct ht_target *put_target(int i, const char *service, const char *dc)
+{
+	struct ht_target_entry e = entry_of(i, service, dc);
+
+	ht_catalog_put_target(cat, &e, HT_CATALOG_STORE, now);
+	return ht_catalog_by_name(cat, e.name);
+}
+
+static inline void put_routes(uint64_t version)
+{
+	struct ht_route_entry entries[] = {
+		{.at = {ADDRESS, STOCK_PORT},
+		 .service = "stock",
+		 .idempotent = true,
+		 .priority = 2,
+		 .latency_goal = 200},
+		{.at = {ADDRESS, STOCK_PORT + 1},
+		 .service = "stock",
+		 .priority = 1,
+		 .latency_goal = 250},
+		{.at = {ADDRESS, DOCS_PORT}, .service = "docs", .priority = 2},
+	};
+	struct ht_route_table table = {
+		.version = version, .revision = version, .count = 3, .entries = entries};
+
+	ht_catalog_set_routes(cat, &table);
+}
+
+static inline void world_start(void)
+{
+	now = 100000;
+	revision = 100;
+	reports = (struct ht_reports){0};
+	cat = ht_catalog_new("here");
+	ht_steering_params_default(&params);
+	params.catalog = cat;
+	params.reports = &reports;
+	params.seed = 7;
+	st = ht_steering_new(&params);
+	put_routes(1);
+	ht_steering_set_complete(st, true);
+}
+
+static inline void world_stop(void)
+{
+	ht_steering_free(st);
+	ht_catalog_free(cat);
+}
+
+static inline struct ht_packet packet_of(uint16_t caller, uint16_t port)
+{
+	return (struct ht_packet){.src = {.ip = 0x64400001U, .port = caller},
+				  .dst = {.ip = ADDRESS, .port = port}};
+}
+
+/* Sends opening packet or copy number @copy. */
+static inline struct ht_steering_decision open_flow(uint16_t caller, uint16_t port, uint32_t copy)
+{
+	struct ht_packet pkt = packet_of(caller, port);
+
+	pkt.opens = true;
+	pkt.acknowledged = copy;
+	return ht_steering_packet(st, &pkt, now);
+}
+
+static inline struct ht_steering_decision send_marked(uint16_t caller, uint16_t port, uint32_t mark,
+						      uint32_t ack, uint16_t length)
+{
+	struct ht_packet pkt = packet_of(caller, port);
+
+	pkt.mark = mark;
+	pkt.acknowledged = ack;
+	pkt.length = length;
+	pkt.sequence = 1;
+	return ht_steering_packet(st, &pkt, now);
+}
+
+static inline void close_flow(uint16_t caller, uint16_t port, uint32_t mark, uint32_t ack)
+{
+	struct ht_packet pkt = packet_of(caller, port);
+
+	pkt.mark = mark;
+	pkt.acknowledged = ack;
+	pkt.closes = true;
+	ht_steering_packet(st, &pkt, now);
+}
+
+/* A whole request: opened, asked, answered with @bytes after @took, closed. Returns its target. */
+static inline struct ht_target *request(uint16_t caller, uint16_t port, uint32_t bytes, ht_ms took)
+{
+	struct ht_steering_decision d = open_flow(caller, port, 0);
+
+	ck_assert_int_eq(d.action, HT_STEER_FORWARD);
+	now += 4;
+	send_marked(caller, port, d.mark, 100, 50);
+	now += took;
+	send_marked(caller, port, d.mark, 100 + bytes, 0);
+	close_flow(caller, port, d.mark, 100 + bytes);
+	return d.target;
+}
+
+#endif
--- /dev/null
+++ b/tests/core/test_evidence.c
@@ -0,0 +1,121 @@
+/* Tests of what speaks for and against a target, of error answers, and of the planned stop. */
+#include "core/answers.h"
+#include "core/evidence.h"
+#include "core/leaving.h"
+#include "core/reports.h"
+#include "tests/suite.h"
+
+START_TEST(doubt_doubles_and_is_bounded)
+{
+	struct ht_evidence ev = {0};
+	ht_ms now = 1000;
+
+	for (int i = 0; i < 12; i++) {
+		ht_evidence_miss(&ev, now, now);
+		ck_assert_int_le(ev.doubted_until - now, 8000);
+		now = ev.doubted_until;
+	}
+	ck_assert(!ht_evidence_doubted(&ev, now));
+	ht_evidence_miss(&ev, now, now);
+	ck_assert_int_eq(ev.doubted_until - now, 8000);
+	ht_evidence_alive(&ev, now + 10);
+	ck_assert(!ht_evidence_doubted(&ev, now + 10));
+	/* Sent before the sign of life: the packet was only slow. */
+	ht_evidence_miss(&ev, now, now + 200);
+	ck_assert(!ht_evidence_doubted(&ev, now + 200));
+}
+END_TEST
+
+START_TEST(life_does_not_end_a_doubt_for_errors)
+{
+	struct ht_evidence ev = {0};
+
+	for (int i = 0; i < 4; i++)
+		ht_evidence_result(&ev, true, 1000);
+	ck_assert(ht_evidence_doubted(&ev, 1500));
+	ht_evidence_miss(&ev, 1500, 1500);
+	ht_evidence_alive(&ev, 1600);
+	ck_assert(ht_evidence_doubted(&ev, 1700));
+	for (int i = 0; i < 10; i++)
+		ht_evidence_result(&ev, false, 3000);
+	ck_assert(!ht_evidence_doubted(&ev, 20000));
+	ck_assert_uint_eq(ev.relapses, 0);
+}
+END_TEST
+
+START_TEST(single_errors_do_not_shun_a_target)
+{
+	struct ht_evidence ev = {0};
+
+	for (int i = 0; i < 200; i++) {
+		ht_evidence_result(&ev, i % 10 == 0, i);
+		ck_assert(!ht_evidence_doubted(&ev, i));
+	}
+}
+END_TEST
+
+START_TEST(short_and_fast_answers_look_like_errors)
+{
+	struct ht_answers a = {0};
+
+	ck_assert(!ht_answers_error(&a, 100, 1));
+	a = (struct ht_answers){0};
+	for (int i = 0; i < 100; i++)
+		ck_assert(!ht_answers_error(&a, 700 + 10 * (uint32_t)i, 40 + i % 30));
+	ck_assert(ht_answers_error(&a, 150, 3));
+	ck_assert(!ht_answers_error(&a, 150, 45));
+	ck_assert(!ht_answers_error(&a, 1100, 3));
+}
+END_TEST
+
+/* Guards against errors that become the usual answer by their number. */
+START_TEST(errors_do_not_change_what_is_usual)
+{
+	struct ht_answers a = {0};
+
+	for (int i = 0; i < 50; i++)
+		ht_answers_error(&a, 1000, 50);
+	for (int i = 0; i < 1000; i++)
+		ck_assert(ht_answers_error(&a, 150, 3));
+}
+END_TEST
+
+START_TEST(reports_gather_by_target)
+{
+	struct ht_reports reports = {0};
+
+	ht_reports_miss(&reports, 5);
+	ht_reports_error(&reports, 5);
+	ht_reports_miss(&reports, 6);
+	ck_assert_uint_eq(reports.count, 2);
+	ck_assert_uint_eq(reports.list[0].misses, 1);
+	ck_assert_uint_eq(reports.list[0].errors, 1);
+	for (uint32_t i = 0; i < 100; i++)
+		ht_reports_miss(&reports, 100 + i);
+	ck_assert_uint_eq(reports.count, HT_REPORTS_MAX);
+}
+END_TEST
+
+START_TEST(stop_waits_for_packets_within_the_grace_time)
+{
+	const struct ht_leaving_params p = {.notice = 2000, .quiet = 700, .grace = 6000};
+
+	ck_assert_int_eq(ht_leaving_end(&p, 1000, 900), 3000);
+	ck_assert_int_eq(ht_leaving_end(&p, 1000, 2900), 3600);
+	ck_assert_int_le(ht_leaving_end(&p, 1000, 6900), 6000);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("evidence");
+
+	tcase_add_test(tc, doubt_doubles_and_is_bounded);
+	tcase_add_test(tc, life_does_not_end_a_doubt_for_errors);
+	tcase_add_test(tc, single_errors_do_not_shun_a_target);
+	tcase_add_test(tc, short_and_fast_answers_look_like_errors);
+	tcase_add_test(tc, errors_do_not_change_what_is_usual);
+	tcase_add_test(tc, reports_gather_by_target);
+	tcase_add_test(tc, stop_waits_for_packets_within_the_grace_time);
+	return run_case("evidence", tc);
+}
--- /dev/null
+++ b/tests/core/test_neighbours.c
@@ -0,0 +1,206 @@
+/* Tests of the other instances: who reads for whom, and whose view is taken. */
+#include "core/neighbours.h"
+#include "tests/suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static struct ht_neighbours *nb;
+static struct ht_neighbours_params params;
+static ht_ms now;
+
+static void start(void)
+{
+	ht_neighbours_params_default(&params);
+	params.name = "self";
+	params.dc = "here";
+	params.size = 100;
+	now = 5000;
+	nb = ht_neighbours_new(&params, now - params.settle);
+}
+
+static void stop(void)
+{
+	ht_neighbours_free(nb);
+}
+
+static struct ht_endpoint at(unsigned int i)
+{
+	return (struct ht_endpoint){.ip = 0x0a000000U + i, .port = 7720};
+}
+
+static void hear(unsigned int i, const char *dc, uint32_t size, uint64_t revision)
+{
+	struct ht_view_state view = {
+		.usable = revision > 0, .routes_revision = revision, .targets_revision = revision};
+	char name[16];
+
+	snprintf(name, sizeof(name), "n%u", i);
+	ht_neighbours_heard(nb, name, dc, at(i), size, &view, now);
+}
+
+START_TEST(larger_live_neighbour_reads_first)
+{
+	ck_assert(!ht_neighbours_covered(nb, now));
+	hear(1, "here", 50, 9);
+	ck_assert(!ht_neighbours_covered(nb, now));
+	hear(2, "there", 500, 9);
+	ck_assert(!ht_neighbours_covered(nb, now));
+	hear(3, "here", 500, 0);
+	ck_assert(!ht_neighbours_covered(nb, now));
+	hear(3, "here", 500, 9);
+	ck_assert(ht_neighbours_covered(nb, now));
+	/* A reader that has fallen silent covers nobody. */
+	now += 5000;
+	ck_assert(!ht_neighbours_covered(nb, now));
+	ck_assert_uint_eq(ht_neighbours_local_count(nb, now), 1);
+}
+END_TEST
+
+START_TEST(new_instance_leaves_reading_to_others_for_a_moment)
+{
+	struct ht_neighbours *fresh = ht_neighbours_new(&params, now);
+
+	ck_assert(ht_neighbours_covered(fresh, now + params.settle - 1));
+	ck_assert(!ht_neighbours_covered(fresh, now + params.settle));
+	ht_neighbours_free(fresh);
+}
+END_TEST
+
+START_TEST(exactly_one_of_equals_reads)
+{
+	static const char *const names[] = {"a", "b", "c", "d"};
+	int readers = 0;
+
+	for (int i = 0; i < 4; i++) {
+		struct ht_neighbours_params p = params;
+		struct ht_neighbours *one;
+
+		p.name = names[i];
+		one = ht_neighbours_new(&p, now - p.settle);
+		for (unsigned int k = 0; k < 4; k++) {
+			struct ht_view_state view = {.usable = true};
+
+			ht_neighbours_heard(one, names[k], "here", at(k), p.size, &view, now);
+		}
+		readers += !ht_neighbours_covered(one, now);
+		ht_neighbours_free(one);
+	}
+	ck_assert_int_eq(readers, 1);
+}
+END_TEST
+
+START_TEST(snapshot_comes_from_who_knows_most)
+{
+	struct ht_view_state own = {0};
+
+	hear(1, "here", 50, 7);
+	hear(2, "there", 50, 9);
+	hear(3, "here", 50, 9);
+	hear(4, "here", 50, 0);
+	ck_assert_str_eq(ht_neighbours_source(nb, &own, now)->name, "n3");
+	/* Without a view one snapshot a second is asked for. */
+	ck_assert_ptr_null(ht_neighbours_source(nb, &own, now + 500));
+	own = (struct ht_view_state){.usable = true, .targets_revision = 9, .routes_revision = 9};
+	now += 2000;
+	ck_assert_ptr_null(ht_neighbours_source(nb, &own, now));
+	own.targets_revision = 8;
+	ck_assert_ptr_null(ht_neighbours_source(nb, &own, now));
+	own.standby = true;
+	ck_assert_ptr_nonnull(ht_neighbours_source(nb, &own, now));
+	own.standby = false;
+	own.targets_age = params.stale_after;
+	now += 2000;
+	ck_assert_ptr_nonnull(ht_neighbours_source(nb, &own, now));
+}
+END_TEST
+
+START_TEST(store_gets_its_time_at_the_start)
+{
+	struct ht_view_state own = {0};
+	struct ht_neighbours *fresh = ht_neighbours_new(&params, now);
+	struct ht_view_state view = {.usable = true, .targets_revision = 5};
+
+	ht_neighbours_heard(fresh, "n1", "here", at(1), 50, &view, now);
+	ck_assert_ptr_null(ht_neighbours_source(fresh, &own, now + params.start_wait - 1));
+	ck_assert_ptr_nonnull(ht_neighbours_source(fresh, &own, now + params.start_wait));
+	ht_neighbours_free(fresh);
+}
+END_TEST
+
+START_TEST(greetings_go_round_mostly_near)
+{
+	const struct ht_neighbour *out[HT_GREETING_FANOUT];
+	int near[10] = {0}, far = 0;
+
+	for (unsigned int i = 0; i < 10; i++) {
+		hear(i, "here", 50, 1);
+		hear(20 + i, "there", 50, 1);
+	}
+	for (int round = 0; round < 10; round++) {
+		size_t n = ht_neighbours_greet(nb, out, now);
+
+		ck_assert_uint_eq(n, HT_GREETING_FANOUT);
+		for (size_t i = 0; i < n; i++) {
+			if (out[i]->local)
+				near[out[i]->at.ip & 0xff]++;
+			else
+				far++;
+		}
+		now += 1000;
+	}
+	ck_assert_int_eq(far, 10);
+	/* Those greeted together are in any order the next time: one more or one less. */
+	for (int i = 0; i < 10; i++) {
+		ck_assert_int_ge(near[i], 2);
+		ck_assert_int_le(near[i], 4);
+	}
+}
+END_TEST
+
+START_TEST(names_neighbours_of_the_receivers_data_centre_first)
+{
+	const struct ht_neighbour *out[HT_GREETING_KNOWN];
+	bool named[30] = {false};
+	int count = 0;
+
+	for (unsigned int i = 0; i < 30; i++)
+		hear(i, i % 2 ? "here" : "there", 50, 1);
+	for (int round = 0; round < 12; round++) {
+		ck_assert_uint_eq(ht_neighbours_known(nb, "there", out, now), HT_GREETING_KNOWN);
+		for (size_t i = 0; i < HT_GREETING_KNOWN; i++) {
+			ck_assert_str_eq(out[i]->dc, "there");
+			named[out[i]->at.ip & 0xff] = true;
+		}
+	}
+	for (int i = 0; i < 30; i++)
+		count += named[i];
+	ck_assert_int_eq(count, 15);
+}
+END_TEST
+
+START_TEST(list_is_bounded_and_forgets)
+{
+	for (unsigned int i = 0; i < 2 * (unsigned int)params.max; i++)
+		hear(i, "here", 50, 1);
+	ck_assert_uint_eq(ht_neighbours_count(nb), params.max);
+	ht_neighbours_expire(nb, now + params.forget);
+	ck_assert_uint_eq(ht_neighbours_count(nb), 0);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("neighbours");
+
+	tcase_add_checked_fixture(tc, start, stop);
+	tcase_add_test(tc, larger_live_neighbour_reads_first);
+	tcase_add_test(tc, new_instance_leaves_reading_to_others_for_a_moment);
+	tcase_add_test(tc, exactly_one_of_equals_reads);
+	tcase_add_test(tc, snapshot_comes_from_who_knows_most);
+	tcase_add_test(tc, store_gets_its_time_at_the_start);
+	tcase_add_test(tc, greetings_go_round_mostly_near);
+	tcase_add_test(tc, names_neighbours_of_the_receivers_data_centre_first);
+	tcase_add_test(tc, list_is_bounded_and_forgets);
+	return run_case("neighbours", tc);
+}
--- /dev/null
+++ b/tests/platform/test_store.c
@@ -0,0 +1,186 @@
+/* Tests of the store's answers: what is decoded, and what other writers may leave there. */
+#include "platform/store.h"
+#include "tests/suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static struct ht_store_reply reply;
+
+static void start(void)
+{
+	reply = (struct ht_store_reply){0};
+}
+
+static void stop(void)
+{
+	ht_store_reply_clear(&reply);
+}
+
+static bool decode(enum ht_store_kind kind, const char *text)
+{
+	ht_store_reply_clear(&reply);
+	reply = (struct ht_store_reply){.watch = reply.watch};
+	return ht_store_decode(kind, text, strlen(text), &reply);
+}
+
+static const char target[] =
+	"{\"items\":[{\"meta\":{\"name\":\"i-7f3a91c2\",\"rev\":12},\"spec\":{%s}}],"
+	"\"hasMore\":true,\"at\":530}";
+
+/* Decodes one target whose spec has @from replaced by @to. */
+static const struct ht_store_target *target_with(const char *from, const char *to)
+{
+	static const char whole[] =
+		"\"service\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"zone\":\"paysandu\","
+		"\"configVersion\":\"v1\",\"concurrency\":3,\"state\":\"ready\","
+		"\"warmupLeftMs\":250,\"sequence\":4,\"born\":1700000000123";
+	char spec[512], text[1024];
+	const char *at = strstr(whole, from);
+
+	ck_assert_ptr_nonnull(at);
+	snprintf(spec, sizeof(spec), "%.*s%s%s", (int)(at - whole), whole, to, at + strlen(from));
+	snprintf(text, sizeof(text), target, spec);
+	ck_assert(decode(HT_STORE_TARGETS, text));
+	ck_assert_uint_eq(reply.target_count, 1);
+	return &reply.targets[0];
+}
+
+START_TEST(decodes_a_target)
+{
+	const struct ht_store_target *t = target_with("", "");
+
+	ck_assert(t->usable);
+	ck_assert_str_eq(t->entry.name, "i-7f3a91c2");
+	ck_assert_uint_eq(t->entry.id, 0x7f3a91c2);
+	ck_assert_uint_eq(t->entry.at.ip, 0x0a800009);
+	ck_assert_uint_eq(t->entry.at.port, 8080);
+	ck_assert_str_eq(t->entry.service, "huvo11a");
+	ck_assert_str_eq(t->entry.dc, "paysandu");
+	ck_assert_uint_eq(t->entry.slots, 3);
+	ck_assert_int_eq(t->entry.warmup, 250);
+	ck_assert_int_eq(t->entry.started, 1700000000123);
+	ck_assert_uint_eq(t->entry.revision, 12);
+	ck_assert(!t->entry.draining);
+	ck_assert_uint_eq(reply.revision, 530);
+	ck_assert(reply.more);
+	ck_assert_str_eq(reply.last, "i-7f3a91c2");
+	ck_assert(target_with("\"ready\"", "\"draining\"")->entry.draining);
+}
+END_TEST
+
+START_TEST(entry_of_another_form_names_no_target)
+{
+	static const char *const changes[][2] = {
+		{"\"service\":\"huvo11a\",", ""},
+		{"\"huvo11a\"", "7"},
+		{"10.128.0.9:8080", "10.128.0.9"},
+		{"10.128.0.9:8080", "host:1"},
+		{"\"concurrency\":3", "\"concurrency\":0"},
+		{"\"concurrency\":3", "\"concurrency\":\"3\""},
+		{"\"ready\"", "\"resting\""},
+		{"\"ready\"", "null"},
+		{"\"warmupLeftMs\":250", "\"warmupLeftMs\":-1"},
+		{"\"sequence\":4", "\"sequence\":{}"},
+		{"1700000000123", "\"x\""},
+		{"1700000000123", "1.5"},
+		{"\"zone\":\"paysandu\",", ""},
+	};
+
+	for (size_t i = 0; i < sizeof(changes) / sizeof(changes[0]); i++) {
+		const struct ht_store_target *t = target_with(changes[i][0], changes[i][1]);
+
+		ck_assert_msg(!t->usable, "%s", changes[i][1]);
+		ck_assert_ptr_nonnull(t->problem);
+		ck_assert_str_eq(t->entry.name, "i-7f3a91c2");
+	}
+}
+END_TEST
+
+/* Guards against a name without a number, as that would address any target. */
+START_TEST(name_without_digits_names_no_target)
+{
+	ck_assert(decode(
+		HT_STORE_TARGETS,
+		"{\"items\":[{\"meta\":{\"name\":\"xyz\",\"rev\":1},\"spec\":{}},"
+		"{\"meta\":{\"rev\":1}},{\"meta\":{\"name\":\"i-00112233445566778\",\"rev\":2},"
+		"\"spec\":{}},7],\"at\":9}"));
+	ck_assert_uint_eq(reply.target_count, 2);
+	ck_assert(!reply.targets[0].usable && !reply.targets[1].usable);
+	ck_assert_uint_eq(reply.malformed, 2);
+}
+END_TEST
+
+START_TEST(decodes_changes)
+{
+	reply.watch = true;
+	ck_assert(decode(HT_STORE_TARGETS,
+			 "{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"i-1\","
+			 "\"rev\":77}}}],\"at\":80}"));
+	ck_assert_uint_eq(reply.target_count, 1);
+	ck_assert(reply.targets[0].deleted && !reply.targets[0].usable);
+	ck_assert_uint_eq(reply.targets[0].entry.revision, 77);
+}
+END_TEST
+
+START_TEST(decodes_routes)
+{
+	ck_assert(decode(
+		HT_STORE_ROUTES,
+		"{\"items\":[{\"meta\":{\"name\":\"other\",\"rev\":3},\"spec\":7},"
+		"{\"meta\":{\"name\":\"main\",\"rev\":8},\"spec\":{\"configVersion\":7,\"routes\":["
+		"{\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/8443/\",\"routeType\":\"safe\","
+		"\"timeoutMs\":2000,\"aimMs\":200,\"priority\":2,\"service\":\"huvo11a\"},"
+		"{\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/8080/\",\"routeType\":\"unsafe\","
+		"\"timeoutMs\":2500,\"aimMs\":250,\"priority\":1,\"service\":\"huvo11a\"},"
+		"{\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/80\",\"service\":\"huvo11a\"},"
+		"{\"hostname\":\"x\",\"pathPrefix\":\"/80/\",\"service\":\"huvo11a\"},"
+		"{\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/99999/\",\"service\":\"huvo11a\"}"
+		"],\"limits\":{\"idleTimeoutMs\":15000}}}],\"at\":9}"));
+	ck_assert(reply.has_routes);
+	ck_assert_uint_eq(reply.routes.version, 7);
+	ck_assert_uint_eq(reply.routes.revision, 8);
+	ck_assert_uint_eq(reply.routes.count, 2);
+	ck_assert_uint_eq(reply.malformed, 3);
+	ck_assert_int_eq(reply.routes.flow_idle, 15000);
+	ck_assert_uint_eq(reply.routes.entries[0].at.ip, 0xc6120001);
+	ck_assert_uint_eq(reply.routes.entries[0].at.port, 8443);
+	ck_assert(reply.routes.entries[0].idempotent);
+	ck_assert(!reply.routes.entries[1].idempotent);
+	ck_assert_int_eq(reply.routes.entries[1].latency_goal, 250);
+	ck_assert_uint_eq(reply.routes.entries[1].priority, 1);
+}
+END_TEST
+
+START_TEST(refuses_garbage)
+{
+	static const char *const texts[] = {"",
+					    "[]",
+					    "{}",
+					    "{\"items\":7,\"at\":1}",
+					    "{\"items\":[]}",
+					    "{\"items\":[],\"at\":-1}",
+					    "\xff\xfe"};
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		ck_assert(!decode(HT_STORE_TARGETS, texts[i]));
+		ck_assert_int_ne(reply.err.code, HT_OK);
+	}
+	ck_assert(!decode(HT_STORE_ROUTES, "{\"items\":[{\"meta\":{\"name\":\"main\",\"rev\":8},"
+					   "\"spec\":[]}],\"at\":9}"));
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("store");
+
+	tcase_add_checked_fixture(tc, start, stop);
+	tcase_add_test(tc, decodes_a_target);
+	tcase_add_test(tc, entry_of_another_form_names_no_target);
+	tcase_add_test(tc, name_without_digits_names_no_target);
+	tcase_add_test(tc, decodes_changes);
+	tcase_add_test(tc, decodes_routes);
+	tcase_add_test(tc, refuses_garbage);
+	return run_case("store", tc);
+}
--- /dev/null
+++ b/tests/property/prop_steering.cc
@@ -0,0 +1,216 @@
+// Random packets, store answers in any order, neighbours' evidence and time steps at one instance.
+// The properties are the rules of the published pages: no packet to a service that the route never
+// led to, an open flow only to its own target, no reset of a flow that may be open, nothing known
+// taken back by an older answer, no new flow to a target that is leaving or gone.
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+extern "C" {
+#include "core/steering.h"
+}
+
+namespace
+{
+
+constexpr uint32_t kAddress = 0xc6120001;
+const char *const kServices[] = {"stock", "docs"};
+const char *const kDcs[] = {"here", "there"};
+
+struct World {
+	ht_catalog *cat = ht_catalog_new("here");
+	ht_reports reports = {};
+	ht_steering_params params;
+	ht_steering *st;
+	ht_ms now = 1000;
+	uint64_t revision = 10;
+	uint64_t version = 0;
+	std::map<int, uint64_t> newest; // revision of the newest answer given, by target
+	std::map<int, bool> usable;	// by the newest answer: takes new flows
+	std::map<uint16_t, std::set<std::string>> led; // services that each port ever led to
+
+	World()
+	{
+		ht_steering_params_default(&params);
+		params.catalog = cat;
+		params.reports = &reports;
+		params.flows_max = 64;
+		st = ht_steering_new(&params);
+	}
+	~World()
+	{
+		ht_steering_free(st);
+		ht_catalog_free(cat);
+	}
+
+	static std::string name(int i)
+	{
+		return "i-" + std::to_string(1000 + i);
+	}
+
+	void put(int i, uint64_t rev, bool draining)
+	{
+		ht_target_entry e = {};
+
+		snprintf(e.name, sizeof(e.name), "%s", name(i).c_str());
+		e.id = 0x1000 + static_cast<uint64_t>(i);
+		e.at = {0x0a000000U + static_cast<uint32_t>(i), 80};
+		// A target serves one service for its whole life.
+		snprintf(e.service, sizeof(e.service), "%s", kServices[i % 2]);
+		snprintf(e.dc, sizeof(e.dc), "%s", kDcs[i % 3 == 0]);
+		e.slots = 3;
+		e.draining = draining;
+		e.started = 1000 + i;
+		e.revision = rev;
+		ht_catalog_put_target(cat, &e, HT_CATALOG_STORE, now);
+		if (rev >= newest[i]) {
+			newest[i] = rev;
+			usable[i] = !draining;
+		}
+	}
+
+	void remove(int i, uint64_t rev)
+	{
+		if (newest.count(i) == 0)
+			return;
+		ht_catalog_remove_target(cat, name(i).c_str(), rev, now, now);
+		if (rev >= newest[i]) {
+			newest[i] = rev;
+			usable[i] = false;
+		}
+	}
+
+	void routes(uint64_t v, bool swapped)
+	{
+		ht_route_entry e[2] = {};
+		ht_route_table table = {};
+
+		for (uint16_t k = 0; k < 2; k++) {
+			e[k].at = {kAddress, static_cast<uint16_t>(100 + k)};
+			snprintf(e[k].service, sizeof(e[k].service), "%s",
+				 kServices[swapped ? 1 - k : k]);
+		}
+		table.version = v;
+		table.revision = v;
+		table.count = 2;
+		table.entries = e;
+		if (v > ht_catalog_version(cat))
+			for (auto &x : e)
+				led[x.at.port].insert(x.service);
+		ht_catalog_set_routes(cat, &table);
+		version = std::max(version, v);
+	}
+};
+
+int index_of(const ht_target *t)
+{
+	return static_cast<int>(t->id - 0x1000);
+}
+
+void check_forward(World &w, const ht_packet &pkt, const ht_steering_decision &d)
+{
+	RC_ASSERT(d.target != nullptr);
+	RC_ASSERT(d.mark != 0U);
+	RC_ASSERT(w.led[pkt.dst.port].count(d.target->service->name) == 1U);
+	RC_ASSERT(ht_catalog_by_mark(w.cat, d.mark) == d.target);
+	if (!pkt.opens)
+		RC_ASSERT(d.mark == pkt.mark);
+	// A copy that joins its open flow is no new flow.
+	if (pkt.opens && d.reason != HT_STEER_MARKED)
+		RC_ASSERT(w.usable[index_of(d.target)]);
+}
+
+void packet(World &w)
+{
+	ht_packet pkt = {};
+	bool known = *rc::gen::arbitrary<bool>();
+	int i = *rc::gen::inRange(0, 12);
+	ht_target *t = ht_catalog_by_name(w.cat, World::name(i).c_str());
+
+	pkt.src = {0x64400001, *rc::gen::inRange<uint16_t>(1, 30)};
+	pkt.dst = {kAddress, *rc::gen::inRange<uint16_t>(100, 103)};
+	pkt.opens = *rc::gen::arbitrary<bool>();
+	pkt.closes = !pkt.opens && *rc::gen::inRange(0, 4) == 0;
+	pkt.acknowledged = pkt.opens ? *rc::gen::inRange<uint32_t>(0, 3)
+				     : *rc::gen::inRange<uint32_t>(0, 2000);
+	pkt.length = pkt.opens ? 0 : *rc::gen::inRange<uint16_t>(0, 3);
+	if (!pkt.opens)
+		pkt.mark = known && t ? t->marks[0].value : *rc::gen::arbitrary<uint32_t>();
+
+	auto d = ht_steering_packet(w.st, &pkt, w.now);
+	if (d.action == HT_STEER_FORWARD)
+		check_forward(w, pkt, d);
+	if (d.action == HT_STEER_RESET)
+		RC_ASSERT(pkt.opens);
+}
+
+void step(World &w)
+{
+	int i = *rc::gen::inRange(0, 12);
+	// Some answers are older than what is known, or the same again.
+	uint64_t rev = *rc::gen::inRange(0, 3) ? ++w.revision
+					       : *rc::gen::inRange<uint64_t>(1, w.revision + 1);
+
+	switch (*rc::gen::inRange(0, 9)) {
+	case 0:
+		w.put(i, rev, false);
+		break;
+	case 1:
+		w.put(i, rev, true);
+		break;
+	case 2:
+		w.remove(i, rev);
+		break;
+	case 3:
+		w.routes(*rc::gen::inRange<uint64_t>(1, w.version + 3),
+			 *rc::gen::inRange(0, 4) == 0);
+		break;
+	case 4:
+		w.now += *rc::gen::inRange(1, 900);
+		ht_steering_expire(w.st, w.now);
+		ht_catalog_expire(w.cat, w.now, 60000);
+		break;
+	case 5: {
+		ht_target *t = ht_catalog_by_name(w.cat, World::name(i).c_str());
+		ht_report report = {t ? t->marks[0].value : 1, 1, 1};
+
+		ht_steering_hear(w.st, &report, w.now);
+		break;
+	}
+	default:
+		packet(w);
+	}
+	RC_ASSERT(ht_catalog_version(w.cat) == w.version);
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = rc::check("packets keep the rules whatever comes in whatever order", [] {
+		World w;
+		int steps = *rc::gen::inRange(50, 400);
+
+		ht_steering_set_complete(w.st, *rc::gen::arbitrary<bool>());
+		for (int i = 0; i < steps; i++)
+			step(w);
+	});
+
+	ok &= rc::check("open flows are counted as often as they are open", [] {
+		World w;
+
+		w.routes(1, false);
+		for (int i = 0; i < 6; i++)
+			w.put(i, ++w.revision, false);
+		for (int i = *rc::gen::inRange(1, 200); i > 0; i--)
+			packet(w);
+		w.now += 10000;
+		ht_steering_expire(w.st, w.now);
+		ht_catalog_each_target(
+			w.cat, [](void *, ht_target *t) { RC_ASSERT(t->open == 0U); }, nullptr);
+		RC_ASSERT(ht_steering_flow_count(w.st) == 0U);
+	});
+	return ok ? 0 : 1;
+}
