--- a/mk/install.mk
+++ b/mk/install.mk
@@ -33,6 +33,7 @@
 	$(INSTALL) -d $(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8
 	$(INSTALL) -m 644 $(B)/man/hickoryctl.1 $(DESTDIR)$(PREFIX)/share/man/man1/
 	$(if $(wildcard daemon/main.c),$(INSTALL) -m 644 $(B)/man/hickorytrestled.8 $(DESTDIR)$(PREFIX)/share/man/man8/)
+	$(INSTALL) -m 644 $(B)/man/hickorytrestle-entry.8 $(DESTDIR)$(PREFIX)/share/man/man8/
 	$(INSTALL) -d $(DESTDIR)$(PREFIX)/share/doc/hickorytrestle
 	$(INSTALL) -m 644 $(wildcard $(DOCS)) $(DESTDIR)$(PREFIX)/share/doc/hickorytrestle/
 	cp -R examples $(DESTDIR)$(PREFIX)/share/doc/hickorytrestle/
