core: a second deletion raises the revision; targets are kept while flows refer to them; stuck listings

Found by reading: a quiet flow could outlive its purged target, and a page without a usable name was asked for again for ever.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -367,10 +367,15 @@
 {
 	struct ht_target *t = ht_catalog_by_name(cat, name);
 
-	if (!t || t->gone_at != HT_NEVER)
+	if (!t)
 		return HT_CATALOG_SAME;
 	if (revision < t->revision)
 		return HT_CATALOG_OLDER;
+	if (t->gone_at != HT_NEVER) {
+		/* It was there in between: an answer from that time must not bring it back. */
+		t->revision = revision;
+		return HT_CATALOG_SAME;
+	}
 	set_gone(t, revision, now, held_until);
 	return HT_CATALOG_CHANGED;
 }
@@ -426,7 +431,7 @@
 			continue;
 		if (t->listed && now >= t->held_until)
 			unlist(t);
-		if (now - t->gone_at < keep || t->open)
+		if (now - t->gone_at < keep || t->flows)
 			continue;
 		if (t->revision > cat->history)
 			cat->history = t->revision;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -105,7 +105,9 @@
 	int64_t started;
 	uint64_t revision;
 	struct ht_mark marks[HT_TARGET_MARKS];
-	uint32_t open; /**< open flows that this instance placed here */
+	uint32_t open;	/**< flows with packets lately, of those that this instance has seen */
+	uint32_t flows; /**< flows that refer to the target; it is kept for as long as there are any
+			 */
 	struct ht_evidence evidence;
 };
 
--- a/core/reading.c
+++ b/core/reading.c
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <stdio.h>
+#include <string.h>
 
 /* Pauses after failed calls: a refusal costs the platform a call too, but the bounds on applying a
  * change run on as soon as it answers again. */
@@ -90,6 +91,10 @@
 enum ht_reading_result ht_reading_page(struct ht_reading *r, uint64_t revision, bool more,
 				       const char *last, ht_ms now)
 {
+	if (r->listing && more && (!last[0] || strcmp(last, r->after) == 0)) {
+		ht_reading_failed(r, now);
+		return HT_READING_STUCK;
+	}
 	succeeded(r);
 	r->due = now;
 	if (!r->listing)
--- a/core/reading.h
+++ b/core/reading.h
@@ -14,7 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define HT_READING_NAME 64
+/** Longest name after which a listing goes on, with its end. */
+#define HT_READING_NAME 256
 
 struct ht_reading_params {
 	uint64_t seed;
@@ -63,6 +64,7 @@
 	HT_READING_WHOLE,   /**< the listing is whole as of list_revision */
 	HT_READING_STALE,   /**< older than what is known; the listing starts anew, exact */
 	HT_READING_IGNORED, /**< a neighbour's view has been adopted since the call was made */
+	HT_READING_STUCK,   /**< the page does not lead further: counts as a failed call */
 };
 
 /** A page of the listing came, as of @revision; @last is the name of its last item. */
--- a/core/steering.c
+++ b/core/steering.c
@@ -86,6 +86,8 @@
 static void flow_end(struct ht_steering *st, struct flow *f)
 {
 	uncount(f);
+	if (f->target)
+		f->target->flows--;
 	ht_hmap_del(&st->flows, &f->hnode);
 	ht_list_del(&f->node);
 	free(f);
@@ -172,7 +174,10 @@
 static void set_target(struct flow *f, struct ht_target *t, ht_ms now)
 {
 	uncount(f);
+	if (f->target)
+		f->target->flows--;
 	f->target = t;
+	t->flows++;
 	f->placed_at = now;
 }
 
--- a/tests/core/test_catalog.c
+++ b/tests/core/test_catalog.c
@@ -24,6 +24,21 @@
 }
 END_TEST
 
+/* Found by prop_steering: a second deletion did not raise the revision. */
+START_TEST(later_deletion_outweighs_what_came_before_it)
+{
+	struct ht_target_entry between;
+
+	put_target(1, "stock", "here");
+	ht_catalog_remove_target(cat, "i-1001", ++revision, now, now);
+	between = entry_of(1, "stock", "here");
+	ht_catalog_remove_target(cat, "i-1001", ++revision, now, now);
+	ck_assert_int_eq(ht_catalog_put_target(cat, &between, HT_CATALOG_STORE, now),
+			 HT_CATALOG_OLDER);
+	ck_assert(!ht_catalog_by_name(cat, "i-1001")->listed);
+}
+END_TEST
+
 /* Guards against a version that falls although the object's revision rises. */
 START_TEST(version_never_falls)
 {
@@ -170,6 +185,7 @@
 	tcase_add_checked_fixture(tc, world_start, world_stop);
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, older_answers_take_nothing_back);
+	tcase_add_test(tc, later_deletion_outweighs_what_came_before_it);
 	tcase_add_test(tc, version_never_falls);
 	tcase_add_test(tc, routes_that_leave_the_configuration_end);
 	tcase_add_test(tc, listing_removes_only_what_it_proves_gone);
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -65,6 +65,20 @@
 }
 END_TEST
 
+/* Guards against a listing that asks for the same page for ever. */
+START_TEST(page_that_leads_nowhere_is_a_failure)
+{
+	expect_call(false, true);
+	ck_assert_int_eq(ht_reading_page(&r, 40, true, "", now), HT_READING_STUCK);
+	ck_assert(!ht_reading_next(&r, now, &call, &due));
+	now = due;
+	expect_call(false, true);
+	ck_assert_int_eq(ht_reading_page(&r, 40, true, "m", now), HT_READING_MORE);
+	expect_call(false, true);
+	ck_assert_int_eq(ht_reading_page(&r, 40, true, "m", now), HT_READING_STUCK);
+}
+END_TEST
+
 /* Guards against a proof that grows older than one wait while the store answers. */
 START_TEST(proofs_come_at_even_intervals)
 {
@@ -167,6 +181,7 @@
 	tcase_add_checked_fixture(tc, start, NULL);
 	tcase_add_test(tc, cheap_listing_is_confirmed_by_an_exact_read);
 	tcase_add_test(tc, pages_go_on_after_the_last_name);
+	tcase_add_test(tc, page_that_leads_nowhere_is_a_failure);
 	tcase_add_test(tc, proofs_come_at_even_intervals);
 	tcase_add_test(tc, covered_instance_reads_when_the_proof_is_old);
 	tcase_add_test(tc, neighbours_view_replaces_the_listing);
--- a/tests/core/test_steering.c
+++ b/tests/core/test_steering.c
@@ -232,6 +232,27 @@
 }
 END_TEST
 
+/* Guards against a flow that refers to a target which has been purged. */
+START_TEST(target_is_kept_while_flows_refer_to_it)
+{
+	const struct ht_target *t = put_target(0, "stock", "here");
+	uint32_t mark = open_flow(1, STOCK_PORT, 0).mark;
+
+	ht_catalog_remove_target(cat, "i-1000", ++revision, now, now);
+	now += 500;
+	open_flow(2, STOCK_PORT, 0);
+	ck_assert_uint_eq(t->open, 0);
+	ht_catalog_expire(cat, now, 0);
+	ck_assert_ptr_eq(send_marked(1, STOCK_PORT, mark, 1, 5).target, t);
+	now += 5000;
+	ht_steering_expire(st, now);
+	now += 5000;
+	ht_steering_expire(st, now);
+	ht_catalog_expire(cat, now, 0);
+	ck_assert_ptr_null(ht_catalog_by_name(cat, "i-1000"));
+}
+END_TEST
+
 START_TEST(table_of_flows_is_bounded)
 {
 	struct ht_steering_params small = params;
@@ -305,6 +326,7 @@
 	tcase_add_test(tc, cut_data_centre_is_used_last);
 	tcase_add_test(tc, overload_defers_copies_but_not_the_last);
 	tcase_add_test(tc, flows_without_packets_do_not_fill_the_instance);
+	tcase_add_test(tc, target_is_kept_while_flows_refer_to_it);
 	tcase_add_test(tc, table_of_flows_is_bounded);
 	tcase_add_test(tc, overdue_answers_speak_against_a_target);
 	tcase_add_test(tc, hears_of_others_but_not_of_a_single_miss);
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -111,6 +111,22 @@
 }
 END_TEST
 
+START_TEST(listing_goes_on_after_a_name_of_no_use)
+{
+	char text[512], name[101];
+
+	memset(name, 'f', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	snprintf(text, sizeof(text),
+		 "{\"items\":[{\"meta\":{\"name\":\"%s\",\"rev\":1},\"spec\":{}}],"
+		 "\"hasMore\":true,\"at\":9}",
+		 name);
+	ck_assert(decode(HT_STORE_TARGETS, text));
+	ck_assert_uint_eq(reply.target_count, 0);
+	ck_assert_str_eq(reply.last, name);
+}
+END_TEST
+
 START_TEST(decodes_changes)
 {
 	reply.watch = true;
@@ -179,6 +195,7 @@
 	tcase_add_test(tc, decodes_a_target);
 	tcase_add_test(tc, entry_of_another_form_names_no_target);
 	tcase_add_test(tc, name_without_digits_names_no_target);
+	tcase_add_test(tc, listing_goes_on_after_a_name_of_no_use);
 	tcase_add_test(tc, decodes_changes);
 	tcase_add_test(tc, decodes_routes);
 	tcase_add_test(tc, refuses_garbage);
