--- a/entry/entry.c
+++ b/entry/entry.c
@@ -24,6 +24,10 @@
 /* An instance that starts greets this often until its view is proven. */
 #define START_ROUND_MS 100
 
+/* Packets wait in the socket until the view is there, at most this long: a caller that is not
+ * answered sends again after 400 ms at the latest, and would be answered twice. */
+#define START_HOLD_MS 400
+
 /* Routers ask twice a second and take an instance out after two refusals; a second more lets
  * packets on the way arrive. */
 #define STOP_NOTICE_MS 2000
@@ -45,6 +49,7 @@
 	ev_signal term, interrupt, hup;
 	ev_timer tick, end;
 	ev_timer start_round;
+	ht_ms started_at;
 	bool usable, stopping;
 	unsigned int ticks;
 	ht_ms stop_asked;
@@ -63,6 +68,7 @@
 	ht_steering_set_complete(e->steering, ht_feed_complete(e->feed));
 	if (view.usable && !e->usable) {
 		e->usable = true;
+		ht_packets_start(e->packets);
 		ht_entry_log(&e->log, HT_EV_ENTRY_READY, "targets=%zu version=%llu",
 			     ht_catalog_target_count(e->catalog),
 			     (unsigned long long)ht_catalog_version(e->catalog));
@@ -241,6 +247,8 @@
 	struct ht_entry *e = timer->data;
 
 	(void)revents;
+	if (now_ms() - e->started_at >= START_HOLD_MS)
+		ht_packets_start(e->packets);
 	ht_link_round(e->link);
 	if (ht_feed_complete(e->feed))
 		ev_timer_stop(loop, timer);
@@ -258,6 +266,7 @@
 {
 	struct ht_steering_params params;
 
+	e->started_at = now_ms();
 	e->modified = modified_at(e->path);
 	if (!ht_entry_settings_load(&e->settings, e->path, err))
 		return false;
--- a/entry/packets.c
+++ b/entry/packets.c
@@ -108,10 +108,14 @@
 	setsockopt(p->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	ev_io_init(&p->io, on_readable, p->fd, EV_READ);
 	p->io.data = p;
-	ev_io_start(params->loop, &p->io);
 	return p;
 }
 
+void ht_packets_start(struct ht_packets *p)
+{
+	ev_io_start(p->params.loop, &p->io);
+}
+
 void ht_packets_free(struct ht_packets *p)
 {
 	if (!p)
--- a/entry/packets.h
+++ b/entry/packets.h
@@ -16,10 +16,13 @@
 	struct ht_entry_log *log;
 };
 
-/** Opens the socket; NULL with @err set when it cannot be bound. */
+/** Opens the socket, not yet read from; NULL with @err set when it cannot be bound. */
 struct ht_packets *ht_packets_new(const struct ht_packets_params *params, struct ht_err *err);
 void ht_packets_free(struct ht_packets *packets);
 
+/** Starts to take packets, those first that have come since the socket was opened. */
+void ht_packets_start(struct ht_packets *packets);
+
 /** When the last packet came, or when the socket was opened. */
 ht_ms ht_packets_last(const struct ht_packets *packets);
 
