--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -36,7 +36,7 @@
 
 static int port_of(int fd)
 {
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = {0};
 	socklen_t len = sizeof(sin);
 
 	getsockname(fd, (struct sockaddr *)&sin, &len);
