--- a/core/reading.c
+++ b/core/reading.c
@@ -10,6 +10,10 @@
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 1000
 
+/* A covered instance hears from its neighbours when the platform answers again: it tries less. Its
+ * first pause is this part of the age at which it reads, its longest the whole. */
+#define COVERED_RETRY_PART 4
+
 void ht_reading_init(struct ht_reading *r, const struct ht_reading_params *params, ht_ms now)
 {
 	*r = (struct ht_reading){
@@ -159,12 +163,14 @@
 
 void ht_reading_failed(struct ht_reading *r, ht_ms now)
 {
-	ht_ms pause = RETRY_FIRST_MS;
+	bool covered = r->due_age && !r->listing;
+	ht_ms pause = covered ? r->due_age / COVERED_RETRY_PART : RETRY_FIRST_MS;
+	ht_ms max = covered ? r->due_age : RETRY_MAX_MS;
 
-	for (uint32_t i = 0; i < r->failures && pause < RETRY_MAX_MS; i++)
+	for (uint32_t i = 0; i < r->failures && pause < max; i++)
 		pause *= 2;
-	if (pause > RETRY_MAX_MS)
-		pause = RETRY_MAX_MS;
+	if (pause > max)
+		pause = max;
 	/* Spread over half of the pause, so that instances do not retry in step. */
 	pause -= (ht_ms)(ht_hash_pair(r->params.seed, r->failures) % (uint64_t)(pause / 2));
 	r->busy = false;
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -163,6 +163,26 @@
 }
 END_TEST
 
+/* Pattern: the store is down, and every instance asks it again and again. */
+START_TEST(covered_instance_tries_less_in_an_outage)
+{
+	int calls = 0;
+	ht_ms end;
+
+	list_whole(40);
+	ht_reading_set_due_age(&r, COVER);
+	for (end = now + 10000; now < end; calls++) {
+		while (!ht_reading_next(&r, now, &call, &due))
+			now = due;
+		ht_reading_failed(&r, now);
+		/* It still tries often enough to be in time after the outage. */
+		ck_assert_int_le(r.due - now, COVER);
+	}
+	ck_assert_int_ge(calls, 5);
+	ck_assert_int_le(calls, 10);
+}
+END_TEST
+
 START_TEST(missing_entries_are_held_after_trouble_only)
 {
 	list_whole(40);
@@ -187,6 +207,7 @@
 	tcase_add_test(tc, neighbours_view_replaces_the_listing);
 	tcase_add_test(tc, listing_after_lost_history_is_exact);
 	tcase_add_test(tc, failures_back_off_within_a_second);
+	tcase_add_test(tc, covered_instance_tries_less_in_an_outage);
 	tcase_add_test(tc, missing_entries_are_held_after_trouble_only);
 	return run_case("reading", tc);
 }
