--- a/core/reading.c
+++ b/core/reading.c
@@ -177,8 +177,6 @@
 	r->failures++;
 	r->trouble_at = now;
 	r->due = now + pause;
-	if (r->listing && r->failures > 1)
-		restart_listing(r, r->due);
 }
 
 bool ht_reading_complete(const struct ht_reading *r)
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -183,6 +183,20 @@
 }
 END_TEST
 
+/* Pattern: all instances list at once, and a store that is too busy answers some calls late. */
+START_TEST(listing_resumes_at_the_page_that_failed)
+{
+	expect_call(false, true);
+	ht_reading_page(&r, 40, true, "m", now);
+	for (int i = 0; i < 5; i++) {
+		while (!ht_reading_next(&r, now, &call, &due))
+			now = due;
+		ck_assert_str_eq(call.after, "m");
+		ht_reading_failed(&r, now);
+	}
+}
+END_TEST
+
 START_TEST(missing_entries_are_held_after_trouble_only)
 {
 	list_whole(40);
@@ -208,6 +222,7 @@
 	tcase_add_test(tc, listing_after_lost_history_is_exact);
 	tcase_add_test(tc, failures_back_off_within_a_second);
 	tcase_add_test(tc, covered_instance_tries_less_in_an_outage);
+	tcase_add_test(tc, listing_resumes_at_the_page_that_failed);
 	tcase_add_test(tc, missing_entries_are_held_after_trouble_only);
 	return run_case("reading", tc);
 }
