--- a/core/steering.c
+++ b/core/steering.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Weight of an answer time in the mean of its service, which has many targets. */
+#define SERVICE_WEIGHT 0.02
+
 enum phase {
 	PHASE_OPENING,	/* opening packet sent */
 	PHASE_OPEN,	/* the caller has heard from the target */
@@ -24,7 +27,8 @@
 	struct ht_target *tried[HT_PLACING_TRIES];
 	size_t tried_count;
 	struct ht_target *target;
-	bool counted; /* in the target's open flows */
+	uint32_t mark; /* by which its packets name the target */
+	bool counted;  /* in the target's open flows */
 	ht_ms placed_at, asked_at, seen_at;
 	uint32_t acknowledged; /* in the first packet after the opening one */
 	uint32_t asked_sequence;
@@ -171,12 +175,13 @@
 	f->counted = true;
 }
 
-static void set_target(struct flow *f, struct ht_target *t, ht_ms now)
+static void set_target(struct flow *f, struct ht_target *t, uint32_t mark, ht_ms now)
 {
 	uncount(f);
 	if (f->target)
 		f->target->flows--;
 	f->target = t;
+	f->mark = mark;
 	t->flows++;
 	f->placed_at = now;
 }
@@ -261,14 +266,39 @@
 	return room > 0 && open >= room + 1;
 }
 
+/* The copies of an opening packet go to another target each. */
+static void remember(struct ht_steering *st, struct flow *f, struct ht_target *t, uint32_t mark,
+		     ht_ms now)
+{
+	f->tried[f->tried_count % HT_PLACING_TRIES] = t;
+	if (f->tried_count < HT_PLACING_TRIES)
+		f->tried_count++;
+	set_target(f, t, mark, now);
+	touch(st, f, now);
+}
+
+static struct ht_steering_decision place(struct ht_steering *st, struct ht_route *route,
+					 const struct ht_packet *pkt, struct flow *f, ht_ms now)
+{
+	struct ht_target *t = ht_placing_choose(&st->placing, route->service, f ? f->tried : NULL,
+						f ? f->tried_count : 0, now);
+	uint32_t mark = t ? ht_catalog_mark(st->params.catalog, t) : 0;
+	bool again = f;
+
+	if (!mark)
+		return refuse(st, HT_STEER_NO_TARGET);
+	if (!f)
+		f = add_flow(st, pkt);
+	if (f)
+		remember(st, f, t, mark, now);
+	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
+}
+
 static struct ht_steering_decision steer_opening(struct ht_steering *st,
 						 const struct ht_packet *pkt, ht_ms now)
 {
 	struct ht_route *route = ht_catalog_route(st->params.catalog, pkt->dst);
 	struct flow *f = find_flow(st, pkt);
-	struct ht_target *t;
-	uint32_t mark;
-	bool again;
 
 	uncount_quiet(st, now);
 	if (!route)
@@ -276,32 +306,15 @@
 	if (f && f->phase != PHASE_OPENING) {
 		/* A late copy joins the open flow; a first packet reuses the caller's port. */
 		if (pkt->acknowledged)
-			return forward(f->target, ht_catalog_mark(st->params.catalog, f->target),
-				       HT_STEER_MARKED);
+			return forward(f->target, f->mark, HT_STEER_MARKED);
 		flow_end(st, f);
 		f = NULL;
 	}
-	again = f != NULL;
-	if (!again && deferred(st, route, pkt))
-		return decide(HT_STEER_DROP, HT_STEER_DEFERRED);
-	if (again)
+	if (f)
 		miss(st, f->target, f->placed_at, now);
-	t = ht_placing_choose(&st->placing, route->service, f ? f->tried : NULL,
-			      f ? f->tried_count : 0, now);
-	mark = t ? ht_catalog_mark(st->params.catalog, t) : 0;
-	if (!mark)
-		return refuse(st, HT_STEER_NO_TARGET);
-	if (!f)
-		f = add_flow(st, pkt);
-	if (f) {
-		f->phase = PHASE_OPENING;
-		f->tried[f->tried_count++ % HT_PLACING_TRIES] = t;
-		if (f->tried_count > HT_PLACING_TRIES)
-			f->tried_count = HT_PLACING_TRIES;
-		set_target(f, t, now);
-		touch(st, f, now);
-	}
-	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
+	else if (deferred(st, route, pkt))
+		return decide(HT_STEER_DROP, HT_STEER_DEFERRED);
+	return place(st, route, pkt, f, now);
 }
 
 static void answered(struct flow *f, struct ht_target *t, ht_ms now)
@@ -312,7 +325,7 @@
 	f->phase = PHASE_ANSWERED;
 	f->took = took;
 	ht_evidence_answer(&t->evidence, took);
-	*mean = *mean > 0 ? *mean + 0.02 * ((double)took - *mean) : (double)took;
+	*mean = *mean > 0 ? *mean + SERVICE_WEIGHT * ((double)took - *mean) : (double)took;
 }
 
 /* The caller has received all that it will: what it acknowledged is the whole answer. */
@@ -335,7 +348,7 @@
 		f->phase = PHASE_OPEN;
 		f->acknowledged = pkt->acknowledged;
 		if (f->target != t)
-			set_target(f, t, now);
+			set_target(f, t, pkt->mark, now);
 		alive(t, now);
 	}
 	if (f->phase == PHASE_OPEN && pkt->length) {
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -203,7 +203,7 @@
 	if (!same_addr(&set.packet_address, &e->settings.packet_address) ||
 	    !same_addr(&set.ready_address, &e->settings.ready_address) ||
 	    strcmp(set.data_centre, e->settings.data_centre) != 0)
-		ht_entry_log(&e->log, HT_EV_SETTINGS_NEED_START, "%s", "");
+		ht_entry_log(&e->log, HT_EV_SETTINGS_NEED_START, "file=%s", e->path);
 	store_changed = !same_addr(&set.store_address, &e->settings.store_address) ||
 			set.drain_bound != e->settings.drain_bound ||
 			set.config_bound != e->settings.config_bound;
