--- a/entry/entry.c
+++ b/entry/entry.c
@@ -24,8 +24,8 @@
 /* An instance that starts greets this often until its view is proven. */
 #define START_ROUND_MS 100
 
-/* Packets wait in the socket until the view is there, at most this long: a caller that is not
- * answered sends again after 400 ms at the latest, and would be answered twice. */
+/* Packets wait in the socket until the view is there, at most this long: callers send an opening
+ * packet again after 200 and 400 ms. */
 #define START_HOLD_MS 400
 
 /* Routers ask twice a second and take an instance out after two refusals; a second more lets
