--- a/mk/measure.mk
+++ b/mk/measure.mk
@@ -7,5 +7,6 @@
 .PHONY: measure measure-capacity
 measure-capacity: $(B)/bench/bench_capacity
 	@$<
-measure: $(B)/bench/bench_placement
+measure: $(B)/bench/bench_placement $(B)/bench/bench_steering
 	@$<
+	@$(B)/bench/bench_steering
--- a/standins/fabric.c
+++ b/standins/fabric.c
@@ -3,9 +3,9 @@
  * and returns the answers to the caller from the service address.
  */
 #include "base/addr.h"
+#include "platform/http.h"
 
 #include <arpa/inet.h>
-#include <curl/curl.h>
 #include <errno.h>
 #include <ev.h>
 #include <glib.h>
@@ -17,6 +17,8 @@
 
 #define DATAGRAM_MAX 65536
 #define LIST_MS 200
+/* The platform is on loopback: a list that takes longer is asked for again. */
+#define FETCH_MS 1000
 /* Each caller holds one socket; datagrams of further callers are dropped. */
 #define CALLERS_MAX 4000
 
@@ -44,10 +46,8 @@
 	GArray *live;	       /**< in_addr_t of the live instances */
 	GHashTable *callers;   /**< caller and service to struct caller */
 	struct ev_timer fetch; /**< each LIST_MS */
-	struct ev_timer poll;  /**< runs curl while a transfer is open */
-	CURLM *multi;
-	CURL *easy;
-	GByteArray *reply;
+	struct ht_http *http;
+	char *list_url;
 	bool fetching;
 };
 
@@ -200,9 +200,9 @@
 	}
 }
 
-static void take_list(struct fabric *fab)
+static void take_list(struct fabric *fab, const char *text, size_t len)
 {
-	json_t *root = json_loadb((char *)fab->reply->data, fab->reply->len, 0, NULL), *inst;
+	json_t *root = json_loadb(text, len, 0, NULL), *inst;
 	size_t i;
 
 	if (!root)
@@ -220,64 +220,30 @@
 	json_decref(root);
 }
 
-static size_t on_reply(char *data, size_t size, size_t n, void *ctx)
+static void on_reply(void *ctx, const struct ht_http_reply *reply)
 {
 	struct fabric *fab = ctx;
 
-	g_byte_array_append(fab->reply, (uint8_t *)data, (guint)(size * n));
-	return size * n;
-}
-
-static void on_poll(struct ev_loop *loop, struct ev_timer *timer, int events)
-{
-	struct fabric *fab = timer->data;
-	int running = 0, left;
-	const CURLMsg *msg;
-	long code = 0;
-
-	(void)events;
-	curl_multi_perform(fab->multi, &running);
-	msg = curl_multi_info_read(fab->multi, &left);
-	if (!msg)
-		return;
-	curl_easy_getinfo(fab->easy, CURLINFO_RESPONSE_CODE, &code);
-	if (msg->data.result == CURLE_OK && code == 200)
-		take_list(fab);
-	curl_multi_remove_handle(fab->multi, fab->easy);
+	if (reply->outcome == HT_HTTP_ANSWERED && reply->status == 200)
+		take_list(fab, reply->body, reply->len);
 	fab->fetching = false;
-	ev_timer_stop(loop, timer);
 }
 
 static void on_fetch(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
 	struct fabric *fab = timer->data;
 
-	(void)events;
-	if (fab->fetching)
-		return;
-	g_byte_array_set_size(fab->reply, 0);
-	curl_multi_add_handle(fab->multi, fab->easy);
-	fab->fetching = true;
-	ev_timer_again(loop, &fab->poll);
+	(void)loop, (void)events;
+	if (!fab->fetching)
+		fab->fetching =
+			ht_http_start(fab->http, fab->list_url, NULL, FETCH_MS, on_reply, fab);
 }
 
 static void start_list(struct fabric *fab)
 {
-	char *url = g_strdup_printf("http://%s/instances", opt.platform);
-
-	fab->reply = g_byte_array_new();
-	fab->multi = curl_multi_init();
-	fab->easy = curl_easy_init();
-	curl_easy_setopt(fab->easy, CURLOPT_URL, url);
-	curl_easy_setopt(fab->easy, CURLOPT_TIMEOUT_MS, 1000L);
-	curl_easy_setopt(fab->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(fab->easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(fab->easy, CURLOPT_WRITEFUNCTION, on_reply);
-	curl_easy_setopt(fab->easy, CURLOPT_WRITEDATA, fab);
-	g_free(url);
-	ev_timer_init(&fab->poll, on_poll, 0, 0.005);
+	fab->list_url = g_strdup_printf("http://%s/instances", opt.platform);
+	fab->http = ht_http_new(fab->loop);
 	ev_timer_init(&fab->fetch, on_fetch, 0, LIST_MS / 1000.0);
-	fab->poll.data = fab;
 	fab->fetch.data = fab;
 	ev_timer_start(fab->loop, &fab->fetch);
 }
@@ -338,7 +304,6 @@
 		return 2;
 	}
 	fab.loop = ev_default_loop(0);
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	fab.rand = g_rand_new_with_seed((guint32)opt.seed);
 	fab.live = g_array_new(FALSE, FALSE, sizeof(in_addr_t));
 	fab.callers = g_hash_table_new(key_hash, key_equal);
--- a/tests/ctl/test_races.c
+++ b/tests/ctl/test_races.c
@@ -1,11 +1,10 @@
 /* Tests of hickoryctl as several processes against the platform stand-in. */
 #include "base/clock.h"
 #include "ctl/ctl.h"
-#include "platform/http.h"
+#include "tests/http.h"
 
 #include <arpa/inet.h>
 #include <check.h>
-#include <ev.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <string.h>
@@ -33,27 +32,12 @@
 	return ntohs(sin.sin_port);
 }
 
-static void on_put(void *ctx, const struct ht_http_reply *reply)
-{
-	bool *ok = ctx;
-
-	*ok = reply->outcome == HT_HTTP_ANSWERED && reply->status < 400;
-}
-
 /* Returns true when the stand-in took the value. */
 static bool put(const char *path, const char *body)
 {
-	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
-	struct ht_http *http = ht_http_new(loop);
-	char *url = g_strdup_printf("http://%s%s", platform, path);
-	bool ok = false;
-
-	ck_assert_ptr_nonnull(ht_http_start(http, url, body, 2000, on_put, &ok));
-	ev_run(loop, 0);
-	ht_http_free(http);
-	ev_loop_destroy(loop);
-	g_free(url);
-	return ok;
+	struct http_result res = http_call(platform, path, body, 2000, NULL);
+
+	return res.outcome == HT_HTTP_ANSWERED && res.status < 400;
 }
 
 /* Starts the stand-in of the same build. */
--- a/tests/standins/test_standins.c
+++ b/tests/standins/test_standins.c
@@ -1,10 +1,10 @@
 /* Tests of the stand-ins, as far as the proofs rest on them: real programs on loopback. */
 #include "standins/common/body.h"
 #include "standins/common/msg.h"
+#include "tests/http.h"
 
 #include <arpa/inet.h>
 #include <check.h>
-#include <curl/curl.h>
 #include <jansson.h>
 #include <poll.h>
 #include <signal.h>
@@ -98,31 +98,12 @@
 	return -1;
 }
 
-static size_t append(char *data, size_t size, size_t n, void *out)
+static enum ht_http_outcome http(int port, const char *path, const char *body, GString *out)
 {
-	g_string_append_len(out, data, (gssize)(size * n));
-	return size * n;
-}
+	char host[32];
 
-static CURLcode http(int port, const char *method, const char *path, const char *body, GString *out)
-{
-	char *url = g_strdup_printf("http://127.0.0.1:%d%s", port, path);
-	CURL *curl = curl_easy_init();
-	CURLcode res;
-
-	g_string_truncate(out, 0);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 5000L);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, out);
-	if (body)
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
-	res = curl_easy_perform(curl);
-	curl_easy_cleanup(curl);
-	g_free(url);
-	return res;
+	snprintf(host, sizeof(host), "127.0.0.1:%d", port);
+	return http_call(host, path, body, 5000, out).outcome;
 }
 
 static int start_platform(void)
@@ -142,16 +123,16 @@
 	GString *out = g_string_new(NULL);
 	int port = start_platform();
 
-	ck_assert_int_eq(http(port, "PUT", "/knobs", "{\"lose_write_answers\":1}", out), CURLE_OK);
-	ck_assert_int_eq(http(port, "PUT", "/v1/objects/config/head?if_version=0", "{}", out),
-			 CURLE_GOT_NOTHING);
-	ck_assert_int_eq(http(port, "GET", "/v1/objects/config/head", NULL, out), CURLE_OK);
+	ck_assert_int_eq(http(port, "/knobs", "{\"lose_write_answers\":1}", out), HT_HTTP_ANSWERED);
+	ck_assert_int_eq(http(port, "/v1/objects/config/head?if_version=0", "{}", out),
+			 HT_HTTP_LOST);
+	ck_assert_int_eq(http(port, "/v1/objects/config/head", NULL, out), HT_HTTP_ANSWERED);
 	ck_assert_str_eq(out->str, "{\"version\":1,\"value\":{}}");
-	ck_assert_int_eq(http(port, "PUT", "/v1/objects/config/head?if_version=0", "7", out),
-			 CURLE_OK);
+	ck_assert_int_eq(http(port, "/v1/objects/config/head?if_version=0", "7", out),
+			 HT_HTTP_ANSWERED);
 	ck_assert_str_eq(out->str, "{\"version\":1,\"value\":{}}");
-	ck_assert_int_eq(http(port, "PUT", "/v1/objects/config/head?if_version=1", "7", out),
-			 CURLE_OK);
+	ck_assert_int_eq(http(port, "/v1/objects/config/head?if_version=1", "7", out),
+			 HT_HTTP_ANSWERED);
 	ck_assert_str_eq(out->str, "{\"version\":2}");
 	g_string_free(out, TRUE);
 }
@@ -286,7 +267,7 @@
 		"{\"name\":\"c\",\"bind_ip\":\"127.0.0.13\",\"state\":\"leaving\"}]";
 	GString *out = g_string_new(NULL);
 
-	ck_assert_int_eq(http(platform, "PUT", "/instances", list, out), CURLE_OK);
+	ck_assert_int_eq(http(platform, "/instances", list, out), HT_HTTP_ANSWERED);
 	g_string_free(out, TRUE);
 	usleep(500000);
 }
@@ -396,7 +377,6 @@
 
 	if (!mkdtemp(dir))
 		return EXIT_FAILURE;
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_set_timeout(tc, 20);
 	tcase_add_checked_fixture(tc, NULL, stop_children);
 	tcase_add_test(tc, lost_write_answer_takes_effect);
