--- a/entry/entry.c
+++ b/entry/entry.c
@@ -104,7 +104,7 @@
 	const struct ht_leaving_params params = {
 		.notice = STOP_NOTICE_MS,
 		.quiet = STOP_QUIET_MS,
-		.grace = e->settings.stop_grace_s * 1000,
+		.grace = (ht_ms)(e->settings.stop_grace_s * 1000),
 	};
 	ht_ms now = now_ms();
 	ht_ms end = ht_leaving_end(&params, e->stop_asked, ht_packets_last(e->packets));
@@ -235,7 +235,7 @@
 	(void)loop;
 	(void)revents;
 	ht_steering_expire(e->steering, now);
-	ht_catalog_expire(e->catalog, now, e->settings.flow_max_s * 1000);
+	ht_catalog_expire(e->catalog, now, (ht_ms)(e->settings.flow_max_s * 1000));
 	if (!ht_feed_complete(e->feed) || ++e->ticks % TICKS_PER_GREETING == 0)
 		ht_link_round(e->link);
 	if (modified.tv_sec != e->modified.tv_sec || modified.tv_nsec != e->modified.tv_nsec)
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -232,8 +232,9 @@
 		free(feed);
 		return NULL;
 	}
-	source_init(&feed->routes, feed, HT_STORE_ROUTES, set->config_bound, 0);
-	source_init(&feed->targets, feed, HT_STORE_TARGETS, set->drain_bound, TARGETS_PAUSE_MS);
+	source_init(&feed->routes, feed, HT_STORE_ROUTES, (ht_ms)set->config_bound, 0);
+	source_init(&feed->targets, feed, HT_STORE_TARGETS, (ht_ms)set->drain_bound,
+		    TARGETS_PAUSE_MS);
 	run(&feed->routes);
 	run(&feed->targets);
 	return feed;
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -17,10 +17,10 @@
 	char *seeds; /**< "IP:PORT,..." of a few instances, which listen at the own peer port */
 	double core_share; /**< part of a processor core that this instance may use */
 	char *log_level;
-	int64_t drain_bound;  /**< ms from an accepted change of a target until it holds here */
-	int64_t config_bound; /**< ms from an accepted configuration until it holds here */
-	int64_t stop_grace_s; /**< s from the order to stop until the process is killed */
-	int64_t flow_max_s;   /**< s; a flow that is older may be dropped */
+	double drain_bound;  /**< ms from an accepted change of a target until it holds here */
+	double config_bound; /**< ms from an accepted configuration until it holds here */
+	double stop_grace_s; /**< s from the order to stop until the process is killed */
+	double flow_max_s;   /**< s; a flow that is older may be dropped */
 };
 
 /** Reads and checks @text; errors name @file. Clear the settings only after success. */
