ctl, docs: from a failed request to its cause, over the logs of all instances

Cause: logs of several instances could not be put into an order, and a change that a neighbour told, or a target that a listing lacked, was applied without a line.

- the catalogue tells an observer of changes, whoever brought them.

--- a/base/event.c
+++ b/base/event.c
@@ -11,6 +11,19 @@
 };
 #undef HT_EVENT
 
+#define HT_EVENT(n, l, nm, t) INDEX_##nm,
+enum event_index {
+#include "base/events/all.def"
+};
+#undef HT_EVENT
+
+/* Index by number, plus one; 0 for a number without an event. */
+#define HT_EVENT(n, l, nm, t) [n] = INDEX_##nm + 1,
+static const uint8_t index_of[] = {
+#include "base/events/all.def"
+};
+#undef HT_EVENT
+
 static const char *const level_names[] = {
 	[HT_ERROR] = "error", [HT_WARN] = "warn",   [HT_NOTICE] = "notice",
 	[HT_INFO] = "info",   [HT_DEBUG] = "debug",
@@ -29,10 +42,9 @@
 
 const struct ht_event_info *ht_event_info(enum ht_event_number number)
 {
-	for (size_t i = 0; i < ht_event_count(); i++)
-		if (infos[i].number == number)
-			return &infos[i];
-	return NULL;
+	if ((size_t)number >= sizeof(index_of) || !index_of[number])
+		return NULL;
+	return &infos[index_of[number] - 1];
 }
 
 size_t ht_event_index(const struct ht_event_info *info)
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -7,6 +7,7 @@
 
 struct ht_catalog {
 	struct ht_list services, dcs, targets;
+	struct ht_catalog_observer observer;
 	struct ht_hmap by_name, by_mark, routes;
 	uint64_t version, routes_revision;
 	uint64_t history;
@@ -181,6 +182,17 @@
 	return NULL;
 }
 
+void ht_catalog_observe(struct ht_catalog *cat, const struct ht_catalog_observer *observer)
+{
+	cat->observer = *observer;
+}
+
+static void tell_target(const struct ht_catalog *cat, const struct ht_target *t, ht_ms now)
+{
+	if (cat->observer.target)
+		cat->observer.target(cat->observer.ctx, t, now);
+}
+
 static bool set_route(struct ht_catalog *cat, const struct ht_route_entry *e, uint64_t revision)
 {
 	struct ht_service *service = find_service(cat, e->service);
@@ -246,6 +258,8 @@
 	cat->version = table->version;
 	cat->routes_revision = table->revision;
 	cat->flow_idle = table->flow_idle;
+	if (cat->observer.routes)
+		cat->observer.routes(cat->observer.ctx, table);
 	return ok ? HT_CATALOG_CHANGED : HT_CATALOG_FAILED;
 }
 
@@ -349,10 +363,14 @@
 		unlist(t);
 	else if (!list_target(t))
 		return HT_CATALOG_FAILED;
-	return same ? HT_CATALOG_SAME : HT_CATALOG_CHANGED;
+	if (same)
+		return HT_CATALOG_SAME;
+	tell_target(cat, t, now);
+	return HT_CATALOG_CHANGED;
 }
 
-static void set_gone(struct ht_target *t, uint64_t revision, ht_ms now, ht_ms held_until)
+static void set_gone(const struct ht_catalog *cat, struct ht_target *t, uint64_t revision,
+		     ht_ms now, ht_ms held_until)
 {
 	if (revision > t->revision)
 		t->revision = revision;
@@ -361,6 +379,7 @@
 	t->held_until = held_until;
 	if (held_until <= now)
 		unlist(t);
+	tell_target(cat, t, now);
 }
 
 enum ht_catalog_change ht_catalog_remove_target(struct ht_catalog *cat, const char *name,
@@ -377,7 +396,7 @@
 		t->revision = revision;
 		return HT_CATALOG_SAME;
 	}
-	set_gone(t, revision, now, held_until);
+	set_gone(cat, t, revision, now, held_until);
 	return HT_CATALOG_CHANGED;
 }
 
@@ -410,7 +429,7 @@
 
 		if (t->seen & (1U << source) || t->gone_at != HT_NEVER || t->revision > revision)
 			continue;
-		set_gone(t, revision, now, held_until);
+		set_gone(cat, t, revision, now, held_until);
 		removed++;
 	}
 	return removed;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -147,6 +147,17 @@
 	HT_CATALOG_FAILED, /**< out of memory */
 };
 
+/** Told of what changes, for logs; either function may be NULL. */
+struct ht_catalog_observer {
+	/** A configuration came into force. */
+	void (*routes)(void *ctx, const struct ht_route_table *table);
+	/** A target is new, has changed, or its entry is gone. */
+	void (*target)(void *ctx, const struct ht_target *target, ht_ms now);
+	void *ctx;
+};
+
+void ht_catalog_observe(struct ht_catalog *cat, const struct ht_catalog_observer *observer);
+
 /** Puts a whole configuration in force. */
 enum ht_catalog_change ht_catalog_set_routes(struct ht_catalog *cat,
 					     const struct ht_route_table *table);
--- a/core/steering.c
+++ b/core/steering.c
@@ -230,16 +230,17 @@
 			  now);
 }
 
-/* Tells of a doubt that has grown or ended since it lasted until @before. */
+/* Tells of a doubt that has begun, doubled or ended since it lasted until @before. */
 static void tell_belief(const struct ht_steering *st, const struct ht_target *t, bool whole_dc,
 			ht_ms before, enum ht_belief_cause cause, ht_ms now)
 {
 	const struct ht_steering_observer *obs = &st->params.observer;
 	ht_ms until = whole_dc ? t->dc->evidence.doubted_until : t->evidence.doubted_until;
+	ht_ms left = before > now ? before - now : 0;
 
 	if (!obs->belief)
 		return;
-	if (until > before)
+	if (until > before && until - now >= 2 * left)
 		obs->belief(obs->ctx, t, whole_dc, cause, now);
 	else if (until < before && before > now)
 		obs->belief(obs->ctx, t, whole_dc, HT_BELIEF_ALIVE, now);
--- a/core/steering.h
+++ b/core/steering.h
@@ -88,7 +88,7 @@
 /** Told of what happens, for logs and metrics. Either function may be NULL. */
 struct ht_steering_observer {
 	void (*flow)(void *ctx, const struct ht_flow_facts *facts, ht_ms now);
-	/** The doubt about @target, or about its whole data centre, has grown or ended. */
+	/** The doubt about @target, or about its whole data centre, has begun, doubled or ended. */
 	void (*belief)(void *ctx, const struct ht_target *target, bool whole_dc,
 		       enum ht_belief_cause cause, ht_ms now);
 	void *ctx;
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -85,13 +85,19 @@
 	"Reads the event ring of every instance and orders the events by hybrid logical\n"
 	"clock. Filters are combined. docs/events.md explains the numbers.\n"
 	"\n"
-	"Exit status: 0 done, 1 no list of instances, 2 bad filter, 5 some instances were\n"
+	"With --log the events are read from log lines of hickorytrestle-entry instead.\n"
+	"Lines of one instance keep their order, and packets of a flow come in the order\n"
+	"in which the caller sent them, whatever the clocks of the instances say.\n"
+	"\n"
+	"Exit status: 0 done, 1 no list of instances, 2 bad filter or file, 5 some instances were\n"
 	"not reached, each is named.\n"
 	"\n"
 	"Examples:\n"
 	"  hickoryctl --platform 127.0.0.1:7400 timeline\n"
 	"  hickoryctl --platform 127.0.0.1:7400 timeline --target 127.0.2.1:7001\n"
-	"  hickoryctl timeline --admin 127.0.0.1:7301 --number 1001\n";
+	"  hickoryctl timeline --admin 127.0.0.1:7301 --number 1001\n"
+	"  hickoryctl timeline --log a.log --log b.log \\\n"
+	"      --flow 100.64.0.7:40001-198.18.0.1:443\n";
 
 const struct ht_ctl_command ht_ctl_commands[] = {
 	{.name = "check",
@@ -147,7 +153,7 @@
 	 .arguments = "",
 	 .summary = "Merge the newest events of all instances, causes before effects",
 	 .description = timeline_help,
-	 .options = " admin flow request target instance number ",
+	 .options = " admin log flow request target instance number ",
 	 .needs_platform = true,
 	 .run = ht_ctl_timeline},
 	{0},
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -68,15 +68,22 @@
 		{"admin", 'a', 0, G_OPTION_ARG_STRING_ARRAY, &ctl->admin,
 		 "Ask this admin address instead of the platform's list; may be repeated",
 		 "IP:PORT"},
+		{"log", 'l', 0, G_OPTION_ARG_FILENAME_ARRAY, &ctl->log,
+		 "Read log lines of hickorytrestle-entry from this file, - for standard input, "
+		 "instead of asking instances; may be repeated",
+		 "FILE"},
 		{"comment", 'c', 0, G_OPTION_ARG_STRING, &ctl->comment,
 		 "Who asked for it and why; required", "TEXT"},
 		{"replace-damaged", 0, 0, G_OPTION_ARG_NONE, &ctl->replace_damaged,
 		 "Apply although the accepted rules at the platform cannot be read", NULL},
-		{"flow", 0, 0, G_OPTION_ARG_STRING, &ctl->flow, "Only events of this flow", "ID"},
+		{"flow", 0, 0, G_OPTION_ARG_STRING, &ctl->flow,
+		 "Only events of this flow, by id or, in log lines, by addresses",
+		 "ID|IP:PORT-IP:PORT"},
 		{"request", 0, 0, G_OPTION_ARG_STRING, &ctl->request, "Only events of this request",
 		 "ID"},
 		{"target", 0, 0, G_OPTION_ARG_STRING, &ctl->target,
-		 "Only events of this target, by id or address", "ID|IP:PORT"},
+		 "Only events of this target, by id or address or, in log lines, by name",
+		 "ID|IP:PORT|NAME"},
 		{"instance", 0, 0, G_OPTION_ARG_STRING, &ctl->instance,
 		 "Only events of or about this instance", "NAME"},
 		{"number", 'n', 0, G_OPTION_ARG_INT, &ctl->number, "Only events with this number",
@@ -124,7 +131,7 @@
 		ctl->client = ht_platform_new(NULL, ctl->platform, log_event, NULL, &err);
 		if (!ctl->client)
 			return ht_ctl_fail(ctl, HT_CTL_USAGE, "--platform: %s", err.text);
-	} else if (cmd->needs_platform && !ctl->admin) {
+	} else if (cmd->needs_platform && !ctl->admin && !ctl->log) {
 		return ht_ctl_fail(ctl, HT_CTL_USAGE,
 				   "%s needs --platform IP:PORT or $" PLATFORM_VARIABLE, cmd->name);
 	}
@@ -231,6 +238,7 @@
 	g_free(args);
 	g_free(ctl.platform);
 	g_strfreev(ctl.admin);
+	g_strfreev(ctl.log);
 	g_free(ctl.comment);
 	g_free(ctl.flow);
 	g_free(ctl.request);
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -30,6 +30,7 @@
 	gboolean version;
 	gboolean replace_damaged; /**< take unreadable accepted rules for none */
 	char **admin;		  /**< admin addresses named instead of the platform's list */
+	char **log;		  /**< files with log lines, "-" for standard input */
 	char *comment;
 	char *flow;
 	char *request;
--- a/ctl/timeline.c
+++ b/ctl/timeline.c
@@ -1,4 +1,5 @@
 #include "ctl/fleet.h"
+#include "ctl/logs.h"
 
 #include "base/hash.h"
 
@@ -191,9 +192,12 @@
 	struct filter f = {0};
 	struct ht_err err;
 	GArray *entries;
-	int status = read_filter(ctl, &f);
+	int status;
 
 	(void)argv;
+	if (ctl->log)
+		return ht_ctl_log_timeline(ctl);
+	status = read_filter(ctl, &f);
 	if (status != HT_CTL_DONE)
 		return status;
 	if (!ht_ctl_fleet_list(ctl, &fleet, &err) ||
--- a/entry/decisions.c
+++ b/entry/decisions.c
@@ -247,6 +247,33 @@
 	ht_logger_write(dec->params.log, number, "%s", f.text);
 }
 
+static void on_routes(void *ctx, const struct ht_route_table *table)
+{
+	const struct ht_decisions *dec = ctx;
+
+	ht_logger_event(dec->params.log, HT_EV_ROUTES_IN_FORCE,
+			"version=%llu revision=%llu routes=%zu", (unsigned long long)table->version,
+			(unsigned long long)table->revision, table->count);
+}
+
+static void on_target(void *ctx, const struct ht_target *t, ht_ms now)
+{
+	const struct ht_decisions *dec = ctx;
+
+	if (t->gone_at != HT_NEVER)
+		ht_logger_event(dec->params.log, HT_EV_TARGET_GONE,
+				"target=%s service=%s dc=%s revision=%llu hold_ms=%lld", t->name,
+				t->service->name, t->dc->name, (unsigned long long)t->revision,
+				left(t->held_until, now));
+	else
+		ht_logger_event(dec->params.log, HT_EV_TARGET_CHANGED,
+				"target=%s service=%s dc=%s state=%s slots=%u warm_ms=%lld"
+				" revision=%llu",
+				t->name, t->service->name, t->dc->name,
+				t->draining ? "draining" : "ready", t->slots, left(t->warm_at, now),
+				(unsigned long long)t->revision);
+}
+
 struct ht_decisions *ht_decisions_new(const struct ht_decisions_params *params)
 {
 	struct ht_decisions *dec = calloc(1, sizeof(*dec));
@@ -266,6 +293,11 @@
 	dec->params.sample = sample;
 }
 
+struct ht_catalog_observer ht_decisions_catalog_observer(struct ht_decisions *dec)
+{
+	return (struct ht_catalog_observer){.routes = on_routes, .target = on_target, .ctx = dec};
+}
+
 struct ht_steering_observer ht_decisions_observer(struct ht_decisions *dec)
 {
 	return (struct ht_steering_observer){.flow = on_flow, .belief = on_belief, .ctx = dec};
--- a/entry/decisions.h
+++ b/entry/decisions.h
@@ -30,6 +30,8 @@
 void ht_decisions_free(struct ht_decisions *dec);
 void ht_decisions_set_sample(struct ht_decisions *dec, unsigned int sample);
 
+/** To be told of changes by the catalogue. */
+struct ht_catalog_observer ht_decisions_catalog_observer(struct ht_decisions *dec);
 /** To be told by the steering. */
 struct ht_steering_observer ht_decisions_observer(struct ht_decisions *dec);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -339,6 +339,7 @@
 
 static bool steering_start(struct ht_entry *e)
 {
+	struct ht_catalog_observer observer;
 	struct ht_steering_params params;
 
 	e->catalog = ht_catalog_new(e->settings.data_centre);
@@ -352,6 +353,8 @@
 	});
 	if (!e->catalog || !e->decisions)
 		return false;
+	observer = ht_decisions_catalog_observer(e->decisions);
+	ht_catalog_observe(e->catalog, &observer);
 	ht_steering_params_default(&params);
 	params.catalog = e->catalog;
 	params.reports = &e->reports;
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -44,58 +44,37 @@
 static void put_target(struct source *src, const struct ht_store_target *t, ht_ms now)
 {
 	struct ht_catalog *cat = src->feed->params.catalog;
-	ht_ms hold = ht_reading_hold(&src->reading, now);
+	struct ht_logger *log = src->feed->params.log;
 	enum ht_catalog_change change;
 
 	if (t->usable) {
 		change = ht_catalog_put_target(cat, &t->entry, HT_CATALOG_STORE, now);
-		if (change == HT_CATALOG_CHANGED)
-			ht_logger_event(src->feed->params.log, HT_EV_TARGET_CHANGED,
-					"target=%s service=%s dc=%s state=%s revision=%llu",
-					t->entry.name, t->entry.service, t->entry.dc,
-					t->entry.draining ? "draining" : "ready",
-					(unsigned long long)t->entry.revision);
 	} else {
 		change = ht_catalog_remove_target(cat, t->entry.name, t->entry.revision, now,
-						  t->deleted ? hold : now);
+						  t->deleted ? ht_reading_hold(&src->reading, now)
+							     : now);
 		if (!t->deleted) {
 			ht_catalog_skip_target(cat, t->entry.name, HT_CATALOG_STORE);
-			ht_logger_event(src->feed->params.log, HT_EV_TARGET_UNUSABLE,
+			ht_logger_event(log, HT_EV_TARGET_UNUSABLE,
 					"target=%s revision=%llu reason=\"%s\"", t->entry.name,
 					(unsigned long long)t->entry.revision, t->problem);
-		} else if (change == HT_CATALOG_CHANGED) {
-			ht_logger_event(src->feed->params.log, HT_EV_TARGET_GONE,
-					"target=%s revision=%llu hold=%lld", t->entry.name,
-					(unsigned long long)t->entry.revision,
-					(long long)(hold - now));
 		}
 	}
 	if (change == HT_CATALOG_FAILED)
-		ht_logger_event(src->feed->params.log, HT_EV_OUT_OF_MEMORY, "object=%s",
-				t->entry.name);
+		ht_logger_event(log, HT_EV_OUT_OF_MEMORY, "object=%s", t->entry.name);
 }
 
 static void put_routes(struct source *src, const struct ht_route_table *table)
 {
 	struct ht_logger *log = src->feed->params.log;
+	enum ht_catalog_change change = ht_catalog_set_routes(src->feed->params.catalog, table);
 
-	switch (ht_catalog_set_routes(src->feed->params.catalog, table)) {
-	case HT_CATALOG_CHANGED:
-		ht_logger_event(log, HT_EV_ROUTES_IN_FORCE, "version=%llu revision=%llu routes=%zu",
-				(unsigned long long)table->version,
-				(unsigned long long)table->revision, table->count);
-		break;
-	case HT_CATALOG_OLDER:
+	if (change == HT_CATALOG_OLDER)
 		ht_logger_event(log, HT_EV_ROUTES_OLDER, "version=%llu revision=%llu",
 				(unsigned long long)table->version,
 				(unsigned long long)table->revision);
-		break;
-	case HT_CATALOG_FAILED:
+	else if (change == HT_CATALOG_FAILED)
 		ht_logger_event(log, HT_EV_OUT_OF_MEMORY, "object=routes");
-		break;
-	case HT_CATALOG_SAME:
-		break;
-	}
 }
 
 static void take(struct source *src, const struct ht_store_reply *reply, ht_ms now)
--- a/mk/install.mk
+++ b/mk/install.mk
@@ -4,7 +4,7 @@
 PREFIX ?= /usr/local
 INSTALL ?= install
 CTL_COMMANDS := check diff apply show status drain timeline
-DOCS := docs/operators.md docs/platform.md docs/events.md docs/glossary.md
+DOCS := docs/OPERATIONS.md docs/platform.md docs/events.md docs/glossary.md
 MAN := hickoryctl.1 hickorytrestle-entry.8 $(if $(wildcard daemon/main.c),hickorytrestled.8)
 
 $(B)/man/hickoryctl.1: $(B)/hickoryctl scripts/make-man.sh
--- a/mk/measure.mk
+++ b/mk/measure.mk
@@ -7,6 +7,7 @@
 .PHONY: measure measure-capacity
 measure-capacity: $(B)/bench/bench_capacity
 	@$<
-measure: $(B)/bench/bench_placement $(B)/bench/bench_steering
+measure: $(B)/bench/bench_placement $(B)/bench/bench_steering $(B)/bench/bench_log
 	@$<
 	@$(B)/bench/bench_steering
+	@$(B)/bench/bench_log
--- a/scripts/check-events.sh
+++ b/scripts/check-events.sh
@@ -14,9 +14,9 @@
 	exit 1
 fi
 # The operators' page names events as `NUMBER NAME`.
-unknown=$(grep -oE '`[0-9]{4} [A-Z0-9_]+`' docs/operators.md | tr -d '`' | sort -u |
+unknown=$(grep -oE '`[0-9]{4} [A-Z0-9_]+`' docs/OPERATIONS.md | tr -d '`' | sort -u |
 	grep -vxFf <(echo "$code" | cut -d' ' -f1,3) || true)
 if [ -n "$unknown" ]; then
-	echo "events: docs/operators.md names unknown events:" "$unknown" >&2
+	echo "events: docs/OPERATIONS.md names unknown events:" "$unknown" >&2
 	exit 1
 fi
--- a/scripts/demo_entry.py
+++ b/scripts/demo_entry.py
@@ -7,11 +7,10 @@
 import os
 import random
 import signal
-import socket
 import sys
 import time
 
-from entry_world import SERVICE_IP, Callers, Instance, Store, Target
+from entry_world import Callers, Instance, Store, Target, free_port, put_config
 
 SERVICES = {443: "stock", 80: "patterns"}
 INSTANCES = 4
@@ -21,21 +20,6 @@
 KILL_LOSS = RATE
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
-
-
-def put_config(store):
-    store.put("config", "main", {
-        "configVersion": 3,
-        "routes": [{"hostname": SERVICE_IP, "pathPrefix": "/%d/" % port, "routeType": "safe",
-                    "timeoutMs": 2000, "aimMs": 200, "priority": 2, "service": service}
-                   for port, service in SERVICES.items()],
-        "limits": {"idleTimeoutMs": 15000}})
-
-
 def judge(callers, targets, drained, drained_at):
     problems = []
     late = [t for t in drained.opened_at if t > drained_at + DRAIN_LIMIT_S]
@@ -57,7 +41,7 @@
     program = os.path.join(os.environ.get("HT_BUILD", "build"), "hickorytrestle-entry")
     ports = [free_port(), free_port(), free_port()]
     store = Store()
-    put_config(store)
+    put_config(store, SERVICES, 3)
     targets = [Target(store, 0x1000 + i, service, "north", ports[0])
                for i, service in enumerate(["stock"] * 4 + ["patterns"] * 2)]
     instances = [Instance(program, store, i, "north", ports, "127.0.0.20:1")
--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -35,6 +35,7 @@
         self.revision = 10
         self.kinds = {"config": {}, "servers": {}}
         self.changes = []
+        self.down = False
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -44,11 +45,14 @@
                 pass
 
             def do_GET(self):
-                body = json.dumps(store.answer(self.path)).encode()
-                self.send_response(200)
+                body = b"" if store.down else json.dumps(store.answer(self.path)).encode()
+                self.send_response(503 if store.down else 200)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
-                self.wfile.write(body)
+                try:
+                    self.wfile.write(body)
+                except ConnectionError:
+                    pass  # the instance that watched has ended
 
         self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
@@ -99,6 +103,7 @@
         self.flows = {}
         self.opened_at = []
         self.foreign = 0
+        self.dies_with_request = self.dead = False
         self.report("ready")
 
     def report(self, state):
@@ -107,8 +112,14 @@
             "zone": self.dc, "configVersion": "v1", "concurrency": 3, "state": state,
             "warmupLeftMs": 0, "sequence": 1, "born": 1700000000000})
 
+    def lapse(self):
+        """Its entry lapses."""
+        self.store.put("servers", self.name, None)
+
     def receive(self):
         data = self.sock.recv(2000)
+        if self.dead:
+            return
         flags, _, seq, ack, _, sport, src, dst, dport, length, echo = HEAD.unpack_from(data, 8)
         if int.from_bytes(data[:8], "big") != self.number:
             self.foreign += 1
@@ -127,15 +138,33 @@
             send(SYN | ACK, self.flows[key], seq + 1)
         elif key not in self.flows:
             send(RST, ack, 0)
+        elif length and self.dies_with_request:
+            self.dead = True
         elif length:
             answer = self.service.encode()
             send(ACK | FIN, self.flows[key] + 1, seq + length, answer)
 
 
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def put_config(store, services, version):
+    """Routes of SERVICE_IP: a service for each port."""
+    store.put("config", "main", {
+        "configVersion": version,
+        "routes": [{"hostname": SERVICE_IP, "pathPrefix": "/%d/" % port, "routeType": "safe",
+                    "timeoutMs": 2000, "aimMs": 200, "priority": 2, "service": service}
+                   for port, service in services.items()],
+        "limits": {"idleTimeoutMs": 15000}})
+
+
 class Instance:
     """One process of the program under test."""
 
-    def __init__(self, program, store, index, dc, ports, seeds):
+    def __init__(self, program, store, index, dc, ports, seeds, log=subprocess.DEVNULL):
         self.name = "entry-%d" % index
         self.ip = "127.0.0.%d" % (20 + index)
         self.packets, self.ready_port = (self.ip, ports[0]), ports[1]
@@ -148,7 +177,8 @@
                        "ready_address": "%s:%d" % (self.ip, ports[1]),
                        "peer_address": "%s:%d" % (self.ip, ports[2]),
                        "store_address": store.address, "seeds": seeds}, f)
-        self.process = subprocess.Popen([program, "--settings", path], stderr=subprocess.DEVNULL)
+        self.process = subprocess.Popen([program, "--settings", path], stdout=log,
+                                        stderr=subprocess.DEVNULL)
 
     def poll(self):
         """What the routers see."""
@@ -188,6 +218,7 @@
         self.sock.bind((CALLER_IP, packet_port))
         self.flows = {}
         self.sent = self.answered = self.wrong = self.reset = self.lost = 0
+        self.complaints = []  # what became of each flow that was not answered
 
     def route(self, flow):
         """The routers' hash over the instances that are in rotation."""
@@ -217,6 +248,7 @@
             return
         if flags & RST:
             self.reset += 1
+            self.complain(flow, "reset")
             del self.flows[sport]
         elif flags & SYN and not flow.open:
             flow.open, flow.echo, flow.ack = True, echo, seq + 1
@@ -229,12 +261,16 @@
             self.send(flow, ACK | FIN, seq + length)
             del self.flows[sport]
 
+    def complain(self, flow, what):
+        self.complaints.append((f"{CALLER_IP}:{flow.sport}-{SERVICE_IP}:{flow.dport}", what))
+
     def repeat(self):
         """Sends again what has had no effect; gives a flow up after two seconds."""
         now = time.monotonic()
         for flow in list(self.flows.values()):
             if now - flow.started > 2:
                 self.lost += 1
+                self.complain(flow, "no answer" if flow.open else "not opened")
                 del self.flows[flow.sport]
             elif flow.open and now - flow.sent_at > 0.2:
                 self.ask(flow)
--- a/scripts/make-man.sh
+++ b/scripts/make-man.sh
@@ -29,4 +29,4 @@
 	printf '.SH "COMMAND %s"\n' "${command^^}"
 	"$program" "$command" --help | format .SS
 done
-printf '.SH "SEE ALSO"\n.BR hickoryctl (1),\n.BR hickorytrestled (8),\ndocs/operators.md, docs/events.md\n'
+printf '.SH "SEE ALSO"\n.BR hickoryctl (1),\n.BR hickorytrestled (8),\ndocs/OPERATIONS.md, docs/events.md\n'
--- a/tests/core/test_observer.c
+++ b/tests/core/test_observer.c
@@ -110,6 +110,26 @@
 }
 END_TEST
 
+/* A dead target is missed many times: its line is not repeated when the doubt has its full length.
+ */
+START_TEST(lasting_doubt_is_told_a_few_times)
+{
+	struct ht_steering_decision d;
+
+	put_target(0, "stock", "here");
+	d = open_flow(1, STOCK_PORT, 0);
+	now += 4;
+	send_marked(1, STOCK_PORT, d.mark, 100, 50);
+	for (int i = 0; i < 20; i++) {
+		now += 200;
+		send_marked(1, STOCK_PORT, d.mark, 100, 50);
+	}
+	ck_assert_uint_eq(events[HT_FLOW_REPEATED], 20);
+	ck_assert_uint_ge(beliefs[HT_BELIEF_SILENT], 4);
+	ck_assert_uint_le(beliefs[HT_BELIEF_SILENT], 6);
+}
+END_TEST
+
 START_TEST(doubt_of_a_data_centre_is_told_apart)
 {
 	put_target(0, "stock", "there");
@@ -170,6 +190,7 @@
 	tcase_add_test(tc, request_without_an_answer_is_told);
 	tcase_add_test(tc, unanswered_opening_names_the_target_before);
 	tcase_add_test(tc, doubt_is_told_when_it_grows_and_when_life_ends_it);
+	tcase_add_test(tc, lasting_doubt_is_told_a_few_times);
 	tcase_add_test(tc, doubt_of_a_data_centre_is_told_apart);
 	tcase_add_test(tc, reports_of_others_are_told_as_such);
 	tcase_add_test(tc, overdue_answer_is_told_once);
--- a/tests/entry/test_decisions.c
+++ b/tests/entry/test_decisions.c
@@ -48,6 +48,7 @@
 static void start(void)
 {
 	const struct ht_log_budget plenty = {1e6, 1e9};
+	struct ht_catalog_observer observer;
 
 	world_start();
 	ck_assert_int_eq(pipe(ends), 0);
@@ -69,6 +70,8 @@
 		.sample = SAMPLE,
 		.view = view_state,
 	});
+	observer = ht_decisions_catalog_observer(dec);
+	ht_catalog_observe(cat, &observer);
 	ht_steering_free(st);
 	params.observer = ht_decisions_observer(dec);
 	st = ht_steering_new(&params);
@@ -259,6 +262,27 @@
 }
 END_TEST
 
+/* Whoever tells of it: the store by a change, or a whole listing that lacks the target. */
+START_TEST(change_of_a_target_is_written)
+{
+	put_target(0, "stock", "here");
+	put_target(1, "stock", "here");
+	read_log();
+	has(text, "name=TARGET_CHANGED target=i-1000 service=stock dc=here state=ready slots=3 ");
+	ht_catalog_remove_target(cat, "i-1000", ++revision, now, now + 500);
+	read_log();
+	has(line_of("TARGET_GONE"), "target=i-1000 service=stock dc=here revision=");
+	has(line_of("TARGET_GONE"), "hold_ms=500");
+	ht_catalog_begin_listing(cat, HT_CATALOG_NEIGHBOUR);
+	ht_catalog_end_listing(cat, HT_CATALOG_NEIGHBOUR, ++revision, now, now);
+	read_log();
+	has(line_of("TARGET_GONE"), "target=i-1001 service=stock dc=here revision=");
+	put_routes(2);
+	read_log();
+	has(line_of("ROUTES_IN_FORCE"), "version=2 revision=2 routes=3");
+}
+END_TEST
+
 START_TEST(malformed_packet_is_counted_and_written)
 {
 	ht_decisions_malformed(dec, 3);
@@ -312,6 +336,7 @@
 	tcase_add_test(tc, answer_without_effect_is_written_with_its_wait);
 	tcase_add_test(tc, deferral_is_written_with_its_figures);
 	tcase_add_test(tc, sample_is_the_same_at_all_instances);
+	tcase_add_test(tc, change_of_a_target_is_written);
 	tcase_add_test(tc, malformed_packet_is_counted_and_written);
 	tcase_add_test(tc, page_of_metrics_shows_what_was_counted);
 	return run_case("decisions", tc);
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -4,6 +4,7 @@
 #include "tests/suite.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/wait.h>
 
@@ -21,6 +22,8 @@
 static struct fake_store store;
 static struct instance inst[INSTANCES];
 static int target_fd, caller_fd;
+static const char *more_settings = ""; /* for the next launch */
+static int output = -1;		       /* of the next launch, else a file */
 
 static int bind_udp(const char *ip, int port)
 {
@@ -92,14 +95,16 @@
 		"{\"instance\":\"%s\",\"data_centre\":\"north\",\"packet_address\":\"%s:%d\","
 		"\"ready_address\":\"%s:%d\",\"peer_address\":\"%s:%d\",\"store_address\":\"%s\","
 		"\"metrics_address\":\"%s:%d\",\"seeds\":\"%s\",\"stop_grace_s\":4,"
-		"\"log_sample\":1}",
+		"\"log_sample\":1%s}",
 		in->dir + 5, in->ip, in->packet_port, in->ip, in->ready_port, in->ip, in->peer_port,
-		store_addr, in->ip, in->metrics_port, seeds);
+		store_addr, in->ip, in->metrics_port, seeds, more_settings);
 	fclose(f);
 	snprintf(path + strlen(path), sizeof(path) - strlen(path), ".log");
 	in->pid = fork();
 	if (in->pid == 0) {
-		dup2(open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600), STDOUT_FILENO);
+		dup2(output >= 0 ? output
+				 : open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600),
+		     STDOUT_FILENO);
 		snprintf(path + strlen(path) - 4, 5, "%s", "");
 		execl(program, program, "--settings", path, (char *)NULL);
 		_exit(127);
@@ -162,6 +167,22 @@
 		sizeof(pkt));
 }
 
+/* Resets come only when exact reads have confirmed the view. */
+static void await_reset(const struct instance *in)
+{
+	struct pollfd fd = {.fd = caller_fd, .events = POLLIN};
+	uint8_t buf[64];
+
+	for (int i = 0; i < WAIT_MS / 100; i++) {
+		send_packet(in, 128, (uint16_t)(6900 + i), 0, 9999);
+		if (poll(&fd, 1, 100) > 0)
+			break;
+	}
+	ck_assert_int_eq(recv(caller_fd, buf, sizeof(buf), 0), HT_PACKET_HEAD);
+	while (poll(&fd, 1, 100) > 0)
+		ck_assert_int_gt(recv(caller_fd, buf, sizeof(buf), 0), 0);
+}
+
 /* Receives one datagram at the target; returns its mark. */
 static uint32_t receive_at_target(uint64_t id)
 {
@@ -337,6 +358,36 @@
 }
 END_TEST
 
+/* Guards against an instance that waits for the reader of its log. */
+START_TEST(serves_on_when_nobody_reads_its_log)
+{
+	static char text[1 << 16];
+	uint8_t buf[64];
+	const char *lost;
+	int ends[2];
+
+	ck_assert_int_eq(pipe2(ends, O_CLOEXEC), 0);
+	output = ends[1];
+	more_settings = ",\"log_lines\":100000,\"log_event_lines\":100000,"
+			"\"log_bytes\":100000000,\"log_event_bytes\":100000000";
+	launch(&inst[0], store.addr, "");
+	output = -1;
+	more_settings = "";
+	await_readiness(&inst[0], 200);
+	await_reset(&inst[0]);
+	for (uint16_t i = 0; i < 1500; i++) {
+		send_packet(&inst[0], 128, (uint16_t)(7000 + i), 0, 9999);
+		ck_assert_int_eq(recv(caller_fd, buf, sizeof(buf), 0), HT_PACKET_HEAD);
+	}
+	ck_assert_int_eq(get(&inst[0], inst[0].metrics_port, "/metrics", text, sizeof(text)), 200);
+	lost = strstr(text, "hickorytrestle_log_lines_total{outcome=\"unwritten\"} ");
+	ck_assert_ptr_nonnull(lost);
+	ck_assert_int_gt(atoi(strchr(lost, ' ')), 0);
+	close(ends[0]);
+	close(ends[1]);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("entry");
@@ -347,5 +398,6 @@
 	tcase_add_test(tc, starts_from_a_neighbour_while_the_store_is_down);
 	tcase_add_test(tc, leaving_target_gets_no_new_flow_and_unknown_route_is_reset);
 	tcase_add_test(tc, logs_tell_of_flows_without_what_they_carry);
+	tcase_add_test(tc, serves_on_when_nobody_reads_its_log);
 	return run_case("entry", tc);
 }
