soak: random faults on the real programs; one stand-in of the store; announcements by a tree

- standins/metadata: the one stand-in of the users' store, shared by tests/entry (was fake_store.h) and the scripts (was a class of its own in entry_world.py).
- core/fanout: whoever has read the store tells eight instances, which tell the others.
Cause: the reader sent each announcement to all instances of its data centre and served the routes to all of them (72 connections, 206 kB/s at 301 instances); an instance that had not been heard for 30 s itself was not told, though others named it.

--- /dev/null
+++ b/core/fanout.c
@@ -0,0 +1,27 @@
+#include "core/fanout.h"
+
+#include "base/hash.h"
+
+void ht_fanout_shuffle(struct ht_endpoint *to, size_t count, uint64_t seed)
+{
+	for (size_t i = count; i > 1; i--) {
+		size_t k = ht_hash_pair(seed, i) % i;
+		struct ht_endpoint swap = to[i - 1];
+
+		to[i - 1] = to[k];
+		to[k] = swap;
+	}
+}
+
+size_t ht_fanout_split(const struct ht_endpoint *to, size_t count,
+		       struct ht_fanout_group out[HT_FANOUT])
+{
+	size_t groups = count < HT_FANOUT ? count : HT_FANOUT;
+
+	for (size_t i = 0; i < groups; i++) {
+		size_t first = count * i / groups, end = count * (i + 1) / groups;
+
+		out[i] = (struct ht_fanout_group){.to = to + first, .count = end - first};
+	}
+	return groups;
+}
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -13,7 +13,7 @@
 /* A neighbour counts as live for this long after its last greeting: a few missed rounds. */
 #define LIVE_MS 5000
 
-/* An instance that was heard within this time is told of new reads. */
+/* An instance that was heard, or named by another one, within this time is told of new reads. */
 #define TOLD_MS 30000
 
 struct ht_neighbours {
@@ -105,6 +105,7 @@
 	n->at = at;
 	n->added_at = now;
 	n->heard_at = HT_NEVER;
+	n->named_at = HT_NEVER;
 	n->greeted_at = HT_NEVER;
 	n->asked_at = HT_NEVER;
 	ht_list_add_tail(&nb->list, &n->node);
@@ -140,7 +141,10 @@
 	if (strcmp(name, nb->name) == 0)
 		return;
 	n = find_or_add(nb, at, now);
-	if (n && n->heard_at == HT_NEVER)
+	if (!n)
+		return;
+	n->named_at = now;
+	if (n->heard_at == HT_NEVER)
 		set_identity(nb, n, name, dc);
 }
 
@@ -201,9 +205,14 @@
 	return count;
 }
 
+static bool within(ht_ms at, ht_ms limit, ht_ms now)
+{
+	return at != HT_NEVER && now - at < limit;
+}
+
 static bool live(const struct ht_neighbour *n, ht_ms now)
 {
-	return n->heard_at != HT_NEVER && now - n->heard_at < LIVE_MS;
+	return within(n->heard_at, LIVE_MS, now);
 }
 
 /* Appends up to the limit from those that are, or are not, in @dc, starting at the turn's place. */
@@ -292,7 +301,8 @@
 	ht_list_for_each (pos, &nb->list) {
 		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
 
-		if (n->local && n->heard_at != HT_NEVER && now - n->heard_at < TOLD_MS)
+		if (n->local &&
+		    (within(n->heard_at, TOLD_MS, now) || within(n->named_at, TOLD_MS, now)))
 			visit(ctx, n);
 	}
 }
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -30,6 +30,7 @@
 	bool local;
 	uint32_t size; /**< share of a core, in thousandths */
 	ht_ms added_at;
+	ht_ms named_at;		   /**< last named by another instance that had heard it */
 	ht_ms heard_at;		   /**< last greeting, or HT_NEVER */
 	ht_ms greeted_at;	   /**< last greeting sent, or HT_NEVER */
 	ht_ms asked_at;		   /**< last asked for a first view, or HT_NEVER */
@@ -79,7 +80,7 @@
 bool ht_neighbours_helpful(const struct ht_neighbours *nb, ht_ms now);
 /** Number of live instances of the own data centre, this one included. */
 size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now);
-/** Calls @visit for each neighbour of the own data centre that has been heard lately. */
+/** Calls @visit for each neighbour of the own data centre that it or another has told of lately. */
 void ht_neighbours_each_local(const struct ht_neighbours *nb, ht_ms now,
 			      void (*visit)(void *ctx, const struct ht_neighbour *n), void *ctx);
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -1,5 +1,7 @@
 #include "entry/link.h"
 
+#include "base/hash.h"
+#include "core/fanout.h"
 #include "entry/snapshot.h"
 #include "entry/transfer.h"
 #include "wire/frame.h"
@@ -24,9 +26,28 @@
 /* A greeting may have been on its way for this long before it is read. */
 #define TRANSIT_MS 50
 
+/* News that is passed on waits this long for the routes that it tells of. */
+#define PASS_ON_WAIT_MS 200
+
+/* Instances that one message is passed on to at most; a data centre has no more. */
+#define PASS_ON_MAX 1024
+
 /* Greetings handled in one turn of the loop. */
 #define BATCH_MAX 32
 
+struct receivers {
+	struct ht_endpoint to[PASS_ON_MAX];
+	size_t count;
+};
+
+/* News from a neighbour that others wait for. */
+struct pending_news {
+	struct receivers receivers;
+	uint64_t base;		  /* revision of the targets that they know */
+	uint64_t routes_revision; /* of the routes that the news tells of */
+	ev_timer timer;
+};
+
 struct ht_link {
 	struct ht_link_params params;
 	struct ht_neighbours *neighbours;
@@ -36,6 +57,8 @@
 	int fd;
 	ev_io io;
 	ev_timer report_timer;
+	uint64_t seed, announcements;
+	struct pending_news news;
 };
 
 static struct ht_endpoint endpoint_of(const struct ht_addr *addr)
@@ -85,7 +108,6 @@
 	const struct ht_entry_settings *set = link->params.settings;
 	struct ht_view_state view = view_of(link);
 
-	ht__entry_greeting__init(msg);
 	set_instance(self, set->instance, set->data_centre, link->self,
 		     (uint32_t)(set->core_share * SIZE_UNIT));
 	msg->self = self;
@@ -116,7 +138,7 @@
 	const struct ht_neighbour *known[HT_GREETING_KNOWN];
 	size_t n = ht_neighbours_known(link->neighbours, dc, known, ht_now());
 	Ht__EntryInstance self, others[HT_GREETING_KNOWN], *list[HT_GREETING_KNOWN];
-	Ht__EntryGreeting msg;
+	Ht__EntryGreeting msg = HT__ENTRY_GREETING__INIT;
 	uint8_t buf[GREETING_MAX];
 
 	describe(link, &msg, &self);
@@ -132,42 +154,73 @@
 		send_to(link, to, buf, ht__entry_greeting__pack(&msg, buf));
 }
 
-struct announcement {
-	struct ht_link *link;
-	uint8_t buf[GREETING_MAX];
-	size_t len;
-};
-
-static void announce_to(void *ctx, const struct ht_neighbour *n)
+static void send_copy(struct ht_link *link, Ht__EntryGreeting *msg,
+		      const struct ht_fanout_group *group)
 {
-	struct announcement *a = ctx;
-
-	send_to(a->link, n->at, a->buf, a->len);
+	uint64_t pass_on[PASS_ON_MAX];
+	uint8_t buf[GREETING_MAX];
+	Ht__EntrySnapshot *changes = msg->changes;
+
+	for (size_t i = 1; i < group->count; i++)
+		pass_on[i - 1] = (uint64_t)group->to[i].ip << 16 | group->to[i].port;
+	msg->n_pass_on = group->count - 1;
+	msg->pass_on = pass_on;
+	/* What does not fit is fetched. */
+	if (ht__entry_greeting__get_packed_size(msg) > sizeof(buf))
+		msg->changes = NULL;
+	if (ht__entry_greeting__get_packed_size(msg) <= sizeof(buf))
+		send_to(link, group->to[0], buf, ht__entry_greeting__pack(msg, buf));
+	msg->changes = changes;
 }
 
-void ht_link_announce(struct ht_link *link)
+/* Sends @msg, filled in but for what this instance says of itself, to all of @receivers. */
+static void announce(struct ht_link *link, Ht__EntryGreeting *msg,
+		     const struct receivers *receivers, uint64_t base)
 {
 	struct ht_view_state view = view_of(link);
-	struct announcement a = {.link = link};
+	struct ht_fanout_group groups[HT_FANOUT];
 	struct ht_snapshot *changes = NULL;
 	Ht__EntryInstance self;
-	Ht__EntryGreeting msg;
+	size_t n = ht_fanout_split(receivers->to, receivers->count, groups);
 
-	if (!view.usable)
-		return;
-	describe(link, &msg, &self);
+	describe(link, msg, &self);
 	/* Routes are fetched: a configuration is larger than a datagram. */
-	if (link->announced && view.targets_revision > link->announced)
-		changes = ht_snapshot_new(link->params.catalog, UINT64_MAX, link->announced,
+	if (base && view.targets_revision > base)
+		changes = ht_snapshot_new(link->params.catalog, UINT64_MAX, base,
 					  view.targets_revision, ht_now());
 	if (changes && ht_snapshot_message(changes)->base_revision)
-		msg.changes = ht_snapshot_message(changes);
-	if (ht__entry_greeting__get_packed_size(&msg) > sizeof(a.buf))
-		msg.changes = NULL;
-	a.len = ht__entry_greeting__pack(&msg, a.buf);
+		msg->changes = ht_snapshot_message(changes);
+	for (size_t i = 0; i < n; i++)
+		send_copy(link, msg, &groups[i]);
 	ht_snapshot_free(changes);
+}
+
+static void add_receiver(void *ctx, const struct ht_neighbour *n)
+{
+	struct receivers *r = ctx;
+
+	if (r->count < PASS_ON_MAX)
+		r->to[r->count++] = n->at;
+}
+
+static void local_receivers(struct ht_link *link, struct receivers *r)
+{
+	r->count = 0;
+	ht_neighbours_each_local(link->neighbours, ht_now(), add_receiver, r);
+	ht_fanout_shuffle(r->to, r->count, link->seed + link->announcements++);
+}
+
+void ht_link_announce(struct ht_link *link)
+{
+	struct ht_view_state view = view_of(link);
+	Ht__EntryGreeting msg = HT__ENTRY_GREETING__INIT;
+	struct receivers receivers;
+
+	if (!view.usable)
+		return;
+	local_receivers(link, &receivers);
+	announce(link, &msg, &receivers, link->announced);
 	link->announced = view.targets_revision;
-	ht_neighbours_each_local(link->neighbours, ht_now(), announce_to, &a);
 }
 
 static void on_report_timer(struct ev_loop *loop, ev_timer *timer, int revents)
@@ -175,13 +228,11 @@
 	struct ht_link *link = timer->data;
 	struct ht_reports *reports = link->params.reports;
 	Ht__EntryEvidence evidence[HT_REPORTS_MAX], *list[HT_REPORTS_MAX];
-	struct announcement a = {.link = link};
-	Ht__EntryInstance self;
-	Ht__EntryGreeting msg;
+	Ht__EntryGreeting msg = HT__ENTRY_GREETING__INIT;
+	struct receivers receivers;
 
 	(void)loop;
 	(void)revents;
-	describe(link, &msg, &self);
 	for (size_t i = 0; i < reports->count; i++) {
 		ht__entry_evidence__init(&evidence[i]);
 		evidence[i].mark = reports->list[i].mark;
@@ -192,8 +243,58 @@
 	msg.n_evidence = reports->count;
 	msg.evidence = list;
 	reports->count = 0;
-	a.len = ht__entry_greeting__pack(&msg, a.buf);
-	ht_neighbours_each_local(link->neighbours, ht_now(), announce_to, &a);
+	local_receivers(link, &receivers);
+	announce(link, &msg, &receivers, 0);
+}
+
+/* Passes the news on that waits for its routes, whether they have come or not. */
+static void pass_on_pending(struct ht_link *link)
+{
+	struct pending_news *news = &link->news;
+	Ht__EntryGreeting msg = HT__ENTRY_GREETING__INIT;
+
+	ev_timer_stop(link->params.loop, &news->timer);
+	if (news->receivers.count)
+		announce(link, &msg, &news->receivers, news->base);
+	news->receivers.count = 0;
+}
+
+static void on_news_timer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)revents;
+	pass_on_pending(timer->data);
+}
+
+/*
+ * Passes the news of @msg on in this instance's own name: who hears of newer routes fetches them
+ * here, and not all from the one instance that has read them.
+ */
+static void pass_on(struct ht_link *link, const Ht__EntryGreeting *msg)
+{
+	struct pending_news *news = &link->news;
+	uint64_t base = msg->changes ? msg->changes->base_revision : 0;
+	struct receivers *r = &news->receivers;
+
+	pass_on_pending(link);
+	for (size_t i = 0; i < msg->n_pass_on && i < PASS_ON_MAX; i++)
+		r->to[r->count++] = (struct ht_endpoint){
+			.ip = (uint32_t)(msg->pass_on[i] >> 16),
+			.port = (uint16_t)msg->pass_on[i],
+		};
+	if (msg->n_evidence || view_of(link).routes_revision >= msg->routes_revision) {
+		Ht__EntryGreeting copy = HT__ENTRY_GREETING__INIT;
+
+		copy.n_evidence = msg->n_evidence;
+		copy.evidence = msg->evidence;
+		announce(link, &copy, r, base);
+		r->count = 0;
+		return;
+	}
+	news->base = base;
+	news->routes_revision = msg->routes_revision;
+	ev_timer_set(&news->timer, PASS_ON_WAIT_MS / 1000.0, 0);
+	ev_timer_start(link->params.loop, &news->timer);
 }
 
 static void on_report(void *ctx)
@@ -281,6 +382,8 @@
 		ht_steering_hear(link->params.steering, &report, now);
 	}
 	follow_neighbours(link, now);
+	if (msg->n_pass_on)
+		pass_on(link, msg);
 	if (msg->answer_wanted)
 		send_greeting(link, at, self->dc, false);
 }
@@ -349,6 +452,8 @@
 			(unsigned long long)msg->routes_version,
 			(unsigned long long)msg->targets_revision,
 			(unsigned long long)msg->base_revision, changed);
+	if (view_of(link).routes_revision >= link->news.routes_revision)
+		pass_on_pending(link);
 	link->params.changed(link->params.ctx);
 }
 
@@ -433,6 +538,9 @@
 	link->fd = -1;
 	ev_timer_init(&link->report_timer, on_report_timer, 0, 0);
 	link->report_timer.data = link;
+	ev_timer_init(&link->news.timer, on_news_timer, 0, 0);
+	link->news.timer.data = link;
+	link->seed = ht_hash_str(set->instance);
 	link->self = endpoint_of(&set->peer_address);
 	ht_neighbours_params_default(&nb);
 	nb.name = set->instance;
@@ -472,6 +580,7 @@
 		return;
 	link->params.reports->pending = NULL;
 	ev_timer_stop(link->params.loop, &link->report_timer);
+	ev_timer_stop(link->params.loop, &link->news.timer);
 	ht_transfer_free(link->transfer);
 	if (link->fd >= 0) {
 		ev_io_stop(link->params.loop, &link->io);
--- a/mk/standins.mk
+++ b/mk/standins.mk
@@ -3,8 +3,24 @@
 	$(Q)$(CC) $(LDFLAGS) -o $@ $< $(call objs,$(STANDIN_COMMON)) $(LIB_A) $(CHECK_LIBS) $(PKG_LIBS)
 $(filter $(B)/tests/standins/%,$(TESTS)): $(patsubst %.c,$(B)/%,$(STANDIN_MAINS))
 
-.PHONY: test-scripts
+# Tests of the entry program share the stand-in of the store.
+$(B)/tests/entry/%: $(B)/tests/entry/%.o $(B)/standins/common/metadata.o $(LIB_A)
+	$(Q)$(CC) $(LDFLAGS) -o $@ $< $(B)/standins/common/metadata.o $(LIB_A) $(CHECK_LIBS) $(PKG_LIBS)
+
+# Scripts that play the built programs.
+PYTHON := HT_BUILD=$(B) PYTHONDONTWRITEBYTECODE=1 python3
+
+.PHONY: test-scripts soak
 test: test-scripts
-test-scripts:
+test-scripts: all
 	@python3 tests/scripts/test_evidence.py
 	@python3 tests/scripts/test_pages.py
+	@$(PYTHON) tests/scripts/test_operations.py
+	@$(PYTHON) scripts/soak.py --seconds $(SOAK_SHORT_S) $$(grep -o '^[0-9]*' tests/soak/seeds.txt)
+
+# make soak SEED="n ..." plays seeds at full length; logs of those that break a promise are kept.
+SOAK_SHORT_S := 6
+SEED ?= 1
+soak: all
+	@mkdir -p $(B)/soak
+	@$(PYTHON) scripts/soak.py --keep $(B)/soak $(SEED)
--- a/scripts/demo_entry.py
+++ b/scripts/demo_entry.py
@@ -44,7 +44,7 @@
     put_config(store, SERVICES, 3)
     targets = [Target(store, 0x1000 + i, service, "north", ports[0])
                for i, service in enumerate(["stock"] * 4 + ["patterns"] * 2)]
-    instances = [Instance(program, store, i, "north", ports, "127.0.0.20:1")
+    instances = [Instance(program, store.address, i, "north", ports)
                  for i in range(INSTANCES)]
     callers = Callers(instances, targets, ports[0], SERVICES)
     try:
--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -5,7 +5,6 @@
 directly.
 """
 
-import http.server
 import json
 import os
 import random
@@ -15,102 +14,81 @@
 import struct
 import subprocess
 import tempfile
-import threading
 import time
 import urllib.error
-import urllib.parse
 import urllib.request
 
 HEAD = struct.Struct(">BBIIIH4s4sHHI")
 SYN, ACK, FIN, RST = 128, 64, 8, 4
 SERVICE_IP = "198.18.0.1"
-CALLER_IP = "127.0.0.9"
+# Loopback addresses of one deployment; those that run at the same time need different ones.
+NET = "127.0.0"
 
 
 class Store:
-    """Objects by kind and name, with revisions and a history of changes."""
+    """The stand-in standins/metadata: objects by kind and name, and faults."""
 
     def __init__(self):
-        self.lock = threading.Condition()
-        self.revision = 10
-        self.kinds = {"config": {}, "servers": {}}
-        self.changes = []
-        self.down = False
-        store = self
-
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def log_message(self, *args):
-                pass
-
-            def do_GET(self):
-                body = b"" if store.down else json.dumps(store.answer(self.path)).encode()
-                self.send_response(503 if store.down else 200)
-                self.send_header("Content-Length", str(len(body)))
-                self.end_headers()
-                try:
-                    self.wfile.write(body)
-                except ConnectionError:
-                    pass  # the instance that watched has ended
-
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.server.daemon_threads = True
-        self.address = "127.0.0.1:%d" % self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        program = os.path.join(os.environ.get("HT_BUILD", "build"), "standins", "metadata")
+        self.process = subprocess.Popen([program], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        self.address = self.process.stdout.readline().decode().strip()
+
+    def call(self, method, path, value=None):
+        body = None if value is None else json.dumps(value).encode()
+        request = urllib.request.Request("http://" + self.address + path, body, method=method)
+        with urllib.request.urlopen(request, timeout=5) as rsp:
+            rsp.read()
 
     def put(self, kind, name, spec):
         """Replaces an object, or deletes it when spec is None."""
-        with self.lock:
-            self.revision += 1
-            obj = {"meta": {"name": name, "rev": self.revision}, "spec": spec}
-            self.changes.append((self.revision, kind, {"deleted": spec is None, "object": obj}))
-            self.kinds[kind].pop(name, None)
-            if spec is not None:
-                self.kinds[kind][name] = obj
-            self.lock.notify_all()
-
-    def answer(self, path):
-        url = urllib.parse.urlparse(path)
-        query = dict(urllib.parse.parse_qsl(url.query))
-        kind = url.path.rsplit("/", 1)[1]
-        with self.lock:
-            if "watch" not in query:
-                items = [self.kinds[kind][n] for n in sorted(self.kinds[kind])]
-                return {"items": items, "hasMore": False, "at": self.revision}
-            end = time.monotonic() + int(query["waitMs"]) / 1000
-            while True:
-                events = [c for r, k, c in self.changes if k == kind and r > int(query["watch"])]
-                left = end - time.monotonic()
-                if events or left <= 0:
-                    return {"events": events, "at": self.revision}
-                self.lock.wait(left)
+        self.call("DELETE" if spec is None else "PUT", f"/-/objects/{kind}/{name}", spec)
+
+    def set_fault(self, fault, on):
+        """down: every read gets status 503; stale: cheap listings are answered from the past;
+        compact: the history is dropped."""
+        self.call("PUT" if on else "DELETE", "/control/" + fault, True if on else None)
+
+    def set_page(self, size):
+        """Objects of one page of a listing."""
+        self.call("PUT", "/control/page", size)
 
     def stop(self):
-        self.server.shutdown()
-        self.server.server_close()
+        self.process.stdin.close()
+        self.process.wait()
+        self.process.stdout.close()
 
 
 class Target:
     """Answers each request with its service's name; knows its flows."""
 
-    def __init__(self, store, number, service, dc, packet_port):
+    def __init__(self, store, number, service, dc, packet_port, sock=None):
+        """@sock is that of an earlier target whose address it takes over."""
         self.name = "i-%08x" % number
         self.number, self.service, self.dc = number, service, dc
         self.packet_port, self.store = packet_port, store
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.bind(("127.0.0.1", 0))
+        self.sock = sock or socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        if not sock:
+            self.sock.bind(("127.0.0.1", 0))
+        self.born = 1700000000000
+        self.dies_with_request = self.dead = False
+        self.foreign = 0  # packets for another target
+        self.foreign_opened_at = []  # opening ones among them
         self.flows = {}
         self.opened_at = []
-        self.foreign = 0
-        self.dies_with_request = self.dead = False
+        self.report("ready")
+
+    def restart(self):
+        """Another lifetime under the same name: it knows nothing of before."""
+        self.born += 1000
+        self.dead = False
+        self.flows = {}
         self.report("ready")
 
     def report(self, state):
         self.store.put("servers", self.name, {
             "service": self.service, "address": "127.0.0.1:%d" % self.sock.getsockname()[1],
             "zone": self.dc, "configVersion": "v1", "concurrency": 3, "state": state,
-            "warmupLeftMs": 0, "sequence": 1, "born": 1700000000000})
+            "warmupLeftMs": 0, "sequence": 1, "born": self.born})
 
     def lapse(self):
         """Its entry lapses."""
@@ -123,6 +101,8 @@
         flags, _, seq, ack, _, sport, src, dst, dport, length, echo = HEAD.unpack_from(data, 8)
         if int.from_bytes(data[:8], "big") != self.number:
             self.foreign += 1
+            if flags & SYN:
+                self.foreign_opened_at.append(time.monotonic())
             return
         key = (src, sport, dst, dport)
 
@@ -164,21 +144,28 @@
 class Instance:
     """One process of the program under test."""
 
-    def __init__(self, program, store, index, dc, ports, seeds, log=subprocess.DEVNULL):
+    def __init__(self, program, store_address, index, dc, ports, log=subprocess.DEVNULL,
+                 net=NET, **settings):
         self.name = "entry-%d" % index
-        self.ip = "127.0.0.%d" % (20 + index)
+        self.ip = "%s.%d" % (net, 20 + index)
         self.packets, self.ready_port = (self.ip, ports[0]), ports[1]
         self.dir = tempfile.TemporaryDirectory()
         self.ready = False
-        path = os.path.join(self.dir.name, "settings.json")
-        with open(path, "w", encoding="utf-8") as f:
+        self.log = log
+        self.settings = os.path.join(self.dir.name, "settings.json")
+        self.command = [program, "--settings", self.settings]
+        with open(self.settings, "w", encoding="utf-8") as f:
             json.dump({"instance": self.name, "data_centre": dc,
                        "packet_address": "%s:%d" % self.packets,
                        "ready_address": "%s:%d" % (self.ip, ports[1]),
                        "peer_address": "%s:%d" % (self.ip, ports[2]),
-                       "store_address": store.address, "seeds": seeds}, f)
-        self.process = subprocess.Popen([program, "--settings", path], stdout=log,
-                                        stderr=subprocess.DEVNULL)
+                       "store_address": store_address, "seeds": "%s.20:1" % net, **settings}, f)
+        self.start()
+
+    def start(self):
+        self.ready = False
+        self.stop_asked = self.paused_at = None
+        self.process = subprocess.Popen(self.command, stdout=self.log, stderr=subprocess.DEVNULL)
 
     def poll(self):
         """What the routers see."""
@@ -191,6 +178,10 @@
 
     def signal(self, number):
         if self.process.poll() is None:
+            if number == signal.SIGTERM and self.stop_asked is None:
+                self.stop_asked = time.monotonic()
+            if number == signal.SIGSTOP:
+                self.paused_at = time.monotonic()
             self.process.send_signal(number)
 
     def stop(self):
@@ -212,12 +203,14 @@
 class Callers:
     """Callers and the routers before the instances, in one loop."""
 
-    def __init__(self, instances, targets, packet_port, services):
+    def __init__(self, instances, targets, packet_port, services, net=NET):
         self.instances, self.targets, self.services = instances, targets, services
+        self.ip = net + ".9"
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.sock.bind((CALLER_IP, packet_port))
+        self.sock.bind((self.ip, packet_port))
         self.flows = {}
         self.sent = self.answered = self.wrong = self.reset = self.lost = 0
+        self.refused = 0  # resets that came from an instance
         self.complaints = []  # what became of each flow that was not answered
 
     def route(self, flow):
@@ -226,7 +219,7 @@
         return ready[hash((flow.sport, flow.dport)) % len(ready)]
 
     def send(self, flow, flags, ack=0, payload=b""):
-        pkt = HEAD.pack(flags, 0, flow.seq, ack, 0, flow.sport, socket.inet_aton(CALLER_IP),
+        pkt = HEAD.pack(flags, 0, flow.seq, ack, 0, flow.sport, socket.inet_aton(self.ip),
                         socket.inet_aton(SERVICE_IP), flow.dport, len(payload), flow.echo)
         flow.sent_at = time.monotonic()
         self.sock.sendto(pkt + payload, self.route(flow).packets)
@@ -241,13 +234,14 @@
         self.send(flow, ACK, flow.ack, b"GET")
 
     def receive(self):
-        data = self.sock.recv(2000)
+        data, source = self.sock.recvfrom(2000)
         flags, _, seq, _, _, _, _, _, sport, length, echo = HEAD.unpack_from(data)
         flow = self.flows.get(sport)
         if not flow:
             return
         if flags & RST:
             self.reset += 1
+            self.refused += source[0] in {i.ip for i in self.instances}
             self.complain(flow, "reset")
             del self.flows[sport]
         elif flags & SYN and not flow.open:
@@ -262,7 +256,7 @@
             del self.flows[sport]
 
     def complain(self, flow, what):
-        self.complaints.append((f"{CALLER_IP}:{flow.sport}-{SERVICE_IP}:{flow.dport}", what))
+        self.complaints.append((f"{self.ip}:{flow.sport}-{SERVICE_IP}:{flow.dport}", what))
 
     def repeat(self):
         """Sends again what has had no effect; gives a flow up after two seconds."""
@@ -278,11 +272,10 @@
                 flow.copies += 1
                 self.send(flow, SYN, flow.copies)
 
-    def run(self, seconds, rate):
-        """Plays for a while; ends early only when a program fails."""
+    def run(self, seconds, rate, step=None):
+        """Plays for a while and calls @step now and then."""
         end = time.monotonic() + seconds
         next_flow = next_poll = time.monotonic()
-        socks = {t.sock: t for t in self.targets}
         while (now := time.monotonic()) < end:
             if rate and now >= next_flow:
                 next_flow += 1 / rate
@@ -292,6 +285,10 @@
                 for inst in self.instances:
                     inst.poll()
             self.repeat()
+            if step:
+                step(now)
+            # A target that takes over an address stands behind the earlier one in the list.
+            socks = {t.sock: t for t in self.targets}
             for sock in select.select([self.sock, *socks], [], [], 0.005)[0]:
                 if sock is self.sock:
                     self.receive()
--- a/scripts/failures.py
+++ b/scripts/failures.py
@@ -17,6 +17,8 @@
 SERVICES = {443: "stock", 80: "patterns"}
 INSTANCES = 2
 RATE = 40
+# Longer than the bound on a view's age and one watch that was under way together.
+OUTAGE_S = 6
 # Instances are ready well within this time; a busy machine may take longer.
 START_LIMIT_S = 10
 
@@ -34,8 +36,8 @@
                         for i, service in enumerate(["stock"] * 3 + ["patterns"] * 2)]
         self.logs = [open(os.path.join(folder, f"entry-{i}.log"), "wb")
                      for i in range(INSTANCES)]
-        self.instances = [Instance(program, self.store, i, "north", ports, "127.0.0.20:1",
-                                   self.logs[i]) for i in range(INSTANCES)]
+        self.instances = [Instance(program, self.store.address, i, "north", ports, self.logs[i])
+                          for i in range(INSTANCES)]
         self.callers = Callers(self.instances, self.targets, ports[0], SERVICES)
 
     def serve(self):
@@ -55,11 +57,21 @@
 
 
 def target_dies(f):
-    """A target dies with the request that it has received; its entry lapses later."""
-    f.targets[0].dies_with_request = True
-    f.callers.run(1, RATE)
+    """The target of the next request dies with it; its entry lapses later."""
+    stock = f.targets[:3]
+
+    def one_dies(_now):
+        if any(t.dead for t in stock):
+            for t in stock:
+                t.dies_with_request = False
+
+    for t in stock:
+        t.dies_with_request = True
+    f.callers.run(1, RATE, one_dies)
     f.callers.run(2.5, 0)
-    f.targets[0].lapse()
+    for t in stock:
+        if t.dead:
+            t.lapse()
     f.callers.run(1.5, 0)
     return "no answer"
 
@@ -75,10 +87,10 @@
 
 def store_outage(f):
     """The targets of a service die while the store gives no answers: their entries stay in view."""
-    f.store.down = True
+    f.store.set_fault("down", True)
     for target in f.targets[3:]:
         target.dead = True
-    f.callers.run(4, 0)
+    f.callers.run(OUTAGE_S, 0)
     f.callers.run(0.5, RATE)
     f.callers.run(2.5, 0)
     return "not opened"
--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,325 @@
+#!/usr/bin/env python3
+"""Random faults on the real programs, from outside; the promises are checked while they run.
+
+    scripts/soak.py [--seconds N] [--keep FOLDER] SEED...
+
+Each seed is one plan: instances are killed, paused, stopped and started by signals; the store is
+down, slow, silent, cut one way, compacted or answers from the past; targets crash, restart, leave,
+come, and take over addresses; the configuration changes. Faults come in series and overlap. After
+them the deployment is left alone and must serve everything. Exit status 1 when a promise is broken;
+the logs of that seed are then kept, and the seed belongs into tests/soak/seeds.txt with its cause.
+"""
+
+import argparse
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+from entry_world import Callers, Instance, Store, Target, free_port, put_config
+from store_proxy import StoreProxy
+
+SERVICES = {443: "stock", 80: "patterns"}
+INSTANCES = 4
+TARGETS = 5  # of each service
+PAGE = 4  # objects of one page of a listing
+RATE = 80
+START_LIMIT_S = 15
+# Faults after a fault's end: what it has caused may still be seen for this long. The longest part is
+# a doubt about a target, 8 s at most.
+AFTERMATH_S = 8
+# A leaving target gets no new flow after this time, from when the store has accepted it.
+DRAIN_BOUND_S = 3
+# A busy machine delays the stand-ins themselves.
+SLACK_S = 0.5
+# Time without faults at the end; in its last part every request must be answered.
+CALM_S = 11
+SERVED_S = 3
+STOP_GRACE_S = 6
+PAUSE_MAX_S = 3
+
+
+class Soak:
+    def __init__(self, seed, seconds, folder):
+        self.random = random.Random(seed)
+        self.seconds, self.folder = seconds, folder
+        self.problems = []
+        self.faults = []  # of the network, the store and instances: (start, end)
+        self.pending = []  # (time, function) that undo faults, sorted when run
+        self.number = 0x1000
+        self.version = 3
+        net = "127.%d.%d" % (1 + seed % 100, 1 + seed // 100 % 200)
+        program = os.path.join(os.environ.get("HT_BUILD", "build"), "hickorytrestle-entry")
+        ports = [free_port(), free_port(), free_port()]
+        self.port = ports[0]
+        self.store = Store()
+        self.store.set_page(PAGE)
+        put_config(self.store, SERVICES, self.version)
+        self.targets = []
+        for service in SERVICES.values():
+            for _ in range(TARGETS):
+                self.add_target(service)
+        self.proxies = [StoreProxy(self.store.address) for _ in range(INSTANCES)]
+        self.logs = [open(os.path.join(folder, f"entry-{i}.log"), "ab") for i in range(INSTANCES)]
+        self.instances = [Instance(program, self.proxies[i].address, i, "north", ports,
+                                   self.logs[i], net) for i in range(INSTANCES)]
+        self.callers = Callers(self.instances, self.targets, self.port, SERVICES, net)
+
+    # What happens.
+
+    def add_target(self, service, sock=None):
+        self.number += 1
+        target = Target(self.store, self.number, service, "north", self.port, sock)
+        target.comes_at = time.monotonic()
+        target.leaves_at = None
+        self.targets.append(target)
+        return target
+
+    def live(self, service):
+        return [t for t in self.targets
+                if t.service == service and not t.dead and not t.leaves_at]
+
+    def fault(self, seconds):
+        """Notes a fault of the network, the store or an instance that lasts from now on."""
+        now = time.monotonic()
+        self.faults.append((now, now + seconds))
+        return now + seconds
+
+    def later(self, at, function, *args):
+        self.pending.append((at, function, args))
+
+    def some_target(self):
+        """One whose service can spare it, or None."""
+        service = self.random.choice(list(SERVICES.values()))
+        live = self.live(service)
+        return self.random.choice(live) if len(live) > 2 else None
+
+    def crash(self):
+        target = self.some_target()
+        if target:
+            target.dead = True
+            now = time.monotonic()
+            if self.random.random() < 0.5:
+                self.later(now + self.random.uniform(0.3, 1.5), target.restart)
+            else:
+                self.later(now + 3.6, target.lapse)
+                self.later(now + 4, self.replace, target)
+
+    def replace(self, target):
+        """Another target of any service takes over its address."""
+        self.add_target(self.random.choice(list(SERVICES.values())), target.sock)
+
+    def leave(self):
+        target = self.some_target()
+        if target:
+            target.leaves_at = time.monotonic()
+            target.report("draining")
+            end = target.leaves_at + DRAIN_BOUND_S + 1 + self.random.random()
+            self.later(end, self.end, target)
+
+    def end(self, target):
+        target.dead = True
+        target.lapse()
+        if self.random.random() < 0.5:
+            self.later(time.monotonic() + 2, self.replace, target)
+
+    def come(self):
+        self.add_target(self.random.choice(list(SERVICES.values())))
+
+    def configure(self):
+        self.version += 1
+        put_config(self.store, SERVICES, self.version)
+
+    def signal_for(self, number, undo, low, high):
+        inst = self.random.choice(self.instances)
+        end = self.fault(self.random.uniform(low, high))
+        inst.signal(number)
+        self.later(end, undo, inst)
+
+    def kill(self):
+        self.signal_for(signal.SIGKILL, self.start_again, 0.3, 1.5)
+
+    def stop(self):
+        self.signal_for(signal.SIGTERM, self.start_again, STOP_GRACE_S, STOP_GRACE_S + 1)
+
+    def pause(self):
+        self.signal_for(signal.SIGSTOP, lambda inst: inst.signal(signal.SIGCONT),
+                        0.3, PAUSE_MAX_S)
+
+    def kill_all(self):
+        end = self.fault(0.5)
+        for inst in self.instances:
+            inst.signal(signal.SIGKILL)
+            self.later(end, self.start_again, inst)
+
+    def start_again(self, inst):
+        if inst.process.poll() is None:
+            self.check_stopping(inst)
+            return
+        inst.process.wait()
+        inst.start()
+
+    def proxy_fault(self):
+        mode = self.random.choice(("delay", "silent", "answers-lost", "refuse"))
+        some = self.random.sample(self.proxies, self.random.randint(1, INSTANCES))
+        end = self.fault(self.random.uniform(0.5, 5))
+        for proxy in some:
+            proxy.set_mode(mode)
+            self.later(end, proxy.set_mode, "pass")
+
+    def connections_reset(self):
+        self.fault(0.1)
+        for proxy in self.proxies:
+            proxy.reset_all()
+
+    def store_down(self):
+        end = self.fault(self.random.uniform(0.5, 5))
+        self.store.set_fault("down", True)
+        self.later(end, self.store.set_fault, "down", False)
+
+    def store_stale(self):
+        end = self.fault(self.random.uniform(0.5, 4))
+        self.store.set_fault("stale", True)
+        self.later(end, self.store.set_fault, "stale", False)
+
+    def store_compacts(self):
+        self.fault(0.1)
+        self.store.set_fault("compact", True)
+
+    KINDS = ((crash, 4), (leave, 4), (come, 2), (configure, 3), (kill, 3), (stop, 2), (pause, 2),
+             (kill_all, 1), (proxy_fault, 3), (connections_reset, 1), (store_down, 2),
+             (store_stale, 1), (store_compacts, 1))
+
+    # What is promised.
+
+    def disturbed(self, start, end):
+        return any(a < end and start < b + AFTERMATH_S for a, b in self.faults)
+
+    def check_bound(self, what, since, flows):
+        """A change holds in time where instances and store were undisturbed."""
+        late = [t for t in flows if t > since + DRAIN_BOUND_S + SLACK_S]
+        if late and not self.disturbed(since, late[0]):
+            self.problems.append(f"{what}: {len(late)} new flows, the first "
+                                 f"{late[0] - since:.1f} s later")
+
+    def check_stopping(self, inst):
+        """A stop that was asked for ends within its grace time, unless the process was paused."""
+        asked, paused = inst.stop_asked, inst.paused_at
+        if asked is None or (paused is not None and paused > asked - PAUSE_MAX_S):
+            return
+        if time.monotonic() - asked > STOP_GRACE_S:
+            self.problems.append(f"{inst.name} still runs after its grace time")
+
+    def check_logs(self):
+        for inst in self.instances:
+            version = 0
+            with open(os.path.join(self.folder, inst.name + ".log"), encoding="ascii") as f:
+                for line in f:
+                    got = dict(p.split("=", 1) for p in line.split() if "=" in p)
+                    if got["name"] == "ENTRY_STARTED":
+                        version = 0
+                    elif got["name"] == "ROUTES_IN_FORCE":
+                        if int(got["version"]) < version:
+                            self.problems.append(f"{inst.name} took version {version} back")
+                        version = int(got["version"])
+                    elif got["level"] == "error":
+                        self.problems.append(f"{inst.name} logged {got['name']}")
+            if version != self.version:
+                self.problems.append(f"{inst.name} has version {version}, not {self.version}")
+
+    def check_end(self):
+        if self.callers.wrong:
+            self.problems.append(f"{self.callers.wrong} answers of another service")
+        if self.callers.refused:
+            self.problems.append(f"{self.callers.refused} flows refused while targets were there")
+        for target in self.targets:
+            if target.leaves_at:
+                self.check_bound(f"{target.name} left", target.leaves_at, target.opened_at)
+            self.check_bound(f"{target.name} took over an address", target.comes_at,
+                             target.foreign_opened_at)
+        for inst in self.instances:
+            if not inst.ready:
+                self.problems.append(f"{inst.name} is not ready at the end")
+            elif inst.process.poll() is not None:
+                self.problems.append(f"{inst.name} has ended by itself")
+            self.check_stopping(inst)
+
+    # The run.
+
+    def step(self, now):
+        due = [p for p in self.pending if p[0] <= now]
+        self.pending = [p for p in self.pending if p[0] > now]
+        for _, function, args in sorted(due, key=lambda p: p[0]):
+            function(*args)
+        if now >= self.next_fault and now < self.last_fault:
+            kinds, weights = zip(*self.KINDS)
+            self.random.choices(kinds, weights)[0](self)
+            # Now and then the next one follows at once.
+            self.next_fault = now + self.random.choice((0, 0.2, 0.5, 1, 1.5))
+
+    def run(self):
+        for _ in range(START_LIMIT_S * 2):
+            self.callers.run(0.5, 0)
+            if all(i.ready for i in self.instances):
+                break
+        now = time.monotonic()
+        self.next_fault, self.last_fault = now + 1, now + self.seconds
+        self.callers.run(self.seconds + CALM_S - SERVED_S, RATE, self.step)
+        before = self.callers.lost + self.callers.reset
+        self.callers.run(SERVED_S, RATE, self.step)
+        started = self.callers.sent
+        self.callers.run(2.5, 0)
+        failed = self.callers.lost + self.callers.reset - before
+        if failed:
+            self.problems.append(f"{failed} requests failed at the end, without a fault")
+        if started != self.callers.sent or not self.callers.answered:
+            self.problems.append("no requests were played")
+        self.check_end()
+
+    def close(self):
+        for inst in self.instances:
+            inst.signal(signal.SIGCONT)
+            inst.stop()
+        for log in self.logs:
+            log.close()
+        for proxy in self.proxies:
+            proxy.stop()
+        self.store.stop()
+
+
+def play(seed, seconds, keep):
+    folder = tempfile.mkdtemp(prefix="ht-soak-")
+    soak = Soak(seed, seconds, folder)
+    try:
+        soak.run()
+    finally:
+        soak.close()
+    soak.check_logs()
+    c = soak.callers
+    print(f"soak: seed={seed} sent={c.sent} answered={c.answered} lost={c.lost} reset={c.reset} "
+          f"faults={len(soak.faults)} targets={len(soak.targets)} "
+          f"{'BROKEN' if soak.problems else 'kept'}", flush=True)
+    for problem in soak.problems:
+        print(f"soak: seed={seed}: {problem}")
+    if soak.problems and keep:
+        shutil.move(folder, os.path.join(keep, f"soak-{seed}"))
+    else:
+        shutil.rmtree(folder)
+    return not soak.problems
+
+
+def main():
+    parser = argparse.ArgumentParser(usage=__doc__)
+    parser.add_argument("--seconds", type=float, default=12, help="time with faults")
+    parser.add_argument("--keep", help="folder for the logs of seeds that break a promise")
+    parser.add_argument("seeds", type=int, nargs="+")
+    args = parser.parse_args()
+    kept = [play(seed, args.seconds, args.keep) for seed in args.seeds]
+    return 0 if all(kept) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -1,12 +1,17 @@
 /* Tests of the whole program on loopback: a store, targets and callers of our own. */
 #include "platform/packet.h"
-#include "tests/entry/fake_store.h"
+#include "standins/common/metadata.h"
 #include "tests/suite.h"
 
+#include <arpa/inet.h>
+#include <endian.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
+#include <stdio.h>
+#include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #define INSTANCES 2
 /* Loopback is fast, but the machine may be busy: waits end early when what they wait for is there.
@@ -19,7 +24,7 @@
 	int packet_port, ready_port, peer_port, metrics_port;
 };
 
-static struct fake_store store;
+static struct ht_si_metadata *store;
 static struct instance inst[INSTANCES];
 static int target_fd, caller_fd;
 static const char *more_settings = ""; /* for the next launch */
@@ -62,11 +67,11 @@
 	char address[32];
 
 	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
-	fake_store_put(&store, "servers", name,
-		       json_pack("{sssssssssisssisisI}", "service", "stock", "address", address,
-				 "zone", "north", "configVersion", "v1", "concurrency", 3, "state",
-				 state, "warmupLeftMs", 0, "sequence", 1, "born",
-				 (json_int_t)1700000000000));
+	ht_si_metadata_put(store, "servers", name,
+			   json_pack("{sssssssssisssisisI}", "service", "stock", "address", address,
+				     "zone", "north", "configVersion", "v1", "concurrency", 3,
+				     "state", state, "warmupLeftMs", 0, "sequence", 1, "born",
+				     (json_int_t)1700000000000));
 }
 
 static void put_config(int version)
@@ -75,8 +80,8 @@
 				  "/443/", "routeType", "safe", "timeoutMs", 2000, "aimMs", 200,
 				  "priority", 2, "service", "stock");
 
-	fake_store_put(&store, "config", "main",
-		       json_pack("{sis[o]}", "configVersion", version, "routes", route));
+	ht_si_metadata_put(store, "config", "main",
+			   json_pack("{sis[o]}", "configVersion", version, "routes", route));
 }
 
 /* Starts the program of the same build with the store at @store_addr. */
@@ -202,7 +207,8 @@
 	static const char *const ips[INSTANCES] = {"127.0.0.1", "127.0.0.2"};
 	int packet_port = free_port(SOCK_DGRAM), peer_port = free_port(SOCK_STREAM);
 
-	fake_store_start(&store);
+	store = ht_si_metadata_new(0);
+	ck_assert_ptr_nonnull(store);
 	target_fd = bind_udp("127.0.0.1", 0);
 	caller_fd = bind_udp("127.0.0.9", packet_port);
 	put_config(1);
@@ -236,7 +242,7 @@
 	}
 	close(target_fd);
 	close(caller_fd);
-	fake_store_stop(&store);
+	ht_si_metadata_free(store);
 }
 
 START_TEST(forwards_by_the_store_and_stops_in_order)
@@ -244,7 +250,7 @@
 	uint32_t mark;
 	int status;
 
-	launch(&inst[0], store.addr, "");
+	launch(&inst[0], ht_si_metadata_address(store), "");
 	await_readiness(&inst[0], 200);
 	send_packet(&inst[0], 128, 4001, 0, 443);
 	mark = receive_at_target(0x7f3a91c2);
@@ -268,15 +274,13 @@
 	char seed[160];
 	uint32_t mark;
 
-	launch(&inst[0], store.addr, "");
+	launch(&inst[0], ht_si_metadata_address(store), "");
 	await_readiness(&inst[0], 200);
 	send_packet(&inst[0], 128, 4002, 0, 443);
 	mark = receive_at_target(0x7f3a91c2);
-	pthread_mutex_lock(&store.lock);
-	store.down = 1;
-	pthread_mutex_unlock(&store.lock);
+	ht_si_metadata_set(store, HT_SI_DOWN, true);
 	snprintf(seed, sizeof(seed), "%s:1", inst[0].ip);
-	launch(&inst[1], store.addr, seed);
+	launch(&inst[1], ht_si_metadata_address(store), seed);
 	await_readiness(&inst[1], 200);
 	send_packet(&inst[1], 64, 4002, mark, 443);
 	ck_assert_uint_eq(receive_at_target(0x7f3a91c2), mark);
@@ -288,7 +292,7 @@
 	uint8_t buf[64];
 	int second;
 
-	launch(&inst[0], store.addr, "");
+	launch(&inst[0], ht_si_metadata_address(store), "");
 	await_readiness(&inst[0], 200);
 	second = bind_udp("127.0.0.1", 0);
 	put_target("i-11", port_of(second), "ready");
@@ -318,7 +322,7 @@
 	size_t n;
 	FILE *f;
 
-	launch(&inst[0], store.addr, "");
+	launch(&inst[0], ht_si_metadata_address(store), "");
 	await_readiness(&inst[0], 200);
 	send_packet(&inst[0], 128, 4003, 0, 443);
 	mark = receive_at_target(0x7f3a91c2);
@@ -370,7 +374,7 @@
 	output = ends[1];
 	more_settings = ",\"log_lines\":100000,\"log_event_lines\":100000,"
 			"\"log_bytes\":100000000,\"log_event_bytes\":100000000";
-	launch(&inst[0], store.addr, "");
+	launch(&inst[0], ht_si_metadata_address(store), "");
 	output = -1;
 	more_settings = "";
 	await_readiness(&inst[0], 200);
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -521,7 +521,7 @@
   (ProtobufCMessageInit) ht__entry_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[13] =
 {
   {
     "self",
@@ -667,6 +667,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pass_on",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ht__EntryGreeting, n_pass_on),
+    offsetof(Ht__EntryGreeting, pass_on),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_greeting__field_indices_by_name[] = {
   6,   /* field[6] = answer_wanted */
@@ -674,6 +686,7 @@
   11,   /* field[11] = clock */
   10,   /* field[10] = evidence */
   7,   /* field[7] = known */
+  12,   /* field[12] = pass_on */
   4,   /* field[4] = routes_age_ms */
   9,   /* field[9] = routes_read_to */
   2,   /* field[2] = routes_revision */
@@ -685,7 +698,7 @@
 static const ProtobufCIntRange ht__entry_greeting__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ht__entry_greeting__descriptor =
 {
@@ -695,7 +708,7 @@
   "Ht__EntryGreeting",
   "ht",
   sizeof(Ht__EntryGreeting),
-  12,
+  13,
   ht__entry_greeting__field_descriptors,
   ht__entry_greeting__field_indices_by_name,
   1,  ht__entry_greeting__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -106,10 +106,15 @@
    * of the sender's log lines, see base/hlc.h
    */
   uint64_t clock;
+  /*
+   * instances that get the news from the receiver: IP << 16 | port
+   */
+  size_t n_pass_on;
+  uint64_t *pass_on;
 };
 #define HT__ENTRY_GREETING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_greeting__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 /*
