--- a/mk/property.mk
+++ b/mk/property.mk
@@ -2,3 +2,7 @@
 PROP_OBJS = $(patsubst %.cc,$(B)/%.o,$(filter-out tests/property/prop_%,$(wildcard tests/property/*.cc)))
 $(PROPS): $(B)/%: $(B)/%.o $(PROP_OBJS) $(call objs,$(wildcard bench/sim*.c)) $(LIB_A)
 	$(Q)$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB_A) -lrapidcheck $(PKG_LIBS)
+
+# Tests of loads use the simulation of flows.
+$(B)/tests/core/test_load: $(B)/tests/core/test_load.o $(B)/bench/flowsim.o $(LIB_A)
+	$(Q)$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(LIB_A) $(CHECK_LIBS) $(PKG_LIBS)
