core: an opening packet costs the same before 20 and before 20,000 targets

Cause: each new flow added up the open flows and counted the doubted targets over the whole service. The sums are now kept when flows open and end and targets come and go; doubt is counted among the targets that are looked at anyway. A change of a target's data centre alone was taken for no change; it now counts as one.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -89,12 +89,11 @@
 	if (!t->listed)
 		return;
 	t->listed = false;
-	for (size_t i = 0; i < s->count; i++) {
-		if (s->targets[i] == t) {
-			s->targets[i] = s->targets[--s->count];
-			return;
-		}
-	}
+	s->targets[t->place] = s->targets[--s->count];
+	s->targets[t->place]->place = t->place;
+	s->open -= t->open;
+	if (t->dc->local)
+		s->local_slots -= t->slots;
 }
 
 static bool list_target(struct ht_target *t)
@@ -113,8 +112,12 @@
 		s->targets = targets;
 		s->capacity = capacity;
 	}
+	t->place = s->count;
 	s->targets[s->count++] = t;
 	t->listed = true;
+	s->open += t->open;
+	if (t->dc->local)
+		s->local_slots += t->slots;
 	return true;
 }
 
@@ -326,7 +329,8 @@
 {
 	return t->started == e->started && ht_endpoint_equal(t->at, e->at) && t->service &&
 	       strcmp(t->service->name, e->service) == 0 && t->slots == e->slots &&
-	       t->draining == e->draining && t->gone_at == HT_NEVER;
+	       strcmp(t->dc->name, e->dc) == 0 && t->draining == e->draining &&
+	       t->gone_at == HT_NEVER;
 }
 
 enum ht_catalog_change ht_catalog_put_target(struct ht_catalog *cat,
@@ -348,7 +352,8 @@
 	same = same_place(t, e);
 	if (t->started != e->started)
 		t->evidence = (struct ht_evidence){0};
-	if (t->service != service)
+	/* The sums of its service are kept by what it was listed with. */
+	if (!same)
 		unlist(t);
 	t->started = e->started;
 	t->at = e->at;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -71,8 +71,10 @@
 	char name[HT_CATALOG_NAME];
 	struct ht_target **targets; /**< that may get new flows, as far as the platform says */
 	size_t count, capacity;
-	double answer_ms; /**< smoothed time to an answer over all targets; 0: none seen */
-	uint32_t urgent;  /**< lowest priority number among its routes */
+	uint64_t open;	      /**< sum of their open flows */
+	uint64_t local_slots; /**< sum of the slots of those in the own data centre */
+	double answer_ms;     /**< smoothed time to an answer over all targets; 0: none seen */
+	uint32_t urgent;      /**< lowest priority number among its routes */
 	struct ht_histogram answer_time; /**< from a request to its first answer */
 };
 
@@ -99,7 +101,8 @@
 	struct ht_dc *dc;
 	uint32_t slots;
 	bool draining;
-	bool listed;	   /**< in service->targets */
+	bool listed;	   /**< in service->targets... */
+	size_t place;	   /**< ...at this index */
 	unsigned int seen; /**< bit of each source whose listing under way has held it */
 	ht_ms warm_at;	   /**< when its cold start ends */
 	ht_ms gone_at;	   /**< when the platform's entry was found missing, or HT_NEVER */
@@ -115,6 +118,14 @@
 	ht_ms answers_ms; /**< ...and the sum of their times */
 };
 
+/** Counts open flows of @target: @by is 1 or -1. */
+static inline void ht_target_count_open(struct ht_target *target, int by)
+{
+	target->open += (uint32_t)by;
+	if (target->listed)
+		target->service->open += (uint64_t)(int64_t)by;
+}
+
 struct ht_route {
 	struct ht_hnode hnode;
 	struct ht_endpoint at;
--- a/core/placing.c
+++ b/core/placing.c
@@ -63,22 +63,23 @@
 }
 
 /* Doubt leaves out at most the allowed share, so that an error of judgement cannot cost a service.
- */
-static bool doubt_counts(const struct ht_placing *pl, const struct ht_service *s, ht_ms now)
+ * The share is that of the targets looked at. */
+static bool doubt_counts(const struct ht_placing *pl, const struct ht_service *s, size_t start,
+			 size_t looked, ht_ms now)
 {
 	size_t n = 0;
 
-	for (size_t i = 0; i < s->count; i++)
-		n += doubted(s->targets[i], now);
-	return (double)n <= pl->params->doubted_share * (double)s->count;
+	for (size_t i = 0; i < looked; i++)
+		n += doubted(s->targets[(start + i) % s->count], now);
+	return (double)n <= pl->params->doubted_share * (double)looked;
 }
 
 struct ht_target *ht_placing_choose(struct ht_placing *pl, struct ht_service *s,
 				    struct ht_target *const *tried, size_t n, ht_ms now)
 {
-	bool skip_doubted = doubt_counts(pl, s, now);
 	size_t looked = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
 	size_t start = s->count ? next_random(pl) % s->count : 0;
+	bool skip_doubted = doubt_counts(pl, s, start, looked, now);
 	struct ht_target *best = NULL, *fallback = NULL;
 	double best_cost = 0, fallback_cost = 0;
 
--- a/core/steering.c
+++ b/core/steering.c
@@ -85,7 +85,7 @@
 static void uncount(struct flow *f)
 {
 	if (f->counted)
-		f->target->open--;
+		ht_target_count_open(f->target, -1);
 	f->counted = false;
 }
 
@@ -176,7 +176,7 @@
 	ht_list_del(&f->node);
 	ht_list_add_tail(&st->active, &f->node);
 	if (!f->counted)
-		f->target->open++;
+		ht_target_count_open(f->target, 1);
 	f->counted = true;
 }
 
@@ -308,17 +308,10 @@
 		     const struct ht_packet *pkt, struct ht_steering_decision *d)
 {
 	const struct ht_service *s = route->service;
-	double room = 0, open = 0;
+	double room = (double)s->local_slots * st->params.depth, open = (double)s->open;
 
 	if (pkt->acknowledged >= LAST_COPY)
 		return false;
-	for (size_t i = 0; i < s->count; i++) {
-		const struct ht_target *t = s->targets[i];
-
-		open += t->open;
-		if (t->dc->local)
-			room += t->slots * st->params.depth;
-	}
 	room /= (double)st->sharers;
 	if (route->priority > s->urgent)
 		room *= 1 - st->params.urgent_share;
--- a/tests/core/test_catalog.c
+++ b/tests/core/test_catalog.c
@@ -178,6 +178,66 @@
 }
 END_TEST
 
+static void check_sums(const struct ht_service *s)
+{
+	uint64_t open = 0, slots = 0;
+
+	for (size_t i = 0; i < s->count; i++) {
+		const struct ht_target *t = s->targets[i];
+
+		ck_assert_ptr_eq(t->service, s);
+		ck_assert_uint_eq(t->place, i);
+		open += t->open;
+		slots += t->dc->local ? t->slots : 0;
+	}
+	ck_assert_uint_eq(s->open, open);
+	ck_assert_uint_eq(s->local_slots, slots);
+}
+
+static void check_service(void *ctx, const struct ht_service *s)
+{
+	(void)ctx;
+	check_sums(s);
+}
+
+/* Guards against sums that drift when targets change while flows are open. */
+START_TEST(sums_of_a_service_follow_its_targets)
+{
+	static const char *const services[] = {"stock", "docs"}, *const dcs[] = {"here", "there"};
+	unsigned int random = 1;
+
+	for (int i = 0; i < 20000; i++) {
+		struct ht_target_entry e;
+		struct ht_target *t;
+
+		random = random * 1103515245U + 12345U;
+		e = entry_of((int)(random >> 16) % 12, services[random >> 20 & 1],
+			     dcs[random >> 21 & 1]);
+		e.slots = 1 + (random >> 22) % 4;
+		e.draining = (random >> 24) % 4 == 0;
+		t = ht_catalog_by_name(cat, e.name);
+		switch ((random >> 26) % 5) {
+		case 0:
+			ht_catalog_remove_target(cat, e.name, e.revision, now, now + 50);
+			break;
+		case 1:
+			if (t)
+				ht_target_count_open(t, 1);
+			break;
+		case 2:
+			if (t && t->open)
+				ht_target_count_open(t, -1);
+			break;
+		default:
+			ht_catalog_put_target(cat, &e, HT_CATALOG_STORE, now);
+		}
+		now += 10;
+		ht_catalog_expire(cat, now, 1000000000);
+		ht_catalog_each_service(cat, check_service, NULL);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("catalog");
@@ -193,5 +253,6 @@
 	tcase_add_test(tc, gone_target_is_purged_when_no_flow_can_be_left);
 	tcase_add_test(tc, restarted_target_starts_anew);
 	tcase_add_test(tc, marks_of_two_targets_never_meet);
+	tcase_add_test(tc, sums_of_a_service_follow_its_targets);
 	return run_case("catalog", tc);
 }
