core, entry: news survives an instance that cannot use it; unused fields of routes removed

- an instance without a view, or one that knows less than the news, passes it on as it came.
- 1,024 neighbours are kept; of other data centres a quarter of that when there are more.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -11,7 +11,6 @@
 	struct ht_hmap by_name, by_mark, routes;
 	uint64_t version, routes_revision;
 	uint64_t history;
-	ht_ms flow_idle;
 	size_t target_count;
 };
 
@@ -215,12 +214,9 @@
 		r->earlier = r->service;
 		r->service = service;
 	}
-	r->idempotent = e->idempotent;
 	if (e->priority < service->urgent)
 		service->urgent = e->priority;
 	r->priority = e->priority;
-	r->latency_goal = e->latency_goal;
-	r->timeout = e->timeout;
 	r->revision = revision;
 	return true;
 }
@@ -260,7 +256,6 @@
 		drop_routes_before(cat, table->revision);
 	cat->version = table->version;
 	cat->routes_revision = table->revision;
-	cat->flow_idle = table->flow_idle;
 	if (cat->observer.routes)
 		cat->observer.routes(cat->observer.ctx, table);
 	return ok ? HT_CATALOG_CHANGED : HT_CATALOG_FAILED;
@@ -276,11 +271,6 @@
 	return cat->routes_revision;
 }
 
-ht_ms ht_catalog_flow_idle(const struct ht_catalog *cat)
-{
-	return cat->flow_idle;
-}
-
 struct ht_target *ht_catalog_by_name(const struct ht_catalog *cat, const char *name)
 {
 	struct ht_hnode *pos;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -36,17 +36,13 @@
 struct ht_route_entry {
 	struct ht_endpoint at;
 	char service[HT_CATALOG_NAME];
-	bool idempotent;    /**< a request may run twice */
-	uint32_t priority;  /**< 0 is served first */
-	ht_ms latency_goal; /**< an answer within it has its full value */
-	ht_ms timeout;
+	uint32_t priority; /**< 0 is served first */
 };
 
 /** A whole configuration, decoded. */
 struct ht_route_table {
 	uint64_t version;  /**< the operator's version number */
 	uint64_t revision; /**< of the object */
-	ht_ms flow_idle;   /**< an idle flow may be dropped after it */
 	size_t count;
 	struct ht_route_entry *entries;
 };
@@ -131,10 +127,7 @@
 	struct ht_endpoint at;
 	struct ht_service *service;
 	struct ht_service *earlier; /**< the one before the last change in this lifetime, or NULL */
-	bool idempotent;
 	uint32_t priority;
-	ht_ms latency_goal;
-	ht_ms timeout;
 	uint64_t revision; /**< of the newest configuration that holds it */
 	struct ht_answers answers;
 };
@@ -175,7 +168,6 @@
 /** Version and object revision of the configuration in force, or 0. */
 uint64_t ht_catalog_version(const struct ht_catalog *cat);
 uint64_t ht_catalog_routes_revision(const struct ht_catalog *cat);
-ht_ms ht_catalog_flow_idle(const struct ht_catalog *cat);
 
 /** Adds a target or updates it. */
 enum ht_catalog_change ht_catalog_put_target(struct ht_catalog *cat,
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -10,6 +10,9 @@
  * centre has lost the store. */
 #define REMOTE_GREETINGS 1
 
+/* Part of the neighbours kept that may be of other data centres when there are too many. */
+#define REMOTE_PART 4
+
 /* A neighbour counts as live for this long after its last greeting: a few missed rounds. */
 #define LIVE_MS 5000
 
@@ -28,7 +31,7 @@
 void ht_neighbours_params_default(struct ht_neighbours_params *params)
 {
 	*params = (struct ht_neighbours_params){
-		.max = 256,
+		.max = 1024,
 		.forget = 120000,
 		.settle = 1500,
 		.start_wait = 150,
@@ -85,6 +88,26 @@
 	return NULL;
 }
 
+/* Of other data centres a part is enough; else the one heard longest ago makes room. */
+static struct ht_neighbour *least_needed(const struct ht_neighbours *nb)
+{
+	struct ht_neighbour *remote = NULL;
+	struct ht_list *pos;
+	size_t count = 0;
+
+	ht_list_for_each (pos, &nb->list) {
+		struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (n->local)
+			continue;
+		remote = n;
+		count++;
+	}
+	if (count >= nb->params.max / REMOTE_PART)
+		return remote;
+	return ht_container_of(nb->list.prev, struct ht_neighbour, node);
+}
+
 static struct ht_neighbour *find_or_add(struct ht_neighbours *nb, struct ht_endpoint at, ht_ms now)
 {
 	struct ht_neighbour *n = find(nb, at);
@@ -92,8 +115,7 @@
 	if (n)
 		return n;
 	if (nb->count >= nb->params.max) {
-		/* The one heard longest ago makes room. */
-		n = ht_container_of(nb->list.prev, struct ht_neighbour, node);
+		n = least_needed(nb);
 		ht_list_del(&n->node);
 		nb->count--;
 		*n = (struct ht_neighbour){0};
--- a/entry/link.c
+++ b/entry/link.c
@@ -266,6 +266,18 @@
 	pass_on_pending(timer->data);
 }
 
+/* Passes @msg on as it came, for one that knows less than it tells. */
+static void pass_on_unchanged(struct ht_link *link, const Ht__EntryGreeting *msg,
+			      const struct receivers *receivers)
+{
+	struct ht_fanout_group groups[HT_FANOUT];
+	size_t n = ht_fanout_split(receivers->to, receivers->count, groups);
+	Ht__EntryGreeting copy = *msg;
+
+	for (size_t i = 0; i < n; i++)
+		send_copy(link, &copy, &groups[i]);
+}
+
 /*
  * Passes the news of @msg on in this instance's own name: who hears of newer routes fetches them
  * here, and not all from the one instance that has read them.
@@ -274,6 +286,7 @@
 {
 	struct pending_news *news = &link->news;
 	uint64_t base = msg->changes ? msg->changes->base_revision : 0;
+	struct ht_view_state view = view_of(link);
 	struct receivers *r = &news->receivers;
 
 	pass_on_pending(link);
@@ -282,7 +295,12 @@
 			.ip = (uint32_t)(msg->pass_on[i] >> 16),
 			.port = (uint16_t)msg->pass_on[i],
 		};
-	if (msg->n_evidence || view_of(link).routes_revision >= msg->routes_revision) {
+	if (!view.usable || view.targets_revision < msg->targets_revision) {
+		pass_on_unchanged(link, msg, r);
+		r->count = 0;
+		return;
+	}
+	if (msg->n_evidence || view.routes_revision >= msg->routes_revision) {
 		Ht__EntryGreeting copy = HT__ENTRY_GREETING__INIT;
 
 		copy.n_evidence = msg->n_evidence;
--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -21,10 +21,7 @@
 	m->ip = r->at.ip;
 	m->port = r->at.port;
 	m->service = r->service->name;
-	m->idempotent = r->idempotent;
 	m->priority = r->priority;
-	m->latency_goal_ms = (uint32_t)r->latency_goal;
-	m->timeout_ms = (uint32_t)r->timeout;
 	snap->route_list[snap->msg.n_routes++] = m;
 }
 
@@ -98,7 +95,6 @@
 	ht_catalog_each_target(cat, add_target, snap);
 	snap->msg.routes_version = ht_catalog_version(cat);
 	snap->msg.routes_revision = ht_catalog_routes_revision(cat);
-	snap->msg.flow_idle_ms = (uint32_t)ht_catalog_flow_idle(cat);
 	snap->msg.has_routes = with_routes;
 	snap->msg.routes = snap->route_list;
 	snap->msg.base_revision = snap->base;
@@ -136,7 +132,6 @@
 	struct ht_route_table table = {
 		.version = snap->routes_version,
 		.revision = snap->routes_revision,
-		.flow_idle = snap->flow_idle_ms,
 		.entries = calloc(snap->n_routes + 1, sizeof(*table.entries)),
 	};
 	bool changed;
@@ -149,10 +144,7 @@
 
 		e->at = (struct ht_endpoint){.ip = m->ip, .port = (uint16_t)m->port};
 		snprintf(e->service, sizeof(e->service), "%s", m->service);
-		e->idempotent = m->idempotent;
 		e->priority = m->priority;
-		e->latency_goal = m->latency_goal_ms;
-		e->timeout = m->timeout_ms;
 	}
 	changed = ht_catalog_set_routes(cat, &table) == HT_CATALOG_CHANGED;
 	free(table.entries);
--- a/tests/core/test_neighbours.c
+++ b/tests/core/test_neighbours.c
@@ -39,6 +39,12 @@
 	ht_neighbours_heard(nb, name, dc, at(i), size, &view, now);
 }
 
+static void count_one(void *ctx, const struct ht_neighbour *n)
+{
+	(void)n;
+	++*(size_t *)ctx;
+}
+
 START_TEST(larger_live_neighbour_reads_first)
 {
 	ck_assert(!ht_neighbours_covered(nb, now));
@@ -241,6 +247,24 @@
 }
 END_TEST
 
+/* Pattern: thousands of instances; those of the own data centre must all be told. */
+START_TEST(those_of_other_data_centres_make_room)
+{
+	size_t local = 0;
+
+	ht_neighbours_free(nb);
+	params.max = 40;
+	nb = ht_neighbours_new(&params, now);
+	for (unsigned int i = 0; i < 30; i++)
+		hear(i, "here", 100, 9);
+	for (unsigned int i = 100; i < 200; i++)
+		hear(i, "there", 100, 9);
+	ck_assert_uint_eq(ht_neighbours_count(nb), 40);
+	ht_neighbours_each_local(nb, now, count_one, &local);
+	ck_assert_uint_eq(local, 30);
+}
+END_TEST
+
 START_TEST(list_is_bounded_and_forgets)
 {
 	for (unsigned int i = 0; i < 2 * (unsigned int)params.max; i++)
@@ -266,6 +290,7 @@
 	tcase_add_test(tc, store_gets_its_time_at_the_start);
 	tcase_add_test(tc, greetings_go_round_mostly_near);
 	tcase_add_test(tc, names_neighbours_of_the_receivers_data_centre_first);
+	tcase_add_test(tc, those_of_other_data_centres_make_room);
 	tcase_add_test(tc, list_is_bounded_and_forgets);
 	return run_case("neighbours", tc);
 }
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -766,7 +766,7 @@
   (ProtobufCMessageInit) ht__entry_snapshot_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[4] =
 {
   {
     "ip",
@@ -804,18 +804,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "idempotent",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Ht__EntryRoute, idempotent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "priority",
     5,
@@ -828,44 +816,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "latency_goal_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ht__EntryRoute, latency_goal_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "timeout_ms",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ht__EntryRoute, timeout_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ht__entry_route__field_indices_by_name[] = {
-  3,   /* field[3] = idempotent */
   0,   /* field[0] = ip */
-  5,   /* field[5] = latency_goal_ms */
   1,   /* field[1] = port */
-  4,   /* field[4] = priority */
+  3,   /* field[3] = priority */
   2,   /* field[2] = service */
-  6,   /* field[6] = timeout_ms */
 };
-static const ProtobufCIntRange ht__entry_route__number_ranges[1 + 1] =
+static const ProtobufCIntRange ht__entry_route__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 5, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ht__entry_route__descriptor =
 {
@@ -875,10 +837,10 @@
   "Ht__EntryRoute",
   "ht",
   sizeof(Ht__EntryRoute),
-  7,
+  4,
   ht__entry_route__field_descriptors,
   ht__entry_route__field_indices_by_name,
-  1,  ht__entry_route__number_ranges,
+  2,  ht__entry_route__number_ranges,
   (ProtobufCMessageInit) ht__entry_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1101,7 +1063,7 @@
   (ProtobufCMessageInit) ht__entry_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[9] =
 {
   {
     "routes_version",
@@ -1127,18 +1089,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "flow_idle_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Ht__EntrySnapshot, flow_idle_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "has_routes",
     4,
@@ -1225,21 +1175,21 @@
   },
 };
 static const unsigned ht__entry_snapshot__field_indices_by_name[] = {
-  5,   /* field[5] = base_revision */
-  9,   /* field[9] = clock */
-  2,   /* field[2] = flow_idle_ms */
-  8,   /* field[8] = gone */
-  3,   /* field[3] = has_routes */
-  4,   /* field[4] = routes */
+  4,   /* field[4] = base_revision */
+  8,   /* field[8] = clock */
+  7,   /* field[7] = gone */
+  2,   /* field[2] = has_routes */
+  3,   /* field[3] = routes */
   1,   /* field[1] = routes_revision */
   0,   /* field[0] = routes_version */
-  7,   /* field[7] = targets */
-  6,   /* field[6] = targets_revision */
+  6,   /* field[6] = targets */
+  5,   /* field[5] = targets_revision */
 };
-static const ProtobufCIntRange ht__entry_snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange ht__entry_snapshot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 4, 2 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ht__entry_snapshot__descriptor =
 {
@@ -1249,10 +1199,10 @@
   "Ht__EntrySnapshot",
   "ht",
   sizeof(Ht__EntrySnapshot),
-  10,
+  9,
   ht__entry_snapshot__field_descriptors,
   ht__entry_snapshot__field_indices_by_name,
-  1,  ht__entry_snapshot__number_ranges,
+  2,  ht__entry_snapshot__number_ranges,
   (ProtobufCMessageInit) ht__entry_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -137,14 +137,11 @@
   uint32_t ip;
   uint32_t port;
   char *service;
-  protobuf_c_boolean idempotent;
   uint32_t priority;
-  uint32_t latency_goal_ms;
-  uint32_t timeout_ms;
 };
 #define HT__ENTRY_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_route__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ht__EntryTarget
@@ -183,7 +180,6 @@
   ProtobufCMessage base;
   uint64_t routes_version;
   uint64_t routes_revision;
-  uint32_t flow_idle_ms;
   /*
    * else the routes are those of routes_revision or older
    */
@@ -206,7 +202,7 @@
 };
 #define HT__ENTRY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_snapshot__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Ht__EntryInstance methods */
