--- a/bench/flowsim.c
+++ b/bench/flowsim.c
@@ -74,6 +74,7 @@
 	struct target *targets;
 	struct instance *instances;
 	struct ht_list flows;
+	struct ht_list spare; /* flows that have ended, to be used again */
 	uint32_t next_flow;
 	double backlog; /* part of a request that is yet to be asked */
 	struct flowsim_sums sums;
@@ -154,7 +155,7 @@
 	in->steering = ht_steering_new(&params);
 	ht_steering_set_complete(in->steering, true);
 	ht_steering_set_sharers(in->steering, sim->params.instances);
-	in->left_out_at = calloc(sim->params.targets, sizeof(*in->left_out_at));
+	in->left_out_at = calloc(sim->params.targets + 1, sizeof(*in->left_out_at));
 }
 
 struct flowsim *flowsim_new(const struct flowsim_params *params)
@@ -166,6 +167,7 @@
 	sim->now = 100000;
 	sim->random = params->seed;
 	ht_list_init(&sim->flows);
+	ht_list_init(&sim->spare);
 	sim->targets = calloc(params->targets, sizeof(*sim->targets));
 	step = params->targets > 1 ? 1.0 / (double)(params->targets - 1) : 0;
 	for (size_t i = 0; i < params->targets; i++)
@@ -180,11 +182,42 @@
 	return sim;
 }
 
-void flowsim_free(struct flowsim *sim)
+static void retire(struct flowsim *sim, struct flow *f)
+{
+	ht_list_del(&f->node);
+	ht_list_add_tail(&sim->spare, &f->node);
+}
+
+static void drop_all(struct flowsim *sim)
 {
 	struct ht_list *pos, *tmp;
 
 	ht_list_for_each_safe (pos, tmp, &sim->flows)
+		retire(sim, ht_container_of(pos, struct flow, node));
+}
+
+/* A flow without state, in the list of flows. */
+static struct flow *new_flow(struct flowsim *sim)
+{
+	struct flow *f;
+
+	if (ht_list_empty(&sim->spare)) {
+		f = calloc(1, sizeof(*f));
+	} else {
+		f = ht_container_of(sim->spare.next, struct flow, node);
+		ht_list_del(&f->node);
+		*f = (struct flow){0};
+	}
+	ht_list_add_tail(&sim->flows, &f->node);
+	return f;
+}
+
+void flowsim_free(struct flowsim *sim)
+{
+	struct ht_list *pos, *tmp;
+
+	drop_all(sim);
+	ht_list_for_each_safe (pos, tmp, &sim->spare)
 		free(ht_container_of(pos, struct flow, node));
 	for (size_t i = 0; i < sim->params.instances; i++) {
 		ht_steering_free(sim->instances[i].steering);
@@ -410,13 +443,12 @@
 	}
 	sim->backlog += rate * sim->params.load;
 	while (sim->backlog >= 1) {
-		struct flow *f = calloc(1, sizeof(*f));
+		struct flow *f = new_flow(sim);
 
 		sim->backlog--;
 		sim->sums.asked++;
 		f->asked_at = sim->now;
 		f->work = sim->params.work_ms * (1 + sim->params.spread * (2 * chance(sim) - 1));
-		ht_list_add_tail(&sim->flows, &f->node);
 		try_again(sim, f);
 	}
 }
@@ -468,22 +500,30 @@
 	}
 }
 
-static void tick(struct flowsim *sim)
+static void drop_finished(struct flowsim *sim)
 {
 	struct ht_list *pos, *tmp;
 
-	ask(sim);
 	ht_list_for_each_safe (pos, tmp, &sim->flows) {
 		struct flow *f = ht_container_of(pos, struct flow, node);
 
+		if (f->state == FINISHED)
+			retire(sim, f);
+	}
+}
+
+static void tick(struct flowsim *sim)
+{
+	struct ht_list *pos;
+
+	ask(sim);
+	ht_list_for_each (pos, &sim->flows) {
+		struct flow *f = ht_container_of(pos, struct flow, node);
+
 		if (sim->now >= f->due)
 			step_flow(sim, f);
 		if (f->state != FINISHED)
 			watch_flow(sim, f);
-		if (f->state == FINISHED) {
-			ht_list_del(&f->node);
-			free(f);
-		}
 	}
 	serve_queues(sim);
 	if (sim->now % PROBE_MS == 0)
@@ -502,6 +542,7 @@
 		}
 		observe(sim, in);
 	}
+	drop_finished(sim);
 	sim->now++;
 }
 
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -84,12 +84,14 @@
 static void unlist(struct ht_target *t)
 {
 	struct ht_service *s = t->service;
+	struct ht_target *last;
 
 	if (!t->listed)
 		return;
 	t->listed = false;
-	s->targets[t->place] = s->targets[--s->count];
-	s->targets[t->place]->place = t->place;
+	last = s->targets[--s->count];
+	last->place = t->place;
+	s->targets[last->place] = last;
 	s->open -= t->open;
 	if (t->dc->local)
 		s->local_slots -= t->slots;
@@ -354,9 +356,7 @@
 	t->revision = e->revision;
 	t->warm_at = now + e->warmup;
 	t->gone_at = HT_NEVER;
-	if (t->draining)
-		unlist(t);
-	else if (!list_target(t))
+	if (!t->draining && !list_target(t))
 		return HT_CATALOG_FAILED;
 	if (same)
 		return HT_CATALOG_SAME;
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -1,3 +1,4 @@
+#include "base/listen.h"
 #include "daemon/peers_internal.h"
 
 #include <errno.h>
@@ -22,6 +23,9 @@
 
 #define STRANGER_LOG_MS 1000
 
+/* A restart of a data centre connects all its instances at once. */
+#define LISTEN_BACKLOG 1024
+
 /* Accepted sockets that have not proved the key yet. */
 #define UNPROVEN_MAX 512
 
@@ -371,21 +375,10 @@
 static int listen_at(const char *text, struct ht_err *err)
 {
 	struct ht_addr addr;
-	int on = 1;
-	int fd;
 
 	if (!ht_addr_parse(&addr, text, err))
 		return -1;
-	fd = socket(addr.ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd >= 0)
-		(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (fd >= 0 && bind(fd, (const struct sockaddr *)&addr.ss, addr.len) == 0 &&
-	    listen(fd, 1024) == 0)
-		return fd;
-	ht_err_set(err, HT_EIO, "peer address %s: %s", text, strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return -1;
+	return ht_listen(&addr, LISTEN_BACKLOG, "peers", err);
 }
 
 struct ht_peers *ht_peers_new(const struct ht_peers_params *params, struct ht_err *err)
--- a/entry/link.c
+++ b/entry/link.c
@@ -171,6 +171,8 @@
 	if (ht__entry_greeting__get_packed_size(msg) <= sizeof(buf))
 		send_to(link, group->to[0], buf, ht__entry_greeting__pack(msg, buf));
 	msg->changes = changes;
+	msg->n_pass_on = 0;
+	msg->pass_on = NULL;
 }
 
 /* Sends @msg, filled in but for what this instance says of itself, to all of @receivers. */
@@ -192,6 +194,8 @@
 		msg->changes = ht_snapshot_message(changes);
 	for (size_t i = 0; i < n; i++)
 		send_copy(link, msg, &groups[i]);
+	msg->changes = NULL;
+	msg->self = NULL;
 	ht_snapshot_free(changes);
 }
 
--- a/entry/transfer.c
+++ b/entry/transfer.c
@@ -1,6 +1,7 @@
 #include "entry/transfer.h"
 
 #include "base/list.h"
+#include "base/listen.h"
 #include "wire/frame.h"
 
 #include <errno.h>
@@ -264,10 +265,7 @@
 
 struct ht_transfer *ht_transfer_new(const struct ht_transfer_params *params, struct ht_err *err)
 {
-	static const int on = 1;
-	const struct ht_addr *addr = params->address;
 	struct ht_transfer *tr = calloc(1, sizeof(*tr));
-	char text[HT_ADDR_TEXT];
 
 	if (!tr) {
 		ht_err_set(err, HT_ENOMEM, "out of memory");
@@ -275,15 +273,8 @@
 	}
 	tr->params = *params;
 	ht_list_init(&tr->exchanges);
-	tr->fd = socket(addr->ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (tr->fd >= 0)
-		setsockopt(tr->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (tr->fd < 0 || bind(tr->fd, (const struct sockaddr *)&addr->ss, addr->len) != 0 ||
-	    listen(tr->fd, SERVED_MAX) != 0) {
-		ht_err_set(err, HT_EIO, "snapshots at %s: %s", ht_addr_format(addr, text),
-			   strerror(errno));
-		if (tr->fd >= 0)
-			close(tr->fd);
+	tr->fd = ht_listen(params->address, SERVED_MAX, "snapshots", err);
+	if (tr->fd < 0) {
 		free(tr);
 		return NULL;
 	}
--- a/mk/entry.mk
+++ b/mk/entry.mk
@@ -3,7 +3,7 @@
 ENTRY_CORE := answers catalog evidence fanout leaving neighbours placing reading reports steering
 ENTRY_PLATFORM := http http_server packet readiness store store_decode
 ENTRY_WIRE := buffer frame entry.pb-c
-ENTRY_BASE := addr clock err event exposition file hash histogram hmap logger options
+ENTRY_BASE := addr clock err event exposition file hash histogram hmap listen logger options
 ENTRY_SRC = $(wildcard entry/*.c) $(ENTRY_CORE:%=core/%.c) $(ENTRY_PLATFORM:%=platform/%.c) \
 	$(ENTRY_WIRE:%=wire/%.c) $(ENTRY_BASE:%=base/%.c)
 # All but the C library are linked in: each shared library costs start-up time on a small share of a
