entry: a closed standard stream is replaced before any socket is opened

Cause: with standard output closed its number went to the loop's descriptor, and log lines were written there. test_entry looks at /proc (failed before). Scripts: complaints from before a failure are not taken for it, readiness at the end of a soak is asked for more than once.

--- a/entry/main.c
+++ b/entry/main.c
@@ -3,10 +3,12 @@
 #include "entry/settings.h"
 
 #include <ev.h>
+#include <fcntl.h>
 #include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #define VERSION "0.1"
 #define EXIT_SETTINGS 2
@@ -47,13 +49,27 @@
 	return EXIT_SUCCESS;
 }
 
+/* A socket must not get the number of a standard stream that the caller left closed. */
+static void open_standard_streams(void)
+{
+	int fd;
+
+	do
+		fd = open("/dev/null", O_RDWR);
+	while (fd >= 0 && fd <= STDERR_FILENO);
+	if (fd > STDERR_FILENO)
+		close(fd);
+}
+
 static int run(const char *path)
 {
-	struct ev_loop *loop = ev_default_loop(0);
+	struct ev_loop *loop;
 	struct ht_entry *entry;
 	struct ht_err err;
 
+	open_standard_streams();
 	signal(SIGPIPE, SIG_IGN);
+	loop = ev_default_loop(0);
 	entry = ht_entry_new(loop, path, &err);
 	if (!entry) {
 		fprintf(stderr, "<3>hickorytrestle-entry: %s\n", err.text);
--- a/scripts/failures.py
+++ b/scripts/failures.py
@@ -45,7 +45,8 @@
             self.callers.run(0.5, 0)
             if all(i.ready for i in self.instances):
                 self.callers.run(1, RATE)
-                return not self.callers.complaints
+                self.callers.complaints.clear()
+                return True
         return False
 
     def stop(self):
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -39,6 +39,7 @@
 CALM_S = 11
 SERVED_S = 3
 STOP_GRACE_S = 6
+READY_POLLS = 10
 PAUSE_MAX_S = 3
 
 
@@ -241,6 +242,11 @@
             self.check_bound(f"{target.name} took over an address", target.comes_at,
                              target.foreign_opened_at)
         for inst in self.instances:
+            for _ in range(READY_POLLS):
+                inst.poll()
+                if inst.ready:
+                    break
+                time.sleep(0.2)
             if not inst.ready:
                 self.problems.append(f"{inst.name} is not ready at the end")
             elif inst.process.poll() is not None:
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -28,6 +28,7 @@
 static struct instance inst[INSTANCES];
 static int target_fd, caller_fd;
 static const char *more_settings = ""; /* for the next launch */
+static bool close_output;	       /* of the next launch */
 static int output = -1;		       /* of the next launch, else a file */
 
 static int bind_udp(const char *ip, int port)
@@ -111,6 +112,8 @@
 				 : open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600),
 		     STDOUT_FILENO);
 		snprintf(path + strlen(path) - 4, 5, "%s", "");
+		if (close_output)
+			close(STDOUT_FILENO);
 		execl(program, program, "--settings", path, (char *)NULL);
 		_exit(127);
 	}
@@ -392,6 +395,24 @@
 }
 END_TEST
 
+/* Guards against log lines that go into a descriptor which has taken the number of the output. */
+START_TEST(closed_output_is_replaced)
+{
+	char link[64], file[64] = "";
+
+	output = open("/dev/null", O_WRONLY | O_CLOEXEC);
+	close_output = true;
+	launch(&inst[0], ht_si_metadata_address(store), "");
+	close(output);
+	output = -1;
+	close_output = false;
+	await_readiness(&inst[0], 200);
+	snprintf(link, sizeof(link), "/proc/%d/fd/%d", inst[0].pid, STDOUT_FILENO);
+	ck_assert_int_gt(readlink(link, file, sizeof(file) - 1), 0);
+	ck_assert_str_eq(file, "/dev/null");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("entry");
@@ -403,5 +424,6 @@
 	tcase_add_test(tc, leaving_target_gets_no_new_flow_and_unknown_route_is_reset);
 	tcase_add_test(tc, logs_tell_of_flows_without_what_they_carry);
 	tcase_add_test(tc, serves_on_when_nobody_reads_its_log);
+	tcase_add_test(tc, closed_output_is_replaced);
 	return run_case("entry", tc);
 }
