--- a/bench/flowsim.c
+++ b/bench/flowsim.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Slots, queues, times and sizes as the users' pages and site files have them. */
 #define SERVICE_IP 0xc6120001U
 #define SERVICE_PORT 443
 #define SLOTS 3
