--- /dev/null
+++ b/core/flow_table.c
@@ -0,0 +1,125 @@
+#include "core/flow_table.h"
+
+#include "base/hash.h"
+
+#include <stdlib.h>
+
+uint64_t ht_flow_hash(struct ht_endpoint src, struct ht_endpoint dst)
+{
+	return ht_hash_pair(((uint64_t)src.ip << 16) | src.port,
+			    ((uint64_t)dst.ip << 16) | dst.port);
+}
+
+bool ht_flow_table_init(struct ht_flow_table *table, size_t max)
+{
+	*table = (struct ht_flow_table){.max = max};
+	ht_list_init(&table->active);
+	ht_list_init(&table->quiet);
+	return ht_hmap_init(&table->map);
+}
+
+static void uncount(struct ht_tracked_flow *f)
+{
+	if (f->counted)
+		ht_target_count_open(f->target, -1);
+	f->counted = false;
+}
+
+void ht_flow_table_end(struct ht_flow_table *table, struct ht_tracked_flow *f)
+{
+	uncount(f);
+	if (f->target)
+		f->target->flows--;
+	ht_hmap_del(&table->map, &f->hnode);
+	ht_list_del(&f->node);
+	free(f);
+}
+
+static void end_all(struct ht_flow_table *table, struct ht_list *list)
+{
+	struct ht_list *pos, *tmp;
+
+	ht_list_for_each_safe (pos, tmp, list)
+		ht_flow_table_end(table, ht_container_of(pos, struct ht_tracked_flow, node));
+}
+
+void ht_flow_table_clear(struct ht_flow_table *table)
+{
+	end_all(table, &table->active);
+	end_all(table, &table->quiet);
+	ht_hmap_clear(&table->map);
+}
+
+struct ht_tracked_flow *ht_flow_table_find(const struct ht_flow_table *table,
+					   struct ht_endpoint src, struct ht_endpoint dst)
+{
+	struct ht_hnode *pos;
+
+	ht_hmap_for_each (pos, &table->map, ht_flow_hash(src, dst)) {
+		struct ht_tracked_flow *f = ht_container_of(pos, struct ht_tracked_flow, hnode);
+
+		if (ht_endpoint_equal(f->src, src) && ht_endpoint_equal(f->dst, dst))
+			return f;
+	}
+	return NULL;
+}
+
+static struct ht_tracked_flow *oldest(const struct ht_flow_table *table)
+{
+	const struct ht_list *list = ht_list_empty(&table->quiet) ? &table->active : &table->quiet;
+
+	return ht_container_of(list->next, struct ht_tracked_flow, node);
+}
+
+struct ht_tracked_flow *ht_flow_table_add(struct ht_flow_table *table, struct ht_endpoint src,
+					  struct ht_endpoint dst)
+{
+	struct ht_tracked_flow *f;
+
+	if (table->map.count >= table->max)
+		ht_flow_table_end(table, oldest(table));
+	f = calloc(1, sizeof(*f));
+	if (!f)
+		return NULL;
+	f->src = src;
+	f->dst = dst;
+	ht_hmap_add(&table->map, &f->hnode, ht_flow_hash(src, dst));
+	ht_list_add_tail(&table->active, &f->node);
+	return f;
+}
+
+void ht_flow_table_touch(struct ht_flow_table *table, struct ht_tracked_flow *f, ht_ms now)
+{
+	f->seen_at = now;
+	ht_list_del(&f->node);
+	ht_list_add_tail(&table->active, &f->node);
+	if (!f->counted)
+		ht_target_count_open(f->target, 1);
+	f->counted = true;
+}
+
+void ht_flow_table_uncount_quiet(struct ht_flow_table *table, ht_ms quiet, ht_ms now)
+{
+	struct ht_list *pos, *tmp;
+
+	ht_list_for_each_safe (pos, tmp, &table->active) {
+		struct ht_tracked_flow *f = ht_container_of(pos, struct ht_tracked_flow, node);
+
+		if (now - f->seen_at < quiet)
+			return;
+		uncount(f);
+		ht_list_del(&f->node);
+		ht_list_add_tail(&table->quiet, &f->node);
+	}
+}
+
+void ht_flow_set_target(struct ht_tracked_flow *f, struct ht_target *t, uint32_t mark, ht_ms now)
+{
+	uncount(f);
+	if (f->target)
+		f->target->flows--;
+	f->target = t;
+	f->mark = mark;
+	t->flows++;
+	f->placed_at = now;
+}
--- /dev/null
+++ b/core/flow_table.h
@@ -0,0 +1,70 @@
+/*
+ * Flows that were opened through this instance. They are kept to count the open flows of targets
+ * and to judge how targets do; a flow that is lost here is steered by its mark all the same.
+ */
+#ifndef HT_CORE_FLOW_TABLE_H
+#define HT_CORE_FLOW_TABLE_H
+
+#include "core/catalog.h"
+#include "core/placing.h"
+
+enum ht_flow_phase {
+	HT_PHASE_OPENING,  /**< opening packet sent */
+	HT_PHASE_OPEN,	   /**< the caller has heard from the target */
+	HT_PHASE_ASKED,	   /**< the caller has sent data */
+	HT_PHASE_ANSWERED, /**< the caller has acknowledged data of the target */
+};
+
+struct ht_tracked_flow {
+	struct ht_hnode hnode;
+	struct ht_list node; /* in ht_flow_table.active or .quiet, by time of the last packet */
+	struct ht_endpoint src, dst;
+	enum ht_flow_phase phase;
+	struct ht_target *tried[HT_PLACING_TRIES];
+	size_t tried_count;
+	struct ht_target *target;
+	uint32_t mark;	 /**< by which its packets name the target */
+	uint32_t placed; /**< opening packets sent to a target */
+	bool counted;	 /**< in the target's open flows */
+	ht_ms opened_at; /**< first opening packet */
+	ht_ms placed_at, asked_at, seen_at;
+	uint32_t acknowledged; /**< in the first packet after the opening one */
+	uint32_t asked_sequence;
+	ht_ms took; /**< from the request to the first data of the answer */
+	bool overdue;
+};
+
+struct ht_flow_table {
+	size_t max;
+	struct ht_hmap map;
+	struct ht_list active; /**< flows that count as open, newest packet last */
+	struct ht_list quiet;  /**< flows without packets: perhaps they go through others now */
+};
+
+/** False when out of memory. At most @max flows are kept: the least recently used go first. */
+bool ht_flow_table_init(struct ht_flow_table *table, size_t max);
+void ht_flow_table_clear(struct ht_flow_table *table);
+
+struct ht_tracked_flow *ht_flow_table_find(const struct ht_flow_table *table,
+					   struct ht_endpoint src, struct ht_endpoint dst);
+/** A flow without a target yet; NULL when out of memory. */
+struct ht_tracked_flow *ht_flow_table_add(struct ht_flow_table *table, struct ht_endpoint src,
+					  struct ht_endpoint dst);
+void ht_flow_table_end(struct ht_flow_table *table, struct ht_tracked_flow *flow);
+
+/** A packet of the flow came: it counts as open. */
+void ht_flow_table_touch(struct ht_flow_table *table, struct ht_tracked_flow *flow, ht_ms now);
+/**
+ * Flows without packets for @quiet are no longer counted: when instances come or go, the routers
+ * send most flows through others, and their ends are not seen here.
+ */
+void ht_flow_table_uncount_quiet(struct ht_flow_table *table, ht_ms quiet, ht_ms now);
+
+/** The flow goes to @target from now on; it is not counted there before its next packet. */
+void ht_flow_set_target(struct ht_tracked_flow *flow, struct ht_target *target, uint32_t mark,
+			ht_ms now);
+
+/** The same at all instances. */
+uint64_t ht_flow_hash(struct ht_endpoint src, struct ht_endpoint dst);
+
+#endif
--- a/core/steering.c
+++ b/core/steering.c
@@ -1,6 +1,6 @@
 #include "core/steering.h"
 
-#include "base/hash.h"
+#include "core/flow_table.h"
 #include "core/placing.h"
 
 #include <stdlib.h>
@@ -9,41 +9,13 @@
 /* Weight of an answer time in the mean of its service, which has many targets. */
 #define SERVICE_WEIGHT 0.02
 
-enum phase {
-	PHASE_OPENING,	/* opening packet sent */
-	PHASE_OPEN,	/* the caller has heard from the target */
-	PHASE_ASKED,	/* the caller has sent data */
-	PHASE_ANSWERED, /* the caller has acknowledged data of the target */
-};
-
 /* Opening packets come three times; the copies are counted from 0. */
 #define LAST_COPY 2
 
-struct flow {
-	struct ht_hnode hnode;
-	struct ht_list node; /* in ht_steering.active or .quiet, by time of the last packet */
-	struct ht_endpoint src, dst;
-	enum phase phase;
-	struct ht_target *tried[HT_PLACING_TRIES];
-	size_t tried_count;
-	struct ht_target *target;
-	uint32_t mark;	 /* by which its packets name the target */
-	uint32_t placed; /* opening packets sent to a target */
-	bool counted;	 /* in the target's open flows */
-	ht_ms opened_at; /* first opening packet */
-	ht_ms placed_at, asked_at, seen_at;
-	uint32_t acknowledged; /* in the first packet after the opening one */
-	uint32_t asked_sequence;
-	ht_ms took; /* from the request to the first data of the answer */
-	bool overdue;
-};
-
 struct ht_steering {
 	struct ht_steering_params params;
 	struct ht_placing placing;
-	struct ht_hmap flows;
-	struct ht_list active; /* flows that count as open, newest packet last */
-	struct ht_list quiet;  /* flows without packets: perhaps they go through others now */
+	struct ht_flow_table flows;
 	bool complete;
 	size_t sharers;
 };
@@ -74,42 +46,17 @@
 	st->params = *params;
 	st->placing = (struct ht_placing){.params = &st->params, .random = params->seed};
 	st->sharers = 1;
-	ht_list_init(&st->active);
-	ht_list_init(&st->quiet);
-	if (ht_hmap_init(&st->flows))
+	if (ht_flow_table_init(&st->flows, params->flows_max))
 		return st;
 	free(st);
 	return NULL;
 }
 
-static void uncount(struct flow *f)
-{
-	if (f->counted)
-		ht_target_count_open(f->target, -1);
-	f->counted = false;
-}
-
-static void flow_end(struct ht_steering *st, struct flow *f)
-{
-	uncount(f);
-	if (f->target)
-		f->target->flows--;
-	ht_hmap_del(&st->flows, &f->hnode);
-	ht_list_del(&f->node);
-	free(f);
-}
-
 void ht_steering_free(struct ht_steering *st)
 {
-	struct ht_list *pos, *tmp;
-
 	if (!st)
 		return;
-	ht_list_for_each_safe (pos, tmp, &st->active)
-		flow_end(st, ht_container_of(pos, struct flow, node));
-	ht_list_for_each_safe (pos, tmp, &st->quiet)
-		flow_end(st, ht_container_of(pos, struct flow, node));
-	ht_hmap_clear(&st->flows);
+	ht_flow_table_clear(&st->flows);
 	free(st);
 }
 
@@ -123,95 +70,8 @@
 	st->sharers = count;
 }
 
-uint64_t ht_flow_hash(struct ht_endpoint src, struct ht_endpoint dst)
-{
-	return ht_hash_pair(((uint64_t)src.ip << 16) | src.port,
-			    ((uint64_t)dst.ip << 16) | dst.port);
-}
-
-static uint64_t flow_hash(const struct ht_packet *pkt)
-{
-	return ht_flow_hash(pkt->src, pkt->dst);
-}
-
-static struct flow *find_flow(const struct ht_steering *st, const struct ht_packet *pkt)
-{
-	struct ht_hnode *pos;
-
-	ht_hmap_for_each (pos, &st->flows, flow_hash(pkt)) {
-		struct flow *f = ht_container_of(pos, struct flow, hnode);
-
-		if (ht_endpoint_equal(f->src, pkt->src) && ht_endpoint_equal(f->dst, pkt->dst))
-			return f;
-	}
-	return NULL;
-}
-
-static struct flow *oldest(struct ht_steering *st)
-{
-	struct ht_list *list = ht_list_empty(&st->quiet) ? &st->active : &st->quiet;
-
-	return ht_container_of(list->next, struct flow, node);
-}
-
-static struct flow *add_flow(struct ht_steering *st, const struct ht_packet *pkt)
-{
-	struct flow *f;
-
-	if (st->flows.count >= st->params.flows_max)
-		flow_end(st, oldest(st));
-	f = calloc(1, sizeof(*f));
-	if (!f)
-		return NULL;
-	f->src = pkt->src;
-	f->dst = pkt->dst;
-	ht_hmap_add(&st->flows, &f->hnode, flow_hash(pkt));
-	ht_list_add_tail(&st->active, &f->node);
-	return f;
-}
-
-static void touch(struct ht_steering *st, struct flow *f, ht_ms now)
-{
-	f->seen_at = now;
-	ht_list_del(&f->node);
-	ht_list_add_tail(&st->active, &f->node);
-	if (!f->counted)
-		ht_target_count_open(f->target, 1);
-	f->counted = true;
-}
-
-static void set_target(struct flow *f, struct ht_target *t, uint32_t mark, ht_ms now)
-{
-	uncount(f);
-	if (f->target)
-		f->target->flows--;
-	f->target = t;
-	f->mark = mark;
-	t->flows++;
-	f->placed_at = now;
-}
-
-/*
- * Flows without packets are no longer counted: when instances come or go, the routers send most
- * flows through others, and their ends are not seen here.
- */
-static void uncount_quiet(struct ht_steering *st, ht_ms now)
-{
-	struct ht_list *pos, *tmp;
-
-	ht_list_for_each_safe (pos, tmp, &st->active) {
-		struct flow *f = ht_container_of(pos, struct flow, node);
-
-		if (now - f->seen_at < st->params.flow_quiet)
-			return;
-		uncount(f);
-		ht_list_del(&f->node);
-		ht_list_add_tail(&st->quiet, &f->node);
-	}
-}
-
-static void tell_flow(const struct ht_steering *st, const struct flow *f, enum ht_flow_event event,
-		      ht_ms since, uint32_t bytes, ht_ms now)
+static void tell_flow(const struct ht_steering *st, const struct ht_tracked_flow *f,
+		      enum ht_flow_event event, ht_ms since, uint32_t bytes, ht_ms now)
 {
 	const struct ht_steering_observer *obs = &st->params.observer;
 
@@ -324,20 +184,21 @@
 }
 
 /* The copies of an opening packet go to another target each. */
-static void remember(struct ht_steering *st, struct flow *f, struct ht_target *t, uint32_t mark,
-		     ht_ms now)
+static void remember(struct ht_steering *st, struct ht_tracked_flow *f, struct ht_target *t,
+		     uint32_t mark, ht_ms now)
 {
 	f->tried[f->tried_count % HT_PLACING_TRIES] = t;
 	if (f->tried_count < HT_PLACING_TRIES)
 		f->tried_count++;
 	if (!f->placed++)
 		f->opened_at = now;
-	set_target(f, t, mark, now);
-	touch(st, f, now);
+	ht_flow_set_target(f, t, mark, now);
+	ht_flow_table_touch(&st->flows, f, now);
 }
 
 static struct ht_steering_decision place(struct ht_steering *st, struct ht_route *route,
-					 const struct ht_packet *pkt, struct flow *f, ht_ms now)
+					 const struct ht_packet *pkt, struct ht_tracked_flow *f,
+					 ht_ms now)
 {
 	struct ht_target *t = ht_placing_choose(&st->placing, route->service, f ? f->tried : NULL,
 						f ? f->tried_count : 0, now);
@@ -347,7 +208,7 @@
 	if (!mark)
 		return refuse(st, HT_STEER_NO_TARGET);
 	if (!f)
-		f = add_flow(st, pkt);
+		f = ht_flow_table_add(&st->flows, pkt->src, pkt->dst);
 	if (f)
 		remember(st, f, t, mark, now);
 	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
@@ -357,20 +218,20 @@
 						 const struct ht_packet *pkt, ht_ms now)
 {
 	struct ht_route *route = ht_catalog_route(st->params.catalog, pkt->dst);
-	struct flow *f = find_flow(st, pkt);
+	struct ht_tracked_flow *f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
 	struct ht_steering_decision d;
 
-	uncount_quiet(st, now);
+	ht_flow_table_uncount_quiet(&st->flows, st->params.flow_quiet, now);
 	if (!route)
 		return refuse(st, HT_STEER_NO_ROUTE);
-	if (f && f->phase != PHASE_OPENING) {
+	if (f && f->phase != HT_PHASE_OPENING) {
 		/* A late copy joins the open flow; a first packet reuses the caller's port. */
 		if (pkt->acknowledged) {
 			d = forward(f->target, f->mark, HT_STEER_MARKED);
 			d.known = true;
 			return d;
 		}
-		flow_end(st, f);
+		ht_flow_table_end(&st->flows, f);
 		f = NULL;
 	}
 	if (f) {
@@ -382,12 +243,13 @@
 	return place(st, route, pkt, f, now);
 }
 
-static void answered(const struct ht_steering *st, struct flow *f, struct ht_target *t, ht_ms now)
+static void answered(const struct ht_steering *st, struct ht_tracked_flow *f, struct ht_target *t,
+		     ht_ms now)
 {
 	double *mean = &t->service->answer_ms;
 	ht_ms took = now - f->asked_at;
 
-	f->phase = PHASE_ANSWERED;
+	f->phase = HT_PHASE_ANSWERED;
 	f->took = took;
 	tell_flow(st, f, HT_FLOW_ANSWERED, f->asked_at, 0, now);
 	ht_evidence_answer(&t->evidence, took);
@@ -398,7 +260,7 @@
 }
 
 /* The caller has received all that it will: what it acknowledged is the whole answer. */
-static void judge(struct ht_steering *st, const struct flow *f, struct ht_route *route,
+static void judge(struct ht_steering *st, const struct ht_tracked_flow *f, struct ht_route *route,
 		  struct ht_target *t, const struct ht_packet *pkt, ht_ms now)
 {
 	uint32_t bytes = pkt->acknowledged - f->acknowledged;
@@ -412,17 +274,18 @@
 }
 
 /* The caller sends nothing more: the flow ends as far as it can be seen here. */
-static void ended(struct ht_steering *st, struct flow *f, const struct ht_packet *pkt, ht_ms now)
+static void ended(struct ht_steering *st, struct ht_tracked_flow *f, const struct ht_packet *pkt,
+		  ht_ms now)
 {
-	bool waiting = f->phase == PHASE_ASKED;
+	bool waiting = f->phase == HT_PHASE_ASKED;
 
 	tell_flow(st, f, pkt->resets && waiting ? HT_FLOW_ABANDONED : HT_FLOW_ENDED,
 		  waiting ? f->asked_at : now, 0, now);
-	flow_end(st, f);
+	ht_flow_table_end(&st->flows, f);
 }
 
 /* Learns from a packet of a flow whose opening packet went through this instance. */
-static void observe(struct ht_steering *st, struct flow *f, struct ht_route *route,
+static void observe(struct ht_steering *st, struct ht_tracked_flow *f, struct ht_route *route,
 		    struct ht_target *t, const struct ht_packet *pkt, ht_ms now)
 {
 	if (pkt->resets) {
@@ -430,28 +293,29 @@
 		ended(st, f, pkt, now);
 		return;
 	}
-	if (f->phase == PHASE_OPENING) {
-		f->phase = PHASE_OPEN;
+	if (f->phase == HT_PHASE_OPENING) {
+		f->phase = HT_PHASE_OPEN;
 		f->acknowledged = pkt->acknowledged;
 		if (f->target != t)
-			set_target(f, t, pkt->mark, now);
+			ht_flow_set_target(f, t, pkt->mark, now);
 		tell_flow(st, f, HT_FLOW_OPENED, f->placed_at, 0, now);
 		alive(st, t, now);
 	}
-	if (f->phase == PHASE_OPEN && pkt->length) {
-		f->phase = PHASE_ASKED;
+	if (f->phase == HT_PHASE_OPEN && pkt->length) {
+		f->phase = HT_PHASE_ASKED;
 		f->asked_at = now;
 		f->asked_sequence = pkt->sequence;
 		tell_flow(st, f, HT_FLOW_ASKED, f->placed_at, 0, now);
-	} else if (f->phase == PHASE_ASKED && pkt->acknowledged != f->acknowledged) {
+	} else if (f->phase == HT_PHASE_ASKED && pkt->acknowledged != f->acknowledged) {
 		answered(st, f, t, now);
 		alive(st, t, now);
-	} else if (f->phase == PHASE_ASKED && pkt->length && pkt->sequence == f->asked_sequence) {
+	} else if (f->phase == HT_PHASE_ASKED && pkt->length &&
+		   pkt->sequence == f->asked_sequence) {
 		tell_flow(st, f, HT_FLOW_REPEATED, f->asked_at, 0, now);
 		miss(st, t, f->asked_at, now);
 	}
-	touch(st, f, now);
-	if (pkt->closes && f->phase == PHASE_ANSWERED)
+	ht_flow_table_touch(&st->flows, f, now);
+	if (pkt->closes && f->phase == HT_PHASE_ANSWERED)
 		judge(st, f, route, t, pkt, now);
 	if (pkt->closes)
 		ended(st, f, pkt, now);
@@ -463,7 +327,7 @@
 	struct ht_route *route = ht_catalog_route(st->params.catalog, pkt->dst);
 	struct ht_target *t = ht_catalog_by_mark(st->params.catalog, pkt->mark);
 	struct ht_steering_decision d;
-	struct flow *f;
+	struct ht_tracked_flow *f;
 
 	if (!route)
 		return decide(HT_STEER_DROP, st->complete ? HT_STEER_NO_ROUTE : HT_STEER_NO_VIEW);
@@ -471,7 +335,7 @@
 		return decide(HT_STEER_DROP, HT_STEER_UNKNOWN_MARK);
 	if (t->service != route->service && t->service != route->earlier)
 		return decide(HT_STEER_DROP, HT_STEER_FOREIGN_TARGET);
-	f = find_flow(st, pkt);
+	f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
 	d = forward(t, pkt->mark, HT_STEER_MARKED);
 	d.known = f;
 	if (f)
@@ -500,11 +364,11 @@
 		result(st, t, true, HT_BELIEF_REPORTED, now);
 }
 
-static bool is_overdue(const struct ht_steering *st, const struct flow *f, ht_ms now)
+static bool is_overdue(const struct ht_steering *st, const struct ht_tracked_flow *f, ht_ms now)
 {
 	ht_ms waited = now - f->asked_at;
 
-	return f->phase == PHASE_ASKED && !f->overdue && waited > st->params.overdue &&
+	return f->phase == HT_PHASE_ASKED && !f->overdue && waited > st->params.overdue &&
 	       (double)waited > st->params.overdue_times * f->target->service->answer_ms;
 }
 
@@ -512,9 +376,9 @@
 {
 	struct ht_list *pos, *tmp;
 
-	uncount_quiet(st, now);
-	ht_list_for_each_safe (pos, tmp, &st->quiet) {
-		struct flow *f = ht_container_of(pos, struct flow, node);
+	ht_flow_table_uncount_quiet(&st->flows, st->params.flow_quiet, now);
+	ht_list_for_each_safe (pos, tmp, &st->flows.quiet) {
+		struct ht_tracked_flow *f = ht_container_of(pos, struct ht_tracked_flow, node);
 
 		if (is_overdue(st, f, now)) {
 			f->overdue = true;
@@ -522,13 +386,13 @@
 			miss(st, f->target, f->asked_at, now);
 		}
 		if (now - f->seen_at >= st->params.flow_silence)
-			flow_end(st, f);
+			ht_flow_table_end(&st->flows, f);
 	}
 }
 
 size_t ht_steering_flow_count(const struct ht_steering *st)
 {
-	return st->flows.count;
+	return st->flows.map.count;
 }
 
 const char *ht_steering_reason_name(enum ht_steering_reason reason)
--- a/core/steering.h
+++ b/core/steering.h
@@ -133,9 +133,6 @@
 struct ht_steering_decision ht_steering_packet(struct ht_steering *st, const struct ht_packet *pkt,
 					       ht_ms now);
 
-/** The same at all instances. */
-uint64_t ht_flow_hash(struct ht_endpoint src, struct ht_endpoint dst);
-
 /** Other instances have seen @report. */
 void ht_steering_hear(struct ht_steering *st, const struct ht_report *report, ht_ms now);
 
--- a/entry/decisions.c
+++ b/entry/decisions.c
@@ -1,5 +1,7 @@
 #include "entry/decisions.h"
 
+#include "core/flow_table.h"
+
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/entry/test_decisions.c
+++ b/tests/entry/test_decisions.c
@@ -1,4 +1,5 @@
 /* The lines about decisions: each event that the operators' pages lean on, with its fields. */
+#include "core/flow_table.h"
 #include "entry/decisions.h"
 #include "entry/metrics.h"
 #include "tests/core/steering_world.h"
