entry: news is not passed on through instances that may be gone

Cause: an instance that had died stood in the order of receivers for 30 s and, at the head of a group, kept the news from it; its members then read the store themselves. Those that nobody has told of for 5 s now stand last. test_neighbours tells them apart (failed before: no such notion).

--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -232,6 +232,12 @@
 	return at != HT_NEVER && now - at < limit;
 }
 
+/* Heard itself, or named by another one that had heard it. */
+static bool told_of(const struct ht_neighbour *n, ht_ms limit, ht_ms now)
+{
+	return within(n->heard_at, limit, now) || within(n->named_at, limit, now);
+}
+
 static bool live(const struct ht_neighbour *n, ht_ms now)
 {
 	return within(n->heard_at, LIVE_MS, now);
@@ -316,16 +322,16 @@
 }
 
 void ht_neighbours_each_local(const struct ht_neighbours *nb, ht_ms now,
-			      void (*visit)(void *ctx, const struct ht_neighbour *n), void *ctx)
+			      void (*visit)(void *ctx, const struct ht_neighbour *n, bool fresh),
+			      void *ctx)
 {
 	const struct ht_list *pos;
 
 	ht_list_for_each (pos, &nb->list) {
 		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
 
-		if (n->local &&
-		    (within(n->heard_at, TOLD_MS, now) || within(n->named_at, TOLD_MS, now)))
-			visit(ctx, n);
+		if (n->local && told_of(n, TOLD_MS, now))
+			visit(ctx, n, told_of(n, LIVE_MS, now));
 	}
 }
 
@@ -371,7 +377,7 @@
 
 static bool asked_lately(const struct ht_neighbours *nb, const struct ht_neighbour *n, ht_ms now)
 {
-	return n->asked_at != HT_NEVER && now - n->asked_at < nb->params.ask_again;
+	return within(n->asked_at, nb->params.ask_again, now);
 }
 
 const struct ht_neighbour *ht_neighbours_source(struct ht_neighbours *nb,
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -80,9 +80,13 @@
 bool ht_neighbours_helpful(const struct ht_neighbours *nb, ht_ms now);
 /** Number of live instances of the own data centre, this one included. */
 size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now);
-/** Calls @visit for each neighbour of the own data centre that it or another has told of lately. */
+/**
+ * Calls @visit for each neighbour of the own data centre that has been heard, or named by another
+ * one, lately. @fresh: within the last seconds; one that is not may be gone.
+ */
 void ht_neighbours_each_local(const struct ht_neighbours *nb, ht_ms now,
-			      void (*visit)(void *ctx, const struct ht_neighbour *n), void *ctx);
+			      void (*visit)(void *ctx, const struct ht_neighbour *n, bool fresh),
+			      void *ctx);
 
 /**
  * Fills @out with neighbours to greet now and returns their number: those greeted longest ago,
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -52,19 +52,31 @@
 	ht_snapshot_free(changes);
 }
 
-static void add_receiver(void *ctx, const struct ht_neighbour *n)
+struct receiver_lists {
+	struct ht_link_receivers *fresh, old;
+};
+
+static void add_receiver(void *ctx, const struct ht_neighbour *n, bool fresh)
 {
-	struct ht_link_receivers *r = ctx;
+	struct receiver_lists *lists = ctx;
+	struct ht_link_receivers *r = fresh ? lists->fresh : &lists->old;
 
 	if (r->count < HT_LINK_PASS_ON_MAX)
 		r->to[r->count++] = n->at;
 }
 
+/* Those that may be gone stand last, so that none of the others depends on them. */
 static void local_receivers(struct ht_link *link, struct ht_link_receivers *r)
 {
+	struct receiver_lists lists = {.fresh = r};
+	uint64_t seed = link->seed + link->announcements++;
+
 	r->count = 0;
-	ht_neighbours_each_local(link->neighbours, ht_now(), add_receiver, r);
-	ht_fanout_shuffle(r->to, r->count, link->seed + link->announcements++);
+	ht_neighbours_each_local(link->neighbours, ht_now(), add_receiver, &lists);
+	ht_fanout_shuffle(r->to, r->count, seed);
+	ht_fanout_shuffle(lists.old.to, lists.old.count, seed);
+	for (size_t i = 0; i < lists.old.count && r->count < HT_LINK_PASS_ON_MAX; i++)
+		r->to[r->count++] = lists.old.to[i];
 }
 
 void ht_link_announce(struct ht_link *link)
--- a/tests/core/test_neighbours.c
+++ b/tests/core/test_neighbours.c
@@ -39,12 +39,19 @@
 	ht_neighbours_heard(nb, name, dc, at(i), size, &view, now);
 }
 
-static void count_one(void *ctx, const struct ht_neighbour *n)
+static void count_one(void *ctx, const struct ht_neighbour *n, bool fresh)
 {
 	(void)n;
+	(void)fresh;
 	++*(size_t *)ctx;
 }
 
+static void count_fresh(void *ctx, const struct ht_neighbour *n, bool fresh)
+{
+	(void)n;
+	*(size_t *)ctx += fresh;
+}
+
 START_TEST(larger_live_neighbour_reads_first)
 {
 	ck_assert(!ht_neighbours_covered(nb, now));
@@ -265,6 +272,23 @@
 }
 END_TEST
 
+/* Pattern: a part of the instances is gone; the others must not get their news through them. */
+START_TEST(silent_ones_are_told_apart)
+{
+	size_t told = 0, fresh = 0;
+
+	hear(1, "here", 100, 9);
+	hear(2, "here", 100, 9);
+	now += 6000;
+	hear(2, "here", 100, 9);
+	ht_neighbours_add(nb, "n3", "here", at(3), now);
+	ht_neighbours_each_local(nb, now, count_one, &told);
+	ht_neighbours_each_local(nb, now, count_fresh, &fresh);
+	ck_assert_uint_eq(told, 3);
+	ck_assert_uint_eq(fresh, 2);
+}
+END_TEST
+
 START_TEST(list_is_bounded_and_forgets)
 {
 	for (unsigned int i = 0; i < 2 * (unsigned int)params.max; i++)
@@ -291,6 +315,7 @@
 	tcase_add_test(tc, greetings_go_round_mostly_near);
 	tcase_add_test(tc, names_neighbours_of_the_receivers_data_centre_first);
 	tcase_add_test(tc, those_of_other_data_centres_make_room);
+	tcase_add_test(tc, silent_ones_are_told_apart);
 	tcase_add_test(tc, list_is_bounded_and_forgets);
 	return run_case("neighbours", tc);
 }
