--- a/core/flow_table.c
+++ b/core/flow_table.c
@@ -14,6 +14,7 @@
 {
 	*table = (struct ht_flow_table){.max = max};
 	ht_list_init(&table->active);
+	ht_list_init(&table->answered);
 	ht_list_init(&table->quiet);
 	return ht_hmap_init(&table->map);
 }
@@ -46,6 +47,7 @@
 void ht_flow_table_clear(struct ht_flow_table *table)
 {
 	end_all(table, &table->active);
+	end_all(table, &table->answered);
 	end_all(table, &table->quiet);
 	ht_hmap_clear(&table->map);
 }
@@ -66,8 +68,10 @@
 
 static struct ht_tracked_flow *oldest(const struct ht_flow_table *table)
 {
-	const struct ht_list *list = ht_list_empty(&table->quiet) ? &table->active : &table->quiet;
+	const struct ht_list *list = &table->quiet;
 
+	if (ht_list_empty(list))
+		list = ht_list_empty(&table->answered) ? &table->active : &table->answered;
 	return ht_container_of(list->next, struct ht_tracked_flow, node);
 }
 
@@ -92,17 +96,18 @@
 {
 	f->seen_at = now;
 	ht_list_del(&f->node);
-	ht_list_add_tail(&table->active, &f->node);
+	ht_list_add_tail(f->phase == HT_PHASE_ANSWERED ? &table->answered : &table->active,
+			 &f->node);
 	if (!f->counted)
 		ht_target_count_open(f->target, 1);
 	f->counted = true;
 }
 
-void ht_flow_table_uncount_quiet(struct ht_flow_table *table, ht_ms quiet, ht_ms now)
+static void uncount_list(struct ht_flow_table *table, struct ht_list *list, ht_ms quiet, ht_ms now)
 {
 	struct ht_list *pos, *tmp;
 
-	ht_list_for_each_safe (pos, tmp, &table->active) {
+	ht_list_for_each_safe (pos, tmp, list) {
 		struct ht_tracked_flow *f = ht_container_of(pos, struct ht_tracked_flow, node);
 
 		if (now - f->seen_at < quiet)
@@ -113,6 +118,13 @@
 	}
 }
 
+void ht_flow_table_uncount_quiet(struct ht_flow_table *table, ht_ms quiet, ht_ms answer_quiet,
+				 ht_ms now)
+{
+	uncount_list(table, &table->active, quiet, now);
+	uncount_list(table, &table->answered, answer_quiet, now);
+}
+
 void ht_flow_set_target(struct ht_tracked_flow *f, struct ht_target *t, uint32_t mark, ht_ms now)
 {
 	uncount(f);
--- a/core/flow_table.h
+++ b/core/flow_table.h
@@ -11,13 +11,13 @@
 enum ht_flow_phase {
 	HT_PHASE_OPENING,  /**< opening packet sent */
 	HT_PHASE_OPEN,	   /**< the caller has heard from the target */
-	HT_PHASE_ASKED,	   /**< the caller has sent data */
-	HT_PHASE_ANSWERED, /**< the caller has acknowledged data of the target */
+	HT_PHASE_ASKED,	   /**< the caller has sent data: a request, or a part of one */
+	HT_PHASE_ANSWERED, /**< the caller has acknowledged data of the target; it may ask again */
 };
 
 struct ht_tracked_flow {
 	struct ht_hnode hnode;
-	struct ht_list node; /* in ht_flow_table.active or .quiet, by time of the last packet */
+	struct ht_list node; /* in a list of ht_flow_table, by time of the last packet */
 	struct ht_endpoint src, dst;
 	enum ht_flow_phase phase;
 	struct ht_target *tried[HT_PLACING_TRIES];
@@ -28,17 +28,20 @@
 	bool counted;	 /**< in the target's open flows */
 	ht_ms opened_at; /**< first opening packet */
 	ht_ms placed_at, asked_at, seen_at;
-	uint32_t acknowledged; /**< in the first packet after the opening one */
+	uint32_t acknowledged; /**< by the caller before the answer */
 	uint32_t asked_sequence;
-	ht_ms took; /**< from the request to the first data of the answer */
+	uint32_t asked_end; /**< sequence after the last data of the request */
+	ht_ms took;	    /**< from the request to the first data of the answer */
 	bool overdue;
 };
 
 struct ht_flow_table {
 	size_t max;
 	struct ht_hmap map;
-	struct ht_list active; /**< flows that count as open, newest packet last */
-	struct ht_list quiet;  /**< flows without packets: perhaps they go through others now */
+	/* Each with the newest packet last. */
+	struct ht_list active;	 /**< flows that wait for their target: they count as open */
+	struct ht_list answered; /**< answers under way: they count, too */
+	struct ht_list quiet;	 /**< flows without packets: idle, or they go through others now */
 };
 
 /** False when out of memory. At most @max flows are kept: the least recently used go first. */
@@ -56,9 +59,12 @@
 void ht_flow_table_touch(struct ht_flow_table *table, struct ht_tracked_flow *flow, ht_ms now);
 /**
  * Flows without packets for @quiet are no longer counted: when instances come or go, the routers
- * send most flows through others, and their ends are not seen here.
+ * send most flows through others, and their ends are not seen here. An answered flow is idle
+ * already after @answer_quiet: it may stay open for many requests and keeps its target busy only
+ * with them.
  */
-void ht_flow_table_uncount_quiet(struct ht_flow_table *table, ht_ms quiet, ht_ms now);
+void ht_flow_table_uncount_quiet(struct ht_flow_table *table, ht_ms quiet, ht_ms answer_quiet,
+				 ht_ms now);
 
 /** The flow goes to @target from now on; it is not counted there before its next packet. */
 void ht_flow_set_target(struct ht_tracked_flow *flow, struct ht_target *target, uint32_t mark,
--- a/core/steering.c
+++ b/core/steering.c
@@ -27,6 +27,7 @@
 		.overdue = 600,
 		.overdue_times = 5,
 		.flow_quiet = 400,
+		.answer_quiet = 50,
 		.flow_silence = 3000,
 		.remote_cost = 4.0,
 		.cold_cost = 2.0,
@@ -214,6 +215,12 @@
 	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
 }
 
+static void uncount_quiet(struct ht_steering *st, ht_ms now)
+{
+	ht_flow_table_uncount_quiet(&st->flows, st->params.flow_quiet, st->params.answer_quiet,
+				    now);
+}
+
 static struct ht_steering_decision steer_opening(struct ht_steering *st,
 						 const struct ht_packet *pkt, ht_ms now)
 {
@@ -221,7 +228,7 @@
 	struct ht_tracked_flow *f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
 	struct ht_steering_decision d;
 
-	ht_flow_table_uncount_quiet(&st->flows, st->params.flow_quiet, now);
+	uncount_quiet(st, now);
 	if (!route)
 		return refuse(st, HT_STEER_NO_ROUTE);
 	if (f && f->phase != HT_PHASE_OPENING) {
@@ -284,6 +291,36 @@
 	ht_flow_table_end(&st->flows, f);
 }
 
+static void asked(const struct ht_steering *st, struct ht_tracked_flow *f,
+		  const struct ht_packet *pkt, ht_ms since, ht_ms now)
+{
+	f->phase = HT_PHASE_ASKED;
+	f->asked_at = now;
+	f->asked_sequence = pkt->sequence;
+	f->asked_end = pkt->sequence;
+	f->acknowledged = pkt->acknowledged;
+	f->overdue = false;
+	tell_flow(st, f, HT_FLOW_ASKED, since, 0, now);
+}
+
+/* Data beyond the last request, rather than a repeated part of it. */
+static bool asks_again(const struct ht_tracked_flow *f, const struct ht_packet *pkt)
+{
+	return f->phase == HT_PHASE_ANSWERED && pkt->length &&
+	       (int32_t)(pkt->sequence - f->asked_end) >= 0;
+}
+
+/* The first packet that the caller sends after the target's answer to the opening one. */
+static void opened(const struct ht_steering *st, struct ht_tracked_flow *f, struct ht_target *t,
+		   const struct ht_packet *pkt, ht_ms now)
+{
+	f->phase = HT_PHASE_OPEN;
+	if (f->target != t)
+		ht_flow_set_target(f, t, pkt->mark, now);
+	tell_flow(st, f, HT_FLOW_OPENED, f->placed_at, 0, now);
+	alive(st, t, now);
+}
+
 /* Learns from a packet of a flow whose opening packet went through this instance. */
 static void observe(struct ht_steering *st, struct ht_tracked_flow *f, struct ht_route *route,
 		    struct ht_target *t, const struct ht_packet *pkt, ht_ms now)
@@ -293,19 +330,13 @@
 		ended(st, f, pkt, now);
 		return;
 	}
-	if (f->phase == HT_PHASE_OPENING) {
-		f->phase = HT_PHASE_OPEN;
-		f->acknowledged = pkt->acknowledged;
-		if (f->target != t)
-			ht_flow_set_target(f, t, pkt->mark, now);
-		tell_flow(st, f, HT_FLOW_OPENED, f->placed_at, 0, now);
-		alive(st, t, now);
-	}
-	if (f->phase == HT_PHASE_OPEN && pkt->length) {
-		f->phase = HT_PHASE_ASKED;
-		f->asked_at = now;
-		f->asked_sequence = pkt->sequence;
-		tell_flow(st, f, HT_FLOW_ASKED, f->placed_at, 0, now);
+	if (f->phase == HT_PHASE_OPENING)
+		opened(st, f, t, pkt, now);
+	if (asks_again(f, pkt)) {
+		judge(st, f, route, t, pkt, now);
+		asked(st, f, pkt, f->seen_at, now);
+	} else if (f->phase == HT_PHASE_OPEN && pkt->length) {
+		asked(st, f, pkt, f->placed_at, now);
 	} else if (f->phase == HT_PHASE_ASKED && pkt->acknowledged != f->acknowledged) {
 		answered(st, f, t, now);
 		alive(st, t, now);
@@ -314,6 +345,8 @@
 		tell_flow(st, f, HT_FLOW_REPEATED, f->asked_at, 0, now);
 		miss(st, t, f->asked_at, now);
 	}
+	if ((int32_t)(pkt->sequence + pkt->length - f->asked_end) > 0)
+		f->asked_end = pkt->sequence + pkt->length;
 	ht_flow_table_touch(&st->flows, f, now);
 	if (pkt->closes && f->phase == HT_PHASE_ANSWERED)
 		judge(st, f, route, t, pkt, now);
@@ -376,7 +409,7 @@
 {
 	struct ht_list *pos, *tmp;
 
-	ht_flow_table_uncount_quiet(&st->flows, st->params.flow_quiet, now);
+	uncount_quiet(st, now);
 	ht_list_for_each_safe (pos, tmp, &st->flows.quiet) {
 		struct ht_tracked_flow *f = ht_container_of(pos, struct ht_tracked_flow, node);
 
--- a/core/steering.h
+++ b/core/steering.h
@@ -55,7 +55,7 @@
 enum ht_flow_event {
 	HT_FLOW_UNANSWERED, /**< the opening packet came again: its target has not answered */
 	HT_FLOW_OPENED,	    /**< the caller has heard from the target */
-	HT_FLOW_ASKED,	    /**< the caller has sent data */
+	HT_FLOW_ASKED,	    /**< the caller has sent a request */
 	HT_FLOW_REPEATED,   /**< ...and the same data again, without an answer so far */
 	HT_FLOW_OVERDUE,    /**< the answer takes much longer than others */
 	HT_FLOW_ANSWERED,   /**< the caller has acknowledged data of the target */
@@ -104,6 +104,7 @@
 	ht_ms overdue;	      /**< an answer that takes longer speaks against its target... */
 	double overdue_times; /**< ...if that is also this many times the service's mean */
 	ht_ms flow_quiet;     /**< a flow without packets for this long no longer counts as open */
+	ht_ms answer_quiet;   /**< ...and this one after an answer: its caller is idle */
 	ht_ms flow_silence;   /**< ...and after this time it is forgotten */
 	double remote_cost; /**< cost of a target in another data centre, times that of a local one
 			     */
--- /dev/null
+++ b/tests/core/test_long_flows.c
@@ -0,0 +1,208 @@
+/* Tests of flows that carry many requests, one after the other, with pauses between them. */
+#include "tests/core/steering_world.h"
+#include "tests/suite.h"
+
+#define REQUEST 50
+#define ANSWER 4000
+
+/* A flow as its caller sees it: what it has sent and what it has acknowledged. */
+struct caller {
+	uint16_t port;
+	uint32_t mark, sequence, acknowledged;
+};
+
+static struct caller connect_caller(uint16_t port)
+{
+	struct caller c = {
+		.port = port,
+		.mark = open_flow(port, STOCK_PORT, 0).mark,
+		.sequence = 1,
+		.acknowledged = 100,
+	};
+
+	now += 4;
+	return c;
+}
+
+static void send_data(struct caller *c, uint32_t sequence, uint16_t length)
+{
+	struct ht_packet pkt = packet_of(c->port, STOCK_PORT);
+
+	pkt.mark = c->mark;
+	pkt.sequence = sequence;
+	pkt.acknowledged = c->acknowledged;
+	pkt.length = length;
+	ht_steering_packet(st, &pkt, now);
+}
+
+static void ask(struct caller *c)
+{
+	send_data(c, c->sequence, REQUEST);
+	c->sequence += REQUEST;
+}
+
+static void take_answer(struct caller *c, uint32_t bytes)
+{
+	c->acknowledged += bytes;
+	send_data(c, c->sequence, 0);
+}
+
+START_TEST(each_answer_counts)
+{
+	const struct ht_target *t = put_target(0, "stock", "here");
+	struct caller c = connect_caller(1);
+
+	for (int i = 0; i < 5; i++) {
+		ask(&c);
+		now += 40;
+		take_answer(&c, ANSWER / 2);
+		take_answer(&c, ANSWER / 2);
+		now += 300;
+	}
+	ck_assert_uint_eq(t->answers, 5);
+	ck_assert_int_eq(t->answers_ms, 200);
+}
+END_TEST
+
+/* Pattern: callers keep a flow open for a minute and ask now and then. Their pauses are no load. */
+START_TEST(idle_flows_are_no_load)
+{
+	const struct ht_target *t = put_target(0, "stock", "here");
+	struct caller callers[60];
+
+	/* One after the other, so that there is never more than one request. */
+	for (uint16_t i = 0; i < 60; i++) {
+		callers[i] = connect_caller((uint16_t)(i + 1));
+		ask(&callers[i]);
+		now += 5;
+		take_answer(&callers[i], ANSWER);
+		now += params.answer_quiet;
+	}
+	ht_steering_expire(st, now);
+	ck_assert_uint_eq(t->open, 0);
+	ask(&callers[59]);
+	ck_assert_uint_eq(t->open, 1);
+	for (uint16_t i = 100; i < 110; i++)
+		ck_assert_int_eq(open_flow(i, STOCK_PORT, 0).action, HT_STEER_FORWARD);
+}
+END_TEST
+
+/* Pattern: as many requests a second as the targets can do, all in flows that stay open: nobody is
+ * deferred. */
+START_TEST(steady_requests_of_open_flows_defer_nobody)
+{
+	struct caller callers[40];
+	int deferred = 0;
+
+	for (int i = 0; i < 2; i++)
+		put_target(i, "stock", "here");
+	for (uint16_t i = 0; i < 40; i++)
+		callers[i] = connect_caller((uint16_t)(i + 1));
+	now += params.flow_quiet;
+	/* 100 requests a second of 40 ms, where two targets of three slots can do 150. */
+	for (int i = 0; i < 400; i++) {
+		struct caller *c = &callers[i % 40];
+
+		if (i >= 4)
+			take_answer(&callers[(i - 4) % 40], ANSWER);
+		ask(c);
+		now += 10;
+		deferred +=
+			open_flow((uint16_t)(1000 + i), STOCK_PORT, 0).reason == HT_STEER_DEFERRED;
+		close_flow((uint16_t)(1000 + i), STOCK_PORT, c->mark, 0);
+	}
+	ck_assert_int_eq(deferred, 0);
+}
+END_TEST
+
+/* Pattern: a target hangs between two requests of a flow. */
+START_TEST(later_request_without_an_answer_speaks_against_its_target)
+{
+	struct ht_target *t = put_target(0, "stock", "here");
+	struct caller c = connect_caller(1);
+
+	ask(&c);
+	now += 40;
+	take_answer(&c, ANSWER);
+	now += 1000;
+	ask(&c);
+	now += 200;
+	send_data(&c, c.sequence - REQUEST, REQUEST);
+	ck_assert(ht_evidence_doubted(&t->evidence, now));
+	ck_assert_uint_eq(t->answers, 1);
+}
+END_TEST
+
+/* Guards against the repeated end of a request that counts as a new one. */
+START_TEST(repeated_data_is_no_new_request)
+{
+	const struct ht_target *t = put_target(0, "stock", "here");
+	struct caller c = connect_caller(1);
+
+	ask(&c);
+	now += 40;
+	take_answer(&c, ANSWER);
+	send_data(&c, c.sequence - REQUEST, REQUEST);
+	now += 100;
+	take_answer(&c, 10);
+	ck_assert_uint_eq(t->answers, 1);
+}
+END_TEST
+
+/* Pattern: uploads of many packets. The answer is one, and its time includes the upload. */
+START_TEST(upload_is_one_request)
+{
+	const struct ht_target *t = put_target(0, "stock", "here");
+	struct caller c = connect_caller(1);
+
+	for (int i = 0; i < 70; i++) {
+		send_data(&c, c.sequence, 1200);
+		c.sequence += 1200;
+		now += 2;
+	}
+	ck_assert_uint_eq(t->open, 1);
+	take_answer(&c, 300);
+	ck_assert_uint_eq(t->answers, 1);
+	ck_assert_int_eq(t->answers_ms, 140);
+}
+END_TEST
+
+/* Pattern: a target fails the later requests of its flows at once. */
+START_TEST(errors_in_open_flows_are_seen)
+{
+	struct ht_target *failing;
+
+	put_target(0, "stock", "here");
+	for (uint16_t i = 1; i <= 30; i++)
+		request(i, STOCK_PORT, ANSWER, 40);
+	failing = put_target(1, "stock", "here");
+	for (uint16_t i = 1; i <= 40; i++) {
+		struct caller c = connect_caller((uint16_t)(100 + i));
+
+		for (int k = 0; k < 3; k++) {
+			bool fails = ht_catalog_by_mark(cat, c.mark) == failing;
+
+			ask(&c);
+			now += fails ? 1 : 40;
+			take_answer(&c, fails ? 60 : ANSWER);
+			now += 20;
+		}
+	}
+	ck_assert(failing->evidence.error_rate > 0.4);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("long_flows");
+
+	tcase_add_checked_fixture(tc, world_start, world_stop);
+	tcase_add_test(tc, each_answer_counts);
+	tcase_add_test(tc, idle_flows_are_no_load);
+	tcase_add_test(tc, steady_requests_of_open_flows_defer_nobody);
+	tcase_add_test(tc, later_request_without_an_answer_speaks_against_its_target);
+	tcase_add_test(tc, repeated_data_is_no_new_request);
+	tcase_add_test(tc, upload_is_one_request);
+	tcase_add_test(tc, errors_in_open_flows_are_seen);
+	return run_case("long_flows", tc);
+}
