--- a/core/catalog.h
+++ b/core/catalog.h
@@ -37,6 +37,7 @@
 	struct ht_endpoint at;
 	char service[HT_CATALOG_NAME];
 	uint32_t priority; /**< 0 is served first */
+	bool idempotent;   /**< its requests may run more than once */
 };
 
 /** A whole configuration, decoded, or what one changes in an earlier one. */
@@ -131,6 +132,7 @@
 	struct ht_service *service;
 	struct ht_service *earlier; /**< the one before the last change in this lifetime, or NULL */
 	uint32_t priority;
+	bool idempotent;
 	uint64_t revision; /**< of the newest whole configuration that holds it */
 	uint64_t changed;  /**< revision of the configuration that gave it its present form */
 	struct ht_answers answers;
--- a/core/catalog_routes.c
+++ b/core/catalog_routes.c
@@ -68,13 +68,14 @@
 		r->changed = revision;
 		ht_hmap_add(&cat->routes, &r->hnode, endpoint_hash(e->at));
 	}
-	if (r->service != service || r->priority != e->priority)
+	if (r->service != service || r->priority != e->priority || r->idempotent != e->idempotent)
 		r->changed = revision;
 	if (r->service != service) {
 		r->earlier = r->service;
 		r->service = service;
 	}
 	r->priority = e->priority;
+	r->idempotent = e->idempotent;
 	r->revision = revision;
 	return true;
 }
--- a/core/flow_table.h
+++ b/core/flow_table.h
@@ -1,6 +1,7 @@
 /*
- * Flows that were opened through this instance. They are kept to count the open flows of targets
- * and to judge how targets do; a flow that is lost here is steered by its mark all the same.
+ * Flows that have gone through this instance lately. They are kept to count the open flows of
+ * targets and to judge how targets do; a flow that is lost here is steered by its mark all the
+ * same.
  */
 #ifndef HT_CORE_FLOW_TABLE_H
 #define HT_CORE_FLOW_TABLE_H
@@ -33,6 +34,8 @@
 	uint32_t asked_end; /**< sequence after the last data of the request */
 	ht_ms took;	    /**< from the request to the first data of the answer */
 	bool overdue;
+	uint32_t repeats;     /**< of the request's first data */
+	uint32_t misses_then; /**< of the target, when the request came */
 };
 
 struct ht_flow_table {
--- a/core/steering.c
+++ b/core/steering.c
@@ -9,6 +9,9 @@
 /* Weight of an answer time in the mean of its service, which has many targets. */
 #define SERVICE_WEIGHT 0.02
 
+/* A request that is lost twice in a row on a good network is one in a million. */
+#define DEAD_REPEATS 2
+
 /* Opening packets come three times; the copies are counted from 0. */
 #define LAST_COPY 2
 
@@ -28,6 +31,8 @@
 		.overdue_times = 5,
 		.flow_quiet = 400,
 		.answer_quiet = 50,
+		.dead_after = 500,
+		.dead_misses = 2,
 		.flow_silence = 3000,
 		.remote_cost = 4.0,
 		.cold_cost = 2.0,
@@ -300,6 +305,8 @@
 	f->asked_end = pkt->sequence;
 	f->acknowledged = pkt->acknowledged;
 	f->overdue = false;
+	f->repeats = 0;
+	f->misses_then = f->target->evidence.misses;
 	tell_flow(st, f, HT_FLOW_ASKED, since, 0, now);
 }
 
@@ -321,14 +328,14 @@
 	alive(st, t, now);
 }
 
-/* Learns from a packet of a flow whose opening packet went through this instance. */
-static void observe(struct ht_steering *st, struct ht_tracked_flow *f, struct ht_route *route,
+/* Learns from a packet of a flow; false when the flow has ended with it. */
+static bool observe(struct ht_steering *st, struct ht_tracked_flow *f, struct ht_route *route,
 		    struct ht_target *t, const struct ht_packet *pkt, ht_ms now)
 {
 	if (pkt->resets) {
 		/* Its numbers tell nothing of the target. */
 		ended(st, f, pkt, now);
-		return;
+		return false;
 	}
 	if (f->phase == HT_PHASE_OPENING)
 		opened(st, f, t, pkt, now);
@@ -342,6 +349,7 @@
 		alive(st, t, now);
 	} else if (f->phase == HT_PHASE_ASKED && pkt->length &&
 		   pkt->sequence == f->asked_sequence) {
+		f->repeats++;
 		tell_flow(st, f, HT_FLOW_REPEATED, f->asked_at, 0, now);
 		miss(st, t, f->asked_at, now);
 	}
@@ -352,6 +360,42 @@
 		judge(st, f, route, t, pkt, now);
 	if (pkt->closes)
 		ended(st, f, pkt, now);
+	return !pkt->closes;
+}
+
+/*
+ * True if the request of @f, which its caller has sent for the third time, waits for a target that
+ * cannot answer it: that is gone, or that shows no life to this flow and to others. Its caller is
+ * told at once. A request that may run once at most waits for as long as its target may be alive,
+ * as its caller must not send it to another one.
+ */
+static bool is_dead(const struct ht_steering *st, const struct ht_tracked_flow *f,
+		    const struct ht_route *route, const struct ht_target *t, ht_ms now)
+{
+	const struct ht_evidence *ev = &t->evidence;
+	uint32_t missed = ev->misses - f->misses_then;
+
+	if (!st->complete || f->repeats < DEAD_REPEATS || f->target != t ||
+	    now - f->asked_at < st->params.dead_after || ev->alive_at > f->asked_at)
+		return false;
+	if (t->gone_at != HT_NEVER && now >= t->held_until)
+		return true;
+	return route->idempotent && missed >= f->repeats + st->params.dead_misses;
+}
+
+/* A flow that came from another instance, or that was idle, asks its target. */
+static struct ht_tracked_flow *adopt(struct ht_steering *st, const struct ht_packet *pkt,
+				     struct ht_target *t, ht_ms now)
+{
+	struct ht_tracked_flow *f = ht_flow_table_add(&st->flows, pkt->src, pkt->dst);
+
+	if (!f)
+		return NULL;
+	f->phase = HT_PHASE_OPEN;
+	f->placed = 1;
+	f->opened_at = now;
+	ht_flow_set_target(f, t, pkt->mark, now);
+	return f;
 }
 
 static struct ht_steering_decision steer_marked(struct ht_steering *st, const struct ht_packet *pkt,
@@ -361,6 +405,7 @@
 	struct ht_target *t = ht_catalog_by_mark(st->params.catalog, pkt->mark);
 	struct ht_steering_decision d;
 	struct ht_tracked_flow *f;
+	uint32_t repeats;
 
 	if (!route)
 		return decide(HT_STEER_DROP, st->complete ? HT_STEER_NO_ROUTE : HT_STEER_NO_VIEW);
@@ -371,8 +416,18 @@
 	f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
 	d = forward(t, pkt->mark, HT_STEER_MARKED);
 	d.known = f;
-	if (f)
-		observe(st, f, route, t, pkt, now);
+	if (!f && pkt->length && !pkt->closes && !pkt->resets)
+		f = adopt(st, pkt, t, now);
+	if (!f)
+		return d;
+	repeats = f->repeats;
+	if (!observe(st, f, route, t, pkt, now))
+		return d;
+	if (f->repeats > repeats && is_dead(st, f, route, t, now)) {
+		ht_flow_table_end(&st->flows, f);
+		d.action = HT_STEER_RESET;
+		d.reason = HT_STEER_DEAD_TARGET;
+	}
 	return d;
 }
 
@@ -440,6 +495,7 @@
 		[HT_STEER_NO_TARGET] = "no-target",
 		[HT_STEER_UNKNOWN_MARK] = "unknown-mark",
 		[HT_STEER_FOREIGN_TARGET] = "foreign-target",
+		[HT_STEER_DEAD_TARGET] = "dead-target",
 	};
 
 	return reason < HT_STEER_REASONS ? names[reason] : "invalid";
--- a/core/steering.h
+++ b/core/steering.h
@@ -39,6 +39,7 @@
 	HT_STEER_NO_TARGET,	 /**< no target can take a new flow */
 	HT_STEER_UNKNOWN_MARK,	 /**< no known target has the mark */
 	HT_STEER_FOREIGN_TARGET, /**< the route never led to the target's service */
+	HT_STEER_DEAD_TARGET,	 /**< the flow's own target is gone or shows no life */
 	HT_STEER_REASONS
 };
 
@@ -47,11 +48,11 @@
 	enum ht_steering_reason reason;
 	struct ht_target *target; /**< to forward to; borrowed */
 	uint32_t mark;		  /**< to put into the packet */
-	bool known;		  /**< a marked packet's flow was opened through this instance */
-	double open, room;	  /**< when deferred: flows of the service, and how many fit */
+	bool known;	   /**< a marked packet's flow has gone through this instance lately */
+	double open, room; /**< when deferred: flows of the service, and how many fit */
 };
 
-/** What packets tell of a flow whose opening packet went through this instance. */
+/** What packets tell of a flow that goes through this instance. */
 enum ht_flow_event {
 	HT_FLOW_UNANSWERED, /**< the opening packet came again: its target has not answered */
 	HT_FLOW_OPENED,	    /**< the caller has heard from the target */
@@ -106,6 +107,9 @@
 	ht_ms flow_quiet;     /**< a flow without packets for this long no longer counts as open */
 	ht_ms answer_quiet;   /**< ...and this one after an answer: its caller is idle */
 	ht_ms flow_silence;   /**< ...and after this time it is forgotten */
+	ht_ms dead_after; /**< a request that has waited this long for a dead target is given up...
+			   */
+	uint32_t dead_misses; /**< ...if others have missed that target this often meanwhile */
 	double remote_cost; /**< cost of a target in another data centre, times that of a local one
 			     */
 	double cold_cost;   /**< cost of a target that has just started, times that of a warm one */
--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -109,6 +109,7 @@
 	m->port = r->at.port;
 	m->service = place_of(snap, r->service->name);
 	m->priority = r->priority;
+	m->idempotent = r->idempotent;
 	snap->route_list[snap->msg.n_routes++] = m;
 }
 
@@ -340,6 +341,7 @@
 
 		e->at = (struct ht_endpoint){.ip = m->ip, .port = (uint16_t)m->port};
 		e->priority = m->priority;
+		e->idempotent = m->idempotent;
 		snprintf(e->service, sizeof(e->service), "%s", msg->texts[m->service]);
 	}
 	for (size_t i = 0; i < msg->n_routes_gone; i++) {
--- /dev/null
+++ b/tests/core/steering_callers.h
@@ -0,0 +1,65 @@
+/* Callers that keep their flows open, on top of the world of tests/core/steering_world.h. */
+#ifndef TESTS_STEERING_CALLERS_H
+#define TESTS_STEERING_CALLERS_H
+
+#include "tests/core/steering_world.h"
+
+#define REQUEST 50
+#define ANSWER 4000
+
+/* A flow as its caller sees it: what it has sent and what it has acknowledged. */
+struct caller {
+	uint16_t port, service;
+	uint32_t mark, sequence, acknowledged;
+};
+
+static inline struct caller connect_to(uint16_t port, uint16_t service)
+{
+	struct caller c = {
+		.port = port,
+		.service = service,
+		.mark = open_flow(port, service, 0).mark,
+		.sequence = 1,
+		.acknowledged = 100,
+	};
+
+	now += 4;
+	return c;
+}
+
+static inline struct ht_steering_decision send_data(const struct caller *c, uint32_t sequence,
+						    uint16_t length)
+{
+	struct ht_packet pkt = packet_of(c->port, c->service);
+
+	pkt.mark = c->mark;
+	pkt.sequence = sequence;
+	pkt.acknowledged = c->acknowledged;
+	pkt.length = length;
+	return ht_steering_packet(st, &pkt, now);
+}
+
+static inline struct caller connect_caller(uint16_t port)
+{
+	return connect_to(port, STOCK_PORT);
+}
+
+static inline void ask(struct caller *c)
+{
+	send_data(c, c->sequence, REQUEST);
+	c->sequence += REQUEST;
+}
+
+static inline void take_answer(struct caller *c, uint32_t bytes)
+{
+	c->acknowledged += bytes;
+	send_data(c, c->sequence, 0);
+}
+
+/* The caller has no acknowledgement of its last request: it sends it again. */
+static inline struct ht_steering_decision ask_again(const struct caller *c)
+{
+	return send_data(c, c->sequence - REQUEST, REQUEST);
+}
+
+#endif
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -163,6 +163,8 @@
 	ck_assert_uint_eq(reply.routes.entries[0].priority, 2);
 	ck_assert_uint_eq(reply.routes.entries[1].priority, 1);
 	ck_assert_str_eq(reply.routes.entries[1].service, "huvo11a");
+	ck_assert(reply.routes.entries[0].idempotent);
+	ck_assert(!reply.routes.entries[1].idempotent);
 }
 END_TEST
 
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -896,7 +896,7 @@
   (ProtobufCMessageInit) ht__entry_snapshot_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[5] =
 {
   {
     "ip",
@@ -946,18 +946,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idempotent",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryRoute, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_route__field_indices_by_name[] = {
+  4,   /* field[4] = idempotent */
   0,   /* field[0] = ip */
   1,   /* field[1] = port */
   2,   /* field[2] = priority */
   3,   /* field[3] = service */
 };
-static const ProtobufCIntRange ht__entry_route__number_ranges[2 + 1] =
+static const ProtobufCIntRange ht__entry_route__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 2 },
-  { 0, 4 }
+  { 8, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ht__entry_route__descriptor =
 {
@@ -967,10 +981,10 @@
   "Ht__EntryRoute",
   "ht",
   sizeof(Ht__EntryRoute),
-  4,
+  5,
   ht__entry_route__field_descriptors,
   ht__entry_route__field_indices_by_name,
-  2,  ht__entry_route__number_ranges,
+  3,  ht__entry_route__number_ranges,
   (ProtobufCMessageInit) ht__entry_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -155,10 +155,11 @@
    */
   uint32_t service;
   uint32_t priority;
+  protobuf_c_boolean idempotent;
 };
 #define HT__ENTRY_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_route__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Ht__EntryAddress
