--- a/scripts/failures.py
+++ b/scripts/failures.py
@@ -31,7 +31,7 @@
         program = os.path.join(os.environ.get("HT_BUILD", "build"), "hickorytrestle-entry")
         ports = [free_port(), free_port(), free_port()]
         self.store = Store()
-        put_config(self.store, SERVICES, 3)
+        put_config(self.store, SERVICES, 3, "unsafe")
         self.targets = [Target(self.store, 0x1000 + i, service, "north", ports[0])
                         for i, service in enumerate(["stock"] * 3 + ["patterns"] * 2)]
         self.logs = [open(os.path.join(folder, f"entry-{i}.log"), "wb")
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -60,6 +60,7 @@
         self.store.set_page(PAGE)
         put_config(self.store, SERVICES, self.version)
         self.targets = []
+        self.died = False  # a target has, at some time
         for service in SERVICES.values():
             for _ in range(TARGETS):
                 self.add_target(service)
@@ -101,7 +102,7 @@
     def crash(self):
         target = self.some_target()
         if target:
-            target.dead = True
+            target.dead = self.died = True
             now = time.monotonic()
             if self.random.random() < 0.5:
                 self.later(now + self.random.uniform(0.3, 1.5), target.restart)
@@ -122,7 +123,7 @@
             self.later(end, self.end, target)
 
     def end(self, target):
-        target.dead = True
+        target.dead = self.died = True
         target.lapse()
         if self.random.random() < 0.5:
             self.later(time.monotonic() + 2, self.replace, target)
@@ -236,6 +237,8 @@
             self.problems.append(f"{self.callers.wrong} answers of another service")
         if self.callers.refused:
             self.problems.append(f"{self.callers.refused} flows refused while targets were there")
+        if self.callers.told and not self.died:
+            self.problems.append(f"{self.callers.told} open flows reset though no target had died")
         for target in self.targets:
             if target.leaves_at:
                 self.check_bound(f"{target.name} left", target.leaves_at, target.opened_at)
