--- a/core/steering.c
+++ b/core/steering.c
@@ -381,7 +381,8 @@
 		    const struct ht_route *route, const struct ht_target *t, ht_ms now)
 {
 	const struct ht_evidence *ev = &t->evidence;
-	uint32_t missed = ev->misses - f->misses_then;
+	/* A sign of life in the same turn of the loop as the request has begun the count anew. */
+	uint32_t missed = ev->misses - (ev->misses < f->misses_then ? 0 : f->misses_then);
 
 	if (!st->complete || f->repeats < DEAD_REPEATS || f->target != t ||
 	    now - f->asked_at < st->params.dead_after || ev->alive_at > f->asked_at)
--- a/tests/core/test_dead_targets.c
+++ b/tests/core/test_dead_targets.c
@@ -87,6 +87,29 @@
 }
 END_TEST
 
+/* Guards against misses from before a sign of life that are taken for misses since: both came in
+ * one turn of the loop, which has one time. */
+START_TEST(misses_before_a_sign_of_life_do_not_count)
+{
+	struct ht_target *t = put_target(0, "stock", "here");
+	struct caller alone = connect_caller(1), other = connect_caller(2);
+
+	ask(&alone);
+	now += 4;
+	take_answer(&alone, ANSWER);
+	ask(&other);
+	now += 4;
+	for (int i = 0; i < 5; i++)
+		ht_evidence_miss(&t->evidence, now, now);
+	ask(&alone);
+	take_answer(&other, ANSWER);
+	for (ht_ms wait = FIRST_WAIT; wait <= 1600; wait *= 2) {
+		now += wait;
+		ck_assert_int_eq(ask_again(&alone).action, HT_STEER_FORWARD);
+	}
+}
+END_TEST
+
 START_TEST(target_that_answers_others_is_alive)
 {
 	struct caller callers[4];
@@ -223,6 +246,7 @@
 	tcase_add_test(tc, requests_that_run_once_wait_while_their_target_may_live);
 	tcase_add_test(tc, held_target_counts_as_alive);
 	tcase_add_test(tc, lost_packets_of_one_flow_reset_nothing);
+	tcase_add_test(tc, misses_before_a_sign_of_life_do_not_count);
 	tcase_add_test(tc, target_that_answers_others_is_alive);
 	tcase_add_test(tc, copies_after_a_freeze_prove_nothing);
 	tcase_add_test(tc, opening_packets_found_at_once_prove_nothing);
