--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -1,6 +1,6 @@
 /*
- * The other instances, as heard from their greetings: whom to greet, and from whom to take a
- * snapshot when the platform's store cannot be read. Nothing here is needed while it can.
+ * The other instances, as heard from their greetings: whom to greet, who reads the store for the
+ * others, and from whom to take a snapshot at a start or when news does not come.
  */
 #ifndef HT_CORE_NEIGHBOURS_H
 #define HT_CORE_NEIGHBOURS_H
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -138,6 +138,13 @@
 		link->announced_routes = routes;
 }
 
+static void set_reader(Ht__EntryInstance *reader, char *name, uint32_t size)
+{
+	ht__entry_instance__init(reader);
+	reader->name = name;
+	reader->size = size;
+}
+
 /* @read: by an exact read of this instance, so that it counts as the reader. */
 static void announce_own(struct ht_link *link, bool read, bool everybody)
 {
@@ -145,7 +152,7 @@
 	struct ht_view_state view = ht_link_view(link);
 	Ht__EntryGreeting msg = HT__ENTRY_GREETING__INIT;
 	struct ht_link_receivers receivers = {.count = 0};
-	Ht__EntryInstance reader;
+	Ht__EntryInstance self, reader;
 
 	if (!view.usable)
 		return;
@@ -153,7 +160,8 @@
 	if (everybody)
 		add_representatives(link, &receivers);
 	if (read) {
-		ht_link_describe_self(link, &reader);
+		ht_link_describe_self(link, &self);
+		set_reader(&reader, self.name, self.size);
 		msg.reader = &reader;
 	}
 	announce(link, &msg, &receivers, &bases);
@@ -225,8 +233,6 @@
 	if (!hear_reader(link, reader))
 		return;
 	snprintf(r->name, sizeof(r->name), "%s", reader->name);
-	snprintf(r->dc, sizeof(r->dc), "%s", reader->dc);
-	r->at = (struct ht_endpoint){.ip = reader->ip, .port = (uint16_t)reader->port};
 	r->size = reader->size;
 }
 
@@ -273,8 +279,7 @@
 
 	ev_timer_stop(link->params.loop, &news->timer);
 	if (news->reader.name[0]) {
-		ht_link_set_instance(&reader, news->reader.name, news->reader.dc, news->reader.at,
-				     news->reader.size);
+		set_reader(&reader, news->reader.name, news->reader.size);
 		msg.reader = &reader;
 	}
 	if (news->receivers.count)
--- a/entry/link.c
+++ b/entry/link.c
@@ -32,8 +32,8 @@
 	return (struct ht_endpoint){.ip = ntohl(in->sin_addr.s_addr), .port = ntohs(in->sin_port)};
 }
 
-void ht_link_set_instance(Ht__EntryInstance *m, const char *name, const char *dc,
-			  struct ht_endpoint at, uint32_t size)
+static void set_instance(Ht__EntryInstance *m, const char *name, const char *dc,
+			 struct ht_endpoint at, uint32_t size)
 {
 	ht__entry_instance__init(m);
 	m->name = (char *)name;
@@ -70,8 +70,8 @@
 {
 	const struct ht_entry_settings *set = link->params.settings;
 
-	ht_link_set_instance(self, set->instance, set->data_centre, link->self,
-			     (uint32_t)(set->core_share * SIZE_UNIT));
+	set_instance(self, set->instance, set->data_centre, link->self,
+		     (uint32_t)(set->core_share * SIZE_UNIT));
 }
 
 /* Fills @msg, and @self for it, with what this instance says of itself in every greeting. */
@@ -127,8 +127,8 @@
 
 	ht_link_describe(link, &msg, &self);
 	for (size_t i = 0; i < n; i++) {
-		ht_link_set_instance(&others[i], known[i]->name, known[i]->dc, known[i]->at,
-				     known[i]->size);
+		set_instance(&others[i], known[i]->name, known[i]->dc, known[i]->at,
+			     known[i]->size);
 		list[i] = &others[i];
 	}
 	msg.answer_wanted = answer_wanted;
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -22,8 +22,7 @@
 
 /* Who has read the news from the store. */
 struct ht_link_reader {
-	char name[HT_CATALOG_NAME], dc[HT_CATALOG_NAME];
-	struct ht_endpoint at;
+	char name[HT_CATALOG_NAME];
 	uint32_t size;
 };
 
@@ -55,8 +54,6 @@
 struct ht_feed *ht_link_feed(struct ht_link *link);
 struct ht_view_state ht_link_view(struct ht_link *link);
 
-void ht_link_set_instance(Ht__EntryInstance *m, const char *name, const char *dc,
-			  struct ht_endpoint at, uint32_t size);
 /** Fills @self with this instance. */
 void ht_link_describe_self(struct ht_link *link, Ht__EntryInstance *self);
 /** Fills @msg, and @self for it, with what this instance says of itself in every greeting. */
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -118,7 +118,7 @@
    */
   protobuf_c_boolean to_dc;
   /*
-   * who has read the news from the store
+   * who has read the news from the store: name and size
    */
   Ht__EntryInstance *reader;
   /*
