core: a refusal rests on a view within its bound, or on the caller's last copy

A caller whose route or target came meanwhile gave up for nothing.

Now such a refusal needs a proof within the bound of the settings. On an older view the first two copies of an opening packet are dropped (reason stale-view): the caller sends again after 200 and 600 ms, and the reads that are repeated each second may know better by then. The last copy is answered by what is known, as nothing better can come within the caller's 1.4 s. Weighed: reading at once on such a packet (a call for each in an outage, all of them in vain), waiting in silence (the caller learns nothing and keeps its slot).

Test: no_refusal_by_a_view_that_is_older_than_its_bound, without network; on the former code the drops are resets.

--- a/core/steering.c
+++ b/core/steering.c
@@ -24,6 +24,8 @@
 	struct ht_placing placing;
 	struct ht_flow_table flows;
 	bool complete;
+	struct ht_steering_bounds bounds;
+	ht_ms routes_at, targets_at; /* proofs of the view */
 	size_t sharers;
 	ht_ms adopted_at; /* when a flow has last come from another instance */
 };
@@ -57,6 +59,7 @@
 		return NULL;
 	st->params = *params;
 	st->placing = (struct ht_placing){.params = &st->params, .random = params->seed};
+	st->bounds = (struct ht_steering_bounds){HT_NEVER, HT_NEVER};
 	st->sharers = 1;
 	if (ht_flow_table_init(&st->flows, params->flows_max))
 		return st;
@@ -77,6 +80,17 @@
 	st->complete = complete;
 }
 
+void ht_steering_set_bounds(struct ht_steering *st, const struct ht_steering_bounds *bounds)
+{
+	st->bounds = *bounds;
+}
+
+void ht_steering_set_proofs(struct ht_steering *st, ht_ms routes_at, ht_ms targets_at)
+{
+	st->routes_at = routes_at;
+	st->targets_at = targets_at;
+}
+
 void ht_steering_set_sharers(struct ht_steering *st, size_t count)
 {
 	st->sharers = count;
@@ -164,12 +178,26 @@
 		.action = HT_STEER_FORWARD, .reason = reason, .target = t, .mark = mark};
 }
 
-/* Without a whole view the answer may lie in what has not been read: the caller asks again. */
-static struct ht_steering_decision refuse(const struct ht_steering *st,
-					  enum ht_steering_reason reason)
+/* True if a change may have been accepted that should be in force by now, and is not known here. */
+static bool stale(const struct ht_steering *st, enum ht_steering_reason reason, ht_ms now)
+{
+	return now - st->routes_at > st->bounds.routes ||
+	       (reason != HT_STEER_NO_ROUTE && now - st->targets_at > st->bounds.targets);
+}
+
+/*
+ * Without a whole view the answer may lie in what has not been read: the caller asks again. The
+ * same while the view is stale, but for the last copy of an opening packet: what is known then is
+ * the best that the caller can be told in its time.
+ */
+static struct ht_steering_decision refuse(const struct ht_steering *st, const struct ht_packet *pkt,
+					  enum ht_steering_reason reason, ht_ms now)
 {
-	return st->complete ? decide(HT_STEER_RESET, reason)
-			    : decide(HT_STEER_DROP, HT_STEER_NO_VIEW);
+	if (!st->complete)
+		return decide(HT_STEER_DROP, HT_STEER_NO_VIEW);
+	if (pkt->acknowledged < LAST_COPY && stale(st, reason, now))
+		return decide(HT_STEER_DROP, HT_STEER_STALE_VIEW);
+	return decide(HT_STEER_RESET, reason);
 }
 
 /*
@@ -218,7 +246,7 @@
 	bool again = f;
 
 	if (!mark)
-		return refuse(st, HT_STEER_NO_TARGET);
+		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
 	if (!f)
 		f = ht_flow_table_add(&st->flows, pkt->src, pkt->dst);
 	if (f)
@@ -241,7 +269,7 @@
 
 	uncount_quiet(st, now);
 	if (!route)
-		return refuse(st, HT_STEER_NO_ROUTE);
+		return refuse(st, pkt, HT_STEER_NO_ROUTE, now);
 	if (f && f->phase != HT_PHASE_OPENING) {
 		/* A late copy joins the open flow; a first packet reuses the caller's port. */
 		if (pkt->acknowledged) {
@@ -509,6 +537,7 @@
 		[HT_STEER_MARKED] = "marked",
 		[HT_STEER_DEFERRED] = "deferred",
 		[HT_STEER_NO_VIEW] = "no-view",
+		[HT_STEER_STALE_VIEW] = "stale-view",
 		[HT_STEER_NO_ROUTE] = "no-route",
 		[HT_STEER_NO_TARGET] = "no-target",
 		[HT_STEER_UNKNOWN_MARK] = "unknown-mark",
--- a/core/steering.h
+++ b/core/steering.h
@@ -30,13 +30,14 @@
 };
 
 enum ht_steering_reason {
-	HT_STEER_PLACED,	 /**< new flow */
-	HT_STEER_REPLACED,	 /**< copy of an opening packet: another target than before */
-	HT_STEER_MARKED,	 /**< the flow's own target */
-	HT_STEER_DEFERRED,	 /**< all targets are busy: the caller's next copy may find room */
-	HT_STEER_NO_VIEW,	 /**< nothing has been read from the platform yet */
-	HT_STEER_NO_ROUTE,	 /**< the configuration has no such address */
-	HT_STEER_NO_TARGET,	 /**< no target can take a new flow */
+	HT_STEER_PLACED,     /**< new flow */
+	HT_STEER_REPLACED,   /**< copy of an opening packet: another target than before */
+	HT_STEER_MARKED,     /**< the flow's own target */
+	HT_STEER_DEFERRED,   /**< all targets are busy: the caller's next copy may find room */
+	HT_STEER_NO_VIEW,    /**< nothing has been read from the platform yet */
+	HT_STEER_STALE_VIEW, /**< the view is older than its bound: a fresh read may know better */
+	HT_STEER_NO_ROUTE,   /**< the configuration has no such address */
+	HT_STEER_NO_TARGET,  /**< no target can take a new flow */
 	HT_STEER_UNKNOWN_MARK,	 /**< no known target has the mark */
 	HT_STEER_FOREIGN_TARGET, /**< the route never led to the target's service */
 	HT_STEER_DEAD_TARGET,	 /**< the flow's own target is gone or shows no life */
@@ -132,6 +133,15 @@
 /** True as soon as routes and targets have been read whole: from then on flows may be reset. */
 void ht_steering_set_complete(struct ht_steering *st, bool complete);
 
+/** How old a view may be for a refusal to rest on it; HT_NEVER for any age. */
+struct ht_steering_bounds {
+	ht_ms routes, targets;
+};
+
+void ht_steering_set_bounds(struct ht_steering *st, const struct ht_steering_bounds *bounds);
+/** When the routes, and the targets, were last proven by an exact read, made here or elsewhere. */
+void ht_steering_set_proofs(struct ht_steering *st, ht_ms routes_at, ht_ms targets_at);
+
 /** Number of instances of the data centre, between which its flows are spread. */
 void ht_steering_set_sharers(struct ht_steering *st, size_t count);
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -99,9 +99,12 @@
 static void update_state(struct ht_entry *e, bool listed)
 {
 	struct ht_view_state view;
+	ht_ms now = ht_now();
 
 	ht_feed_view(e->feed, &view);
 	ht_steering_set_complete(e->steering, ht_feed_complete(e->feed));
+	if (ht_feed_complete(e->feed))
+		ht_steering_set_proofs(e->steering, now - view.routes_age, now - view.targets_age);
 	if (view.usable && !e->usable) {
 		e->usable = true;
 		ht_packets_start(e->packets);
@@ -228,6 +231,14 @@
 	return strcmp(ht_addr_format(a, x), ht_addr_format(b, y)) == 0;
 }
 
+static void set_bounds(struct ht_entry *e)
+{
+	ht_steering_set_bounds(e->steering, &(struct ht_steering_bounds){
+						    .routes = (ht_ms)e->settings.config_bound,
+						    .targets = (ht_ms)e->settings.drain_bound,
+					    });
+}
+
 /* Settings that name sockets of this process or its place hold until the next start. */
 static void reload(struct ht_entry *e)
 {
@@ -252,6 +263,7 @@
 	ht_logger_configure(e->log, log_level(&e->settings), total_budget(&e->settings),
 			    event_budget(&e->settings));
 	ht_decisions_set_sample(e->decisions, (unsigned int)e->settings.log_sample);
+	set_bounds(e);
 	ht_logger_event(e->log, HT_EV_SETTINGS_RELOADED, "store_changed=%d", store_changed);
 	if (!store_changed)
 		return;
@@ -365,6 +377,8 @@
 	params.observer = ht_decisions_observer(e->decisions);
 	params.seed = ht_hash_pair(ht_hash_str(e->settings.instance), (uint64_t)ht_clock_wall());
 	e->steering = ht_steering_new(&params);
+	if (e->steering)
+		set_bounds(e);
 	return e->steering;
 }
 
--- a/tests/core/test_steering.c
+++ b/tests/core/test_steering.c
@@ -80,6 +80,31 @@
 }
 END_TEST
 
+/* Pattern: the store is down, and the route or the target that a caller needs came meanwhile. */
+START_TEST(no_refusal_by_a_view_that_is_older_than_its_bound)
+{
+	ht_steering_set_bounds(st, &(struct ht_steering_bounds){.routes = 3000, .targets = 2000});
+	ht_steering_set_proofs(st, now, now);
+	now += 2000;
+	ck_assert_int_eq(open_flow(1, 9999, 0).action, HT_STEER_RESET);
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 0).action, HT_STEER_RESET);
+	now += 1;
+	ck_assert_int_eq(open_flow(1, 9999, 0).reason, HT_STEER_NO_ROUTE);
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 0).action, HT_STEER_DROP);
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 1).reason, HT_STEER_STALE_VIEW);
+	/* The caller sends no further copy. */
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 2).action, HT_STEER_RESET);
+	now += 1000;
+	ck_assert_int_eq(open_flow(1, 9999, 0).reason, HT_STEER_STALE_VIEW);
+	ck_assert_int_eq(open_flow(1, 9999, 2).reason, HT_STEER_NO_ROUTE);
+	/* No target as far as is known rests on the route as well. */
+	ht_steering_set_proofs(st, now - 3001, now);
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 0).reason, HT_STEER_STALE_VIEW);
+	ht_steering_set_proofs(st, now, now);
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 0).reason, HT_STEER_NO_TARGET);
+}
+END_TEST
+
 START_TEST(leaving_target_keeps_its_flows_and_gets_no_new_ones)
 {
 	struct ht_target_entry e = entry_of(1, "stock", "here");
@@ -319,6 +344,7 @@
 	tcase_add_test(tc, late_copy_joins_the_open_flow);
 	tcase_add_test(tc, never_to_a_service_the_route_never_led_to);
 	tcase_add_test(tc, no_reset_before_the_whole_view);
+	tcase_add_test(tc, no_refusal_by_a_view_that_is_older_than_its_bound);
 	tcase_add_test(tc, leaving_target_keeps_its_flows_and_gets_no_new_ones);
 	tcase_add_test(tc, dead_target_gets_single_trials_only);
 	tcase_add_test(tc, failing_target_does_not_draw_load);
