--- a/bench/capacity_memory.c
+++ b/bench/capacity_memory.c
@@ -101,7 +101,7 @@
 		sim_add(s, "solo", "elsewhere", 1);
 		sim_start(s, 0);
 		before = heap_bytes(s);
-		ht_core_live_list(s->nodes[0].core, 9, list, counts[i]);
+		ht_core_live_list(s->nodes[0].core, (struct ht_revision){0, 9}, list, counts[i]);
 		series_add(&per_instance, counts[i], (double)(heap_bytes(s) - before));
 		sim_free(s);
 	}
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -180,7 +180,8 @@
 					    .due = due});
 }
 
-static void op_platform(void *ctx, enum ht_platform_call call, uint64_t known, const char *body)
+static void op_platform(void *ctx, enum ht_platform_call call, struct ht_revision known,
+			const char *body)
 {
 	struct sim_node *n = ctx;
 
@@ -191,7 +192,7 @@
 						    .node = n->index,
 						    .incarnation = n->incarnation,
 						    .call = call,
-						    .id = known,
+						    .id = known.number,
 						    .due = n->sim->now + PLATFORM_MS});
 }
 
--- a/bench/sim_run.c
+++ b/bench/sim_run.c
@@ -85,7 +85,7 @@
 			list[count++] = sim_info_of(&s->nodes[i]);
 	for (int i = 0; i < s->ghosts; i++)
 		fill_ghost(&list[count++], i);
-	ht_core_live_list(n->core, s->revision, list, down ? -1 : count);
+	ht_core_live_list(n->core, (struct ht_revision){0, s->revision}, list, down ? -1 : count);
 	free(list);
 }
 
--- a/core/control.h
+++ b/core/control.h
@@ -14,7 +14,7 @@
 			   uint64_t incarnation);
 void ht_membership_peer_down(struct ht_membership *m, uint64_t peer, uint64_t incarnation,
 			     enum ht_peer_down_reason reason);
-void ht_membership_platform_list(struct ht_membership *m, uint64_t revision,
+void ht_membership_platform_list(struct ht_membership *m, struct ht_revision revision,
 				 const struct ht_instance_info *list, int count);
 void ht_membership_peer_list(struct ht_membership *m, uint64_t peer, const Ht__LiveList *msg);
 /** The instance announces that it is leaving, at once and in every heartbeat from now on. */
@@ -32,8 +32,8 @@
 bool ht_membership_voteless(const struct ht_membership *m);
 /** Rank of this instance among the relays of its data centre, from 0; -1 when it is none. */
 int ht_membership_relay_rank(const struct ht_membership *m);
-/** Revision of the list of instances in use; 0 when there is none yet. */
-uint64_t ht_membership_list_revision(const struct ht_membership *m);
+/** Revision of the list of instances in use; its number is 0 when there is none yet. */
+struct ht_revision ht_membership_list_revision(const struct ht_membership *m);
 /** True when another live, not leaving instance of the data centre exists. */
 bool ht_membership_has_successor(const struct ht_membership *m);
 /** The peer is known to work by @version, ahead of its next heartbeat. */
--- a/core/core.c
+++ b/core/core.c
@@ -371,8 +371,8 @@
 	settle(core);
 }
 
-void ht_core_live_list(struct ht_core *core, uint64_t revision, const struct ht_instance_info *list,
-		       int count)
+void ht_core_live_list(struct ht_core *core, struct ht_revision revision,
+		       const struct ht_instance_info *list, int count)
 {
 	ht_membership_platform_list(core->membership, revision, list, count);
 	ht_relay_list_done(core->relay, count >= 0);
--- a/core/core.h
+++ b/core/core.h
@@ -14,6 +14,7 @@
 #include "base/event.h"
 #include "base/registry.h"
 #include "base/verdict.h"
+#include "base/revision.h"
 #include "rules/config.h"
 #include "wire/peer.pb-c.h"
 
@@ -160,7 +161,8 @@
 	/** Asks for ht_core_advance() at @due; replaces an earlier request. */
 	void (*arm_timer)(void *ctx, ht_ms due);
 	/** Starts a platform call that ends with ht_core_platform_*(). */
-	void (*platform)(void *ctx, enum ht_platform_call call, uint64_t known, const char *body);
+	void (*platform)(void *ctx, enum ht_platform_call call, struct ht_revision known,
+			 const char *body);
 	void (*log_event)(void *ctx, const struct ht_event *ev);
 	/** A planned stop has finished; the process may exit. */
 	void (*stopped)(void *ctx);
@@ -219,8 +221,8 @@
 /** Result of HT_PLATFORM_READ_HEAD or _WATCH_HEAD; @cfg is NULL when the call failed. */
 void ht_core_platform_config(struct ht_core *core, struct ht_config *cfg);
 /** Result of HT_PLATFORM_READ_LIVE; @count < 0 when the call failed. */
-void ht_core_live_list(struct ht_core *core, uint64_t revision, const struct ht_instance_info *list,
-		       int count);
+void ht_core_live_list(struct ht_core *core, struct ht_revision revision,
+		       const struct ht_instance_info *list, int count);
 
 /**
  * Moves the clock to @now and runs what is due. Time never goes back. Call it before each batch of
--- a/core/live_list.c
+++ b/core/live_list.c
@@ -101,14 +101,27 @@
 		list_one(m, &list[i], c);
 }
 
-static void send_list(struct ht_membership *m, uint64_t peer, uint64_t from, Ht__Instance **items,
-		      size_t count)
+static struct ht_revision revision_of(const Ht__LiveList *msg)
+{
+	return (struct ht_revision){.era = msg->era, .number = msg->revision};
+}
+
+static struct ht_revision base_of(const Ht__LiveList *msg)
+{
+	return (struct ht_revision){.era = msg->from_era, .number = msg->from_revision};
+}
+
+/* @from is the revision that the list tells changes of; 0 for a whole one. */
+static void send_list(struct ht_membership *m, uint64_t peer, struct ht_revision from,
+		      Ht__Instance **items, size_t count)
 {
 	Ht__LiveList list = HT__LIVE_LIST__INIT;
 	Ht__PeerMsg msg = HT__PEER_MSG__INIT;
 
-	list.revision = m->list_revision;
-	list.from_revision = from;
+	list.era = m->list_revision.era;
+	list.revision = m->list_revision.number;
+	list.from_era = from.era;
+	list.from_revision = from.number;
 	list.instances = items;
 	list.n_instances = count;
 	msg.kind_case = HT__PEER_MSG__KIND_LIVE_LIST;
@@ -121,7 +134,7 @@
 	send_list(m, peer, m->list_revision, NULL, 0);
 }
 
-static void send_changes(struct ht_membership *m, uint64_t from, const struct changes *c)
+static void send_changes(struct ht_membership *m, struct ht_revision from, const struct changes *c)
 {
 	Ht__Instance *store = calloc(c->count + 1, sizeof(*store));
 	Ht__Instance **items = calloc(c->count + 1, sizeof(*items));
@@ -153,21 +166,21 @@
 			items[n] = &store[n];
 			n++;
 		}
-		send_list(m, peer, 0, items, n);
+		send_list(m, peer, (struct ht_revision){0}, items, n);
 	}
 	free(store);
 	free(items);
 }
 
-void ht_membership_platform_list(struct ht_membership *m, uint64_t revision,
+void ht_membership_platform_list(struct ht_membership *m, struct ht_revision revision,
 				 const struct ht_instance_info *list, int count)
 {
 	size_t room = m->count + (size_t)(count > 0 ? count : 0);
-	uint64_t from = m->list_revision;
+	struct ht_revision from = m->list_revision;
 	struct changes c = {0};
 
 	/* A lower revision comes from a copy that lags behind. */
-	if (count < 0 || revision <= m->list_revision)
+	if (count < 0 || !ht_revision_before(m->list_revision, revision))
 		return;
 	c.infos = calloc(room, sizeof(*c.infos));
 	c.removed = calloc(room, sizeof(*c.removed));
@@ -175,7 +188,7 @@
 		replace_all(m, list, (size_t)count, &c);
 		m->list_revision = revision;
 		ht_membership_touch(m);
-		if (from != 0 && c.count > 0)
+		if (from.number != 0 && c.count > 0)
 			send_changes(m, from, &c);
 	}
 	free(c.infos);
@@ -204,20 +217,20 @@
 		}
 	}
 	free(list);
-	m->list_revision = msg->revision;
+	m->list_revision = revision_of(msg);
 	ht_membership_touch(m);
 }
 
 void ht_membership_peer_list(struct ht_membership *m, uint64_t peer, const Ht__LiveList *msg)
 {
-	if (msg->n_instances == 0 && msg->revision == msg->from_revision) {
-		if (m->list_revision > msg->revision)
+	if (msg->n_instances == 0 && ht_revision_equal(revision_of(msg), base_of(msg))) {
+		if (ht_revision_before(revision_of(msg), m->list_revision))
 			send_whole(m, peer);
 		return;
 	}
-	if (msg->revision <= m->list_revision)
+	if (!ht_revision_before(m->list_revision, revision_of(msg)))
 		return;
-	if (msg->from_revision == 0 || msg->from_revision == m->list_revision)
+	if (msg->from_revision == 0 || ht_revision_equal(base_of(msg), m->list_revision))
 		apply_message(m, msg);
 	else
 		ht_membership_ask_list(m, peer);
--- a/core/members.h
+++ b/core/members.h
@@ -82,7 +82,7 @@
 	ht_ms minority_since, last_death, last_shift, longest_lease;
 	uint64_t view, epoch;
 	bool leaving, lease_held, voteless;
-	uint64_t list_revision;
+	struct ht_revision list_revision;
 	ht_ms list_asked_at; /* 0: never */
 	struct ht_home_entry *homes;
 	size_t home_count;
--- a/core/membership.c
+++ b/core/membership.c
@@ -173,7 +173,7 @@
  */
 static void ask_for_list(struct ht_membership *m, const struct ht_member *p)
 {
-	if (m->list_revision != 0 ||
+	if (m->list_revision.number != 0 ||
 	    (m->list_asked_at && m->env->now < m->list_asked_at + LIST_ASK_MS))
 		return;
 	m->list_asked_at = m->env->now;
@@ -376,7 +376,7 @@
 
 	if (!m->voteless)
 		return;
-	if ((m->list_revision != 0 && all_echoed(m)) || m->env->now >= end) {
+	if ((m->list_revision.number != 0 && all_echoed(m)) || m->env->now >= end) {
 		m->voteless = false;
 		ht_membership_touch(m);
 	}
--- a/core/membership_view.c
+++ b/core/membership_view.c
@@ -227,7 +227,7 @@
 	return ahead < HT_RELAYS ? ahead : -1;
 }
 
-uint64_t ht_membership_list_revision(const struct ht_membership *m)
+struct ht_revision ht_membership_list_revision(const struct ht_membership *m)
 {
 	return m->list_revision;
 }
--- a/core/relay.c
+++ b/core/relay.c
@@ -26,8 +26,10 @@
 	ht_ms head_backoff, list_backoff;
 };
 
+static const struct ht_revision none = {0};
+
 static void call(struct ht_relay *r, enum ht_platform_call kind, enum ht_counter counter,
-		 uint64_t known, const char *body)
+		 struct ht_revision known, const char *body)
 {
 	ht_count(&r->env->counters, counter, 1);
 	r->env->params.ops->platform(r->env->params.ctx, kind, known, body);
@@ -88,7 +90,7 @@
 			   instances);
 	body = status ? json_dumps(status, JSON_COMPACT) : NULL;
 	if (body)
-		call(r, HT_PLATFORM_WRITE_STATUS, HT_C_platform_writes, 0, body);
+		call(r, HT_PLATFORM_WRITE_STATUS, HT_C_platform_writes, none, body);
 	free(body);
 	json_decref(status);
 }
@@ -105,16 +107,17 @@
 	}
 	r->head_busy = true;
 	if (r->active && r->head_version)
-		call(r, HT_PLATFORM_WATCH_HEAD, HT_C_platform_watches, r->head_version, NULL);
+		call(r, HT_PLATFORM_WATCH_HEAD, HT_C_platform_watches,
+		     (struct ht_revision){.number = r->head_version}, NULL);
 	else
-		call(r, HT_PLATFORM_READ_HEAD, HT_C_platform_reads, 0, NULL);
+		call(r, HT_PLATFORM_READ_HEAD, HT_C_platform_reads, none, NULL);
 }
 
 static void tick_list(struct ht_relay *r)
 {
-	uint64_t revision = ht_membership_list_revision(r->membership);
+	struct ht_revision revision = ht_membership_list_revision(r->membership);
 
-	if (r->list_busy || (!r->active && revision))
+	if (r->list_busy || (!r->active && revision.number))
 		return;
 	if (r->env->now < r->next_list) {
 		r->env->wake_at(r->env, r->next_list);
--- a/daemon/config_source.c
+++ b/daemon/config_source.c
@@ -25,7 +25,8 @@
 	uint64_t head_version;	   /* the platform's version of the object; 0: not read */
 	uint64_t reported_version; /* of the object that the core got last */
 	uint64_t known;		   /* the core's, for a watch */
-	uint64_t live_known;	   /* revision of the list that the core has */
+	uint64_t era;		   /* the platform's newest; versions and revisions count in it */
+	struct ht_revision live_known; /* of the list that the core has */
 	bool watching;
 	char *status_body;
 	uint64_t status_version;
@@ -62,7 +63,7 @@
 	if (head)
 		src->p.ops->config(src->p.ctx, NULL);
 	if (live)
-		src->p.ops->live(src->p.ctx, 0, NULL, -1);
+		src->p.ops->live(src->p.ctx, (struct ht_revision){0}, NULL, -1);
 }
 
 static void refuse(struct ht_config_source *src, const char *reason)
@@ -171,18 +172,56 @@
 		fail(src, &src->head_failed);
 }
 
+static void cancel(struct ht_platform_op **call)
+{
+	if (*call)
+		ht_platform_cancel(*call);
+	*call = NULL;
+}
+
+static void read_live(struct ht_config_source *src, struct ht_revision known);
+
+/*
+ * The platform's store has come back from an older copy when a newer era is told: what was known of
+ * versions there says nothing any more. False for an answer from before that.
+ */
+static bool take_era(struct ht_config_source *src, uint64_t era)
+{
+	if (era <= src->era)
+		return era == src->era;
+	ht_log_event(src->p.log, HT_EV_PLATFORM_ERA, 0, 0, "era=%" PRIu64 " before=%" PRIu64, era,
+		     src->era);
+	src->era = era;
+	src->head_version = src->reported_version = src->status_version = 0;
+	/* Watches wait for numbers of the era before. */
+	if (src->head_call) {
+		cancel(&src->head_call);
+		read_head(src);
+	}
+	if (src->live_call) {
+		cancel(&src->live_call);
+		read_live(src, (struct ht_revision){0});
+	}
+	return true;
+}
+
 static void on_head(void *ctx, const struct ht_platform_reply *reply)
 {
 	struct ht_config_source *src = ctx;
+	uint64_t era = src->era;
 	struct ht_err err;
 
 	src->head_call = NULL;
-	if (reply->unchanged) {
-		watch_head(src);
+	if (reply->err.code != HT_OK || !take_era(src, reply->era)) {
+		fail(src, &src->head_failed);
 		return;
 	}
-	if (reply->err.code != HT_OK) {
-		fail(src, &src->head_failed);
+	if (reply->unchanged) {
+		/* The same version of another era is another head. */
+		if (src->era == era)
+			watch_head(src);
+		else
+			read_head(src);
 		return;
 	}
 	src->head_version = reply->version;
@@ -213,13 +252,16 @@
 
 static void on_live(void *ctx, const struct ht_platform_reply *reply);
 
-static void read_live(struct ht_config_source *src, uint64_t known)
+static void read_live(struct ht_config_source *src, struct ht_revision known)
 {
 	src->live_known = known;
-	if (known) {
+	/* Other instances may have told the core of a newer era. */
+	if (known.era > src->era)
+		take_era(src, known.era);
+	if (known.number && known.era == src->era) {
 		ht_count(src->p.counters, HT_C_platform_watches, 1);
-		src->live_call =
-			ht_platform_watch_instances(src->platform, known, WATCH_MS, on_live, src);
+		src->live_call = ht_platform_watch_instances(src->platform, known.number, WATCH_MS,
+							     on_live, src);
 	} else {
 		ht_count(src->p.counters, HT_C_platform_reads, 1);
 		src->live_call =
@@ -237,6 +279,10 @@
 	int count = -1;
 
 	src->live_call = NULL;
+	if (reply->err.code == HT_OK && !take_era(src, reply->era)) {
+		fail(src, &src->live_failed);
+		return;
+	}
 	if (reply->unchanged) {
 		read_live(src, src->live_known);
 		return;
@@ -251,7 +297,8 @@
 	}
 	for (int i = 0; i < count; i++)
 		copy_instance(&infos[i], &list[i]);
-	src->p.ops->live(src->p.ctx, reply->version, infos, count);
+	src->p.ops->live(src->p.ctx, (struct ht_revision){reply->era, reply->version}, infos,
+			 count);
 	free(infos);
 	free(list);
 }
@@ -285,13 +332,6 @@
 					     src->status_body, HT_PLATFORM_TIMEOUT, on_status, src);
 }
 
-static void cancel(struct ht_platform_op **call)
-{
-	if (*call)
-		ht_platform_cancel(*call);
-	*call = NULL;
-}
-
 static void start_head(struct ht_config_source *src, bool watching, uint64_t known)
 {
 	cancel(&src->head_call);
@@ -303,15 +343,15 @@
 		read_head(src);
 }
 
-void ht_config_source_call(struct ht_config_source *src, enum ht_platform_call call, uint64_t known,
-			   const char *body)
+void ht_config_source_call(struct ht_config_source *src, enum ht_platform_call call,
+			   struct ht_revision known, const char *body)
 {
 	switch (call) {
 	case HT_PLATFORM_READ_HEAD:
-		start_head(src, false, known);
+		start_head(src, false, known.number);
 		break;
 	case HT_PLATFORM_WATCH_HEAD:
-		start_head(src, true, known);
+		start_head(src, true, known.number);
 		break;
 	case HT_PLATFORM_READ_LIVE:
 		cancel(&src->live_call);
--- a/daemon/config_source.h
+++ b/daemon/config_source.h
@@ -13,7 +13,8 @@
 	/** @cfg is borrowed; NULL when the call failed. */
 	void (*config)(void *ctx, struct ht_config *cfg);
 	/** @count is -1 when the call failed. */
-	void (*live)(void *ctx, uint64_t revision, const struct ht_instance_info *list, int count);
+	void (*live)(void *ctx, struct ht_revision revision, const struct ht_instance_info *list,
+		     int count);
 };
 
 struct ht_config_source_params {
@@ -36,7 +37,7 @@
  * Starts a call of the core; a call of the same kind that is still open is replaced. @known and
  * @body are those of ht_core_ops.platform.
  */
-void ht_config_source_call(struct ht_config_source *src, enum ht_platform_call call, uint64_t known,
-			   const char *body);
+void ht_config_source_call(struct ht_config_source *src, enum ht_platform_call call,
+			   struct ht_revision known, const char *body);
 
 #endif
--- a/daemon/shell.c
+++ b/daemon/shell.c
@@ -82,7 +82,8 @@
 	ev_timer_start(sh->loop, &sh->timer);
 }
 
-static void op_platform(void *ctx, enum ht_platform_call call, uint64_t known, const char *body)
+static void op_platform(void *ctx, enum ht_platform_call call, struct ht_revision known,
+			const char *body)
 {
 	struct ht_shell *sh = ctx;
 
@@ -226,7 +227,8 @@
 	ht_core_platform_config(core_now(sh), cfg);
 }
 
-static void on_live(void *ctx, uint64_t revision, const struct ht_instance_info *list, int count)
+static void on_live(void *ctx, struct ht_revision revision, const struct ht_instance_info *list,
+		    int count)
 {
 	struct ht_shell *sh = ctx;
 
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -1,5 +1,6 @@
 /* What the platform sends: the first byte chooses packets, listings, changes, eras or settings. */
 #include "entry/settings.h"
+#include "platform/era.h"
 #include "platform/packet.h"
 #include "platform/store.h"
 
@@ -40,11 +41,14 @@
 /* Any text of the header field is one number, or none. */
 static void era(const char *text, size_t len)
 {
-	struct ht_store_reply reply = {.tells_era = false};
 	char *field = strndup(text, len);
+	uint64_t number = 1;
+	bool ok;
 
-	if (!field || (ht_store_decode_era(field, &reply) && !reply.tells_era) ||
-	    reply.revision.era > INT64_MAX)
+	if (!field)
+		return;
+	ok = ht_platform_era(field, &number);
+	if (number > INT64_MAX || (!ok && number))
 		__builtin_trap();
 	free(field);
 }
--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -5,6 +5,7 @@
 directly.
 """
 
+import concurrent.futures
 import json
 import os
 import random
@@ -21,6 +22,10 @@
 HEAD = struct.Struct(">BBIIIH4s4sHHI")
 SYN, ACK, FIN, RST = 128, 64, 8, 4
 SERVICE_IP = "198.18.0.1"
+# A caller gives a flow up after this time.
+GIVE_UP_S = 2
+# A turn of the loop that takes longer delays callers and targets alike.
+STALL_S = 0.15
 # Loopback addresses of one deployment; those that run at the same time need different ones.
 NET = "127.0.0"
 
@@ -84,6 +89,8 @@
         self.dies_with_request = self.dead = False
         self.foreign = 0  # packets for another target
         self.foreign_opened_at = []  # opening ones among them
+        self.swallowed = {}  # times of packets that had no effect here, by flow
+        self.restarted_at = []
         self.flows = {}
         self.opened_at = []
         self.report("ready")
@@ -91,6 +98,7 @@
     def restart(self):
         """Another lifetime under the same name: it knows nothing of before."""
         self.born += 1000
+        self.restarted_at.append(time.monotonic())
         self.dead = False
         self.flows = {}
         self.report("ready")
@@ -110,15 +118,18 @@
 
     def receive(self):
         data = self.sock.recv(2000)
+        flags, _, seq, ack, _, sport, src, dst, dport, length, echo = HEAD.unpack_from(data, 8)
+        key = (src, sport, dst, dport)
+        foreign = int.from_bytes(data[:8], "big") != self.number
+        if self.dead or foreign:
+            self.swallowed.setdefault(sport, []).append(time.monotonic())
         if self.dead:
             return
-        flags, _, seq, ack, _, sport, src, dst, dport, length, echo = HEAD.unpack_from(data, 8)
-        if int.from_bytes(data[:8], "big") != self.number:
+        if foreign:
             self.foreign += 1
             if flags & SYN:
                 self.foreign_opened_at.append(time.monotonic())
             return
-        key = (src, sport, dst, dport)
 
         def send(out_flags, out_seq, out_ack, payload=b""):
             self.sock.sendto(HEAD.pack(out_flags, 0, out_seq, out_ack, 0, dport, dst, src, sport,
@@ -165,6 +176,7 @@
         self.packets, self.ready_port = (self.ip, ports[0]), ports[1]
         self.dir = tempfile.TemporaryDirectory()
         self.ready = False
+        self.starts, self.killed_at = [], []
         self.log = log
         self.settings = os.path.join(self.dir.name, "settings.json")
         self.command = [program, "--settings", self.settings]
@@ -177,7 +189,8 @@
         self.start()
 
     def start(self):
-        self.ready = False
+        self.ready = self.was_ready = self.paused = False
+        self.starts.append(time.monotonic())
         self.stop_asked = self.paused_at = None
         self.process = subprocess.Popen(self.command, stdout=self.log, stderr=subprocess.DEVNULL)
 
@@ -189,6 +202,15 @@
                 self.ready = rsp.status == 200
         except (urllib.error.URLError, OSError):
             self.ready = False
+        self.was_ready |= self.ready
+
+    def state(self):
+        """What becomes of a packet that is sent to it now."""
+        if self.process.poll() is not None:
+            return "down"
+        if self.paused:
+            return "paused"
+        return "serving" if self.was_ready else "starting"
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -196,6 +218,10 @@
                 self.stop_asked = time.monotonic()
             if number == signal.SIGSTOP:
                 self.paused_at = time.monotonic()
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.paused = number == signal.SIGSTOP
+            if number == signal.SIGKILL:
+                self.killed_at.append(time.monotonic())
             self.process.send_signal(number)
 
     def stop(self):
@@ -212,6 +238,7 @@
         self.seq, self.ack, self.echo = random.getrandbits(31), 0, 0
         self.copies, self.open = 0, False
         self.started = self.sent_at = time.monotonic()
+        self.packets = []  # (time, instance, its state) of what the caller has sent
 
 
 class Callers:
@@ -227,6 +254,10 @@
         self.refused = 0  # flows that an instance reset before they were open
         self.told = 0  # open flows that an instance reset, as their target shows no life
         self.complaints = []  # what became of each flow that was not answered
+        self.failed = []  # (flow, what, by): those flows, and whose reset ended them
+        self.routers = concurrent.futures.ThreadPoolExecutor(len(instances))
+        self.polls = {}
+        self.stalls = []  # (start, end) of times in which the stand-ins themselves did not run
 
     def route(self, flow):
         """The routers' hash over the instances that are in rotation."""
@@ -236,8 +267,10 @@
     def send(self, flow, flags, ack=0, payload=b""):
         pkt = HEAD.pack(flags, 0, flow.seq, ack, 0, flow.sport, socket.inet_aton(self.ip),
                         socket.inet_aton(SERVICE_IP), flow.dport, len(payload), flow.echo)
+        inst = self.route(flow)
         flow.sent_at = time.monotonic()
-        self.sock.sendto(pkt + payload, self.route(flow).packets)
+        flow.packets.append((flow.sent_at, inst, inst.state()))
+        self.sock.sendto(pkt + payload, inst.packets)
 
     def start(self, dport):
         self.sent += 1
@@ -259,7 +292,7 @@
             if source[0] in {i.ip for i in self.instances}:
                 self.told += flow.open
                 self.refused += not flow.open
-            self.complain(flow, "reset")
+            self.complain(flow, "reset", source[0])
             del self.flows[sport]
         elif flags & SYN and not flow.open:
             flow.open, flow.echo, flow.ack = True, echo, seq + 1
@@ -272,14 +305,22 @@
             self.send(flow, ACK | FIN, seq + length)
             del self.flows[sport]
 
-    def complain(self, flow, what):
+    def poll_all(self):
+        """The routers wait for each instance on their own."""
+        for inst in self.instances:
+            pending = self.polls.get(inst)
+            if not pending or pending.done():
+                self.polls[inst] = self.routers.submit(inst.poll)
+
+    def complain(self, flow, what, by=None):
+        self.failed.append((flow, what, by))
         self.complaints.append((f"{self.ip}:{flow.sport}-{SERVICE_IP}:{flow.dport}", what))
 
     def repeat(self):
-        """Sends again what has had no effect; gives a flow up after two seconds."""
+        """Sends again what has had no effect, and gives up what takes too long."""
         now = time.monotonic()
         for flow in list(self.flows.values()):
-            if now - flow.started > 2:
+            if now - flow.started > GIVE_UP_S:
                 self.lost += 1
                 self.complain(flow, "no answer" if flow.open else "not opened")
                 del self.flows[flow.sport]
@@ -291,16 +332,19 @@
 
     def run(self, seconds, rate, step=None):
         """Plays for a while and calls @step now and then."""
-        end = time.monotonic() + seconds
-        next_flow = next_poll = time.monotonic()
+        last = time.monotonic()
+        end = last + seconds
+        next_flow = next_poll = last
         while (now := time.monotonic()) < end:
+            if now - last > STALL_S:
+                self.stalls.append((last, now))
+            last = now
             if rate and now >= next_flow:
                 next_flow += 1 / rate
                 self.start(random.choice(list(self.services)))
             if now >= next_poll:
                 next_poll = now + 0.5
-                for inst in self.instances:
-                    inst.poll()
+                self.poll_all()
             self.repeat()
             if step:
                 step(now)
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -32,7 +32,7 @@
 	echo "model: $1 ${2:+without }${2:-complete}: $got (expected $3), states ${states:-none}"
 }
 
-for model in ownership ledger config; do
+for model in ownership ledger config eras; do
 	run $model "" holds
 	for macro in $(sed -n 's/^ \*   \(NO_[A-Z_]*\) .*/\1/p' "$top/model/$model.pml"); do
 		run $model "$macro" fails
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -4,13 +4,16 @@
     scripts/soak.py [--seconds N] [--keep FOLDER] SEED...
 
 Each seed is one plan: instances are killed, paused, stopped and started by signals; the store is
-down, slow, silent, cut one way, compacted or answers from the past; targets crash, restart, leave,
-come, and take over addresses; the configuration changes. Faults come in series and overlap. After
-them the deployment is left alone and must serve everything. Exit status 1 when a promise is broken;
-the logs of that seed are then kept, and the seed belongs into tests/soak/seeds.txt with its cause.
+down, slow, silent, cut one way, compacted, answers from the past or comes back from an older copy;
+targets crash, restart, leave, come, and take over addresses; the configuration changes. Faults come
+in series and overlap. After them the deployment is left alone and must serve everything; before,
+each request that was not answered names the fault that it met. Exit status 1 when a promise is
+broken; the logs of that seed are then kept, and the seed belongs into tests/soak/seeds.txt with its
+cause.
 """
 
 import argparse
+import collections
 import os
 import random
 import shutil
@@ -19,7 +22,8 @@
 import tempfile
 import time
 
-from entry_world import Callers, Instance, Store, Target, free_port, put_config
+from entry_world import (GIVE_UP_S, Callers, Instance, Store, Target, free_port,
+                         put_config)
 from store_proxy import StoreProxy
 
 SERVICES = {443: "stock", 80: "patterns"}
@@ -35,6 +39,22 @@
 DRAIN_BOUND_S = 3
 # A busy machine delays the stand-ins themselves.
 SLACK_S = 0.5
+# A packet reaches its target, or is lost with the instance that has it, within this time.
+TRANSIT_S = 0.3
+# An instance that can read the store, or hear from a neighbour, is ready in this time; one whose
+# reads have failed repeats them each second, and the routers ask twice a second.
+START_S = 1.5
+RETRY_S = 1.5
+# Changes that the copy lacks at most from which the store comes back, the time in which targets
+# report, and the time after which the entry of a silent one lapses.
+LOST_MAX = 15
+REPORT_S = 1.2
+LAPSE_S = 3.6
+# Calls to the store: an instance repeats a read of a kind each second when it fails, and the one that
+# reads for others watches a kind once in 0.7 s; in a listing there are the pages of each kind and
+# a read that confirms it.
+CALLS_PER_S = INSTANCES * 2 * 2
+CALLS_PER_LISTING = 2 * (TARGETS * 2 // PAGE + 2)
 # Time without faults at the end; in its last part every request must be answered.
 CALM_S = 11
 SERVED_S = 3
@@ -49,6 +69,9 @@
         self.seconds, self.folder = seconds, folder
         self.problems = []
         self.faults = []  # of the network, the store and instances: (start, end)
+        self.returned_at = []  # the store, from older copies
+        self.listings = 0  # that are expected for faults of the store
+        self.store_faults = []  # those among them that keep instances from reading
         self.pending = []  # (time, function) that undo faults, sorted when run
         self.number = 0x1000
         self.version = 3
@@ -90,6 +113,11 @@
         self.faults.append((now, now + seconds))
         return now + seconds
 
+    def store_fault(self, seconds):
+        end = self.fault(seconds)
+        self.store_faults.append(self.faults[-1])
+        return end
+
     def later(self, at, function, *args):
         self.pending.append((at, function, args))
 
@@ -167,7 +195,7 @@
     def proxy_fault(self):
         mode = self.random.choice(("delay", "silent", "answers-lost", "refuse"))
         some = self.random.sample(self.proxies, self.random.randint(1, INSTANCES))
-        end = self.fault(self.random.uniform(0.5, 5))
+        end = self.store_fault(self.random.uniform(0.5, 5))
         for proxy in some:
             proxy.set_mode(mode)
             self.later(end, proxy.set_mode, "pass")
@@ -178,7 +206,7 @@
             proxy.reset_all()
 
     def store_down(self):
-        end = self.fault(self.random.uniform(0.5, 5))
+        end = self.store_fault(self.random.uniform(0.5, 5))
         self.store.set_fault("down", True)
         self.later(end, self.store.set_fault, "down", False)
 
@@ -189,11 +217,42 @@
 
     def store_compacts(self):
         self.fault(0.1)
+        self.listings += INSTANCES
         self.store.set_fault("compact", True)
 
+    def store_returns(self):
+        """Away for a moment, then back from an older copy; what was written is written again."""
+        end = self.store_fault(self.random.uniform(0.2, 1.5))
+        self.store.set_fault("down", True)
+        self.later(end, self.come_back, self.random.randint(1, LOST_MAX))
+
+    def come_back(self, lost):
+        now = time.monotonic()
+        self.returned_at.append(now)
+        self.listings += INSTANCES
+        self.store.come_back(lost)
+        self.store.set_fault("down", False)
+        self.later(now + self.random.uniform(0, 1), self.configure_again)
+        for target in self.targets:
+            self.later(now + self.random.uniform(0, REPORT_S), self.report_again, target)
+
+    def configure_again(self):
+        put_config(self.store, SERVICES, self.version)
+
+    def report_again(self, target):
+        """Only a live target reports; the entry of another one lapses."""
+        if target.dead:
+            self.later(time.monotonic() + LAPSE_S - REPORT_S, self.lapse_if_dead, target)
+        else:
+            target.report()
+
+    def lapse_if_dead(self, target):
+        if target.dead:
+            target.lapse()
+
     KINDS = ((crash, 4), (leave, 4), (come, 2), (configure, 3), (kill, 3), (stop, 2), (pause, 2),
              (kill_all, 1), (proxy_fault, 3), (connections_reset, 1), (store_down, 2),
-             (store_stale, 1), (store_compacts, 1))
+             (store_stale, 1), (store_compacts, 1), (store_returns, 2))
 
     # What is promised.
 
@@ -207,6 +266,24 @@
             self.problems.append(f"{what}: {len(late)} new flows, the first "
                                  f"{late[0] - since:.1f} s later")
 
+    def check_returned(self, target, at):
+        """What had left in time before a return is not used again, but by one that starts then."""
+        left = target.leaves_at and target.leaves_at + DRAIN_BOUND_S + SLACK_S
+        started = any(at - START_S < t < at + LAPSE_S for i in self.instances for t in i.starts)
+        if not left or left > at or started or self.disturbed(target.leaves_at, left):
+            return
+        late = [t for t in target.opened_at if at < t < at + LAPSE_S]
+        if late:
+            self.problems.append(f"{target.name} had left: {len(late)} new flows since the store "
+                                 f"came back, the first {late[0] - at:.1f} s after")
+
+    def check_calls(self):
+        starts = sum(len(i.starts) for i in self.instances)
+        allowed = ((time.monotonic() - self.began) * CALLS_PER_S
+                   + (starts + self.listings) * CALLS_PER_LISTING)
+        if self.store.reads() > allowed:
+            self.problems.append(f"{self.store.reads()} calls to the store, {allowed:.0f} allowed")
+
     def check_stopping(self, inst):
         """A stop that was asked for ends within its grace time, unless the process was paused."""
         asked, paused = inst.stop_asked, inst.paused_at
@@ -239,7 +316,10 @@
             self.problems.append(f"{self.callers.refused} flows refused while targets were there")
         if self.callers.told and not self.died:
             self.problems.append(f"{self.callers.told} open flows reset though no target had died")
+        self.check_calls()
         for target in self.targets:
+            for at in self.returned_at:
+                self.check_returned(target, at)
             if target.leaves_at:
                 self.check_bound(f"{target.name} left", target.leaves_at, target.opened_at)
             self.check_bound(f"{target.name} took over an address", target.comes_at,
@@ -256,6 +336,58 @@
                 self.problems.append(f"{inst.name} has ended by itself")
             self.check_stopping(inst)
 
+    # What was not answered. Each failure names the fault that was in force for it.
+
+    def start_cause(self, inst, at):
+        """An instance needs the store, or a neighbour that has a view, to begin."""
+        start = max((t for t in inst.starts if t <= at), default=at)
+        if at - start < START_S:
+            return "instance starting"
+        if any(a < at and start < b + RETRY_S for a, b in self.store_faults):
+            return "instance starts without the store"
+        return None
+
+    def packet_cause(self, flow, sent):
+        """Why a packet of a flow had no effect, or None."""
+        at, inst, state = sent
+        if state == "starting":
+            return self.start_cause(inst, at)
+        if state != "serving":
+            return f"instance {state}"
+        if any(at <= killed <= at + TRANSIT_S for killed in inst.killed_at):
+            return "instance killed"
+        if any(at <= t <= at + TRANSIT_S for target in self.callers.targets
+               for t in target.swallowed.get(flow.sport, ())):
+            return "target dead"
+        if any(start < at + TRANSIT_S and at < end for start, end in self.callers.stalls):
+            return "stand-ins stalled"
+        return None
+
+    def target_restarted(self, flow):
+        return any(flow.started <= t for target in self.callers.targets
+                   for t in target.restarted_at)
+
+    def failure_causes(self, flow, what, by):
+        """The causes of a failure; a None among them is not explained."""
+        from_instance = by in {i.ip for i in self.instances}
+        if what == "reset" and not from_instance and self.target_restarted(flow):
+            return {"target restarted"}
+        # The last packet of an open flow may be answered just when its caller gives up.
+        given_up = flow.started + GIVE_UP_S - TRANSIT_S
+        return {self.packet_cause(flow, sent) for sent in flow.packets if sent[0] < given_up}
+
+    def account(self):
+        """Counts the causes of what was not answered; a failure without one breaks the run."""
+        self.causes = collections.Counter()
+        for flow, what, by in self.callers.failed:
+            causes = self.failure_causes(flow, what, by)
+            self.causes["+".join(sorted(str(c) for c in causes))] += 1
+            if None in causes:
+                steps = ", ".join("%.2f %s %s" % (at - flow.started, inst.name,
+                                                  self.packet_cause(flow, (at, inst, state)))
+                                  for at, inst, state in flow.packets)
+                self.problems.append(f"{flow.sport}-{flow.service} {what} without a cause: {steps}")
+
     # The run.
 
     def step(self, now):
@@ -274,7 +406,7 @@
             self.callers.run(0.5, 0)
             if all(i.ready for i in self.instances):
                 break
-        now = time.monotonic()
+        now = self.began = time.monotonic()
         self.next_fault, self.last_fault = now + 1, now + self.seconds
         self.callers.run(self.seconds + CALM_S - SERVED_S, RATE, self.step)
         before = self.callers.lost + self.callers.reset
@@ -307,10 +439,14 @@
     finally:
         soak.close()
     soak.check_logs()
+    soak.account()
     c = soak.callers
     print(f"soak: seed={seed} sent={c.sent} answered={c.answered} lost={c.lost} reset={c.reset} "
           f"faults={len(soak.faults)} targets={len(soak.targets)} "
           f"{'BROKEN' if soak.problems else 'kept'}", flush=True)
+    if soak.causes:
+        print(f"soak: seed={seed} not answered: "
+              + ", ".join(f"{cause} {n}" for cause, n in soak.causes.most_common()))
     for problem in soak.problems:
         print(f"soak: seed={seed}: {problem}")
     if soak.problems and keep:
--- a/tests/control/fake_path.h
+++ b/tests/control/fake_path.h
@@ -92,7 +92,7 @@
 	struct ht_config *head;
 	uint64_t top_version;
 	bool platform_down;
-	uint64_t revision;
+	uint64_t era, revision; /* of the list of instances */
 	struct ht_instance_info list[MAX_NODES];
 	int list_count;
 	uint64_t targets[MAX_TARGETS];
--- a/tests/control/net.h
+++ b/tests/control/net.h
@@ -59,7 +59,8 @@
 		if (!net->hidden[n->index]
 				[node_by_id(net, ht_instance_id(net->list[i].name))->index])
 			list[count++] = net->list[i];
-	ht_core_live_list(n->core, net->revision, list, net->platform_down ? -1 : count);
+	ht_core_live_list(n->core, (struct ht_revision){net->era, net->revision}, list,
+			  net->platform_down ? -1 : count);
 }
 
 /* True when the call has ended. */
--- a/tests/control/nodes.h
+++ b/tests/control/nodes.h
@@ -51,7 +51,8 @@
 	((struct node *)ctx)->timer = due;
 }
 
-static void op_platform(void *ctx, enum ht_platform_call call, uint64_t known, const char *body)
+static void op_platform(void *ctx, enum ht_platform_call call, struct ht_revision known,
+			const char *body)
 {
 	struct node *n = ctx;
 	struct net *net = n->net;
@@ -65,7 +66,7 @@
 	net->calls[net->call_count++] = (struct call){.node = n->index,
 						      .incarnation = n->incarnation,
 						      .kind = call,
-						      .known = known,
+						      .known = known.number,
 						      .due = net->now + 3};
 }
 
--- a/tests/control/test_config.c
+++ b/tests/control/test_config.c
@@ -1,4 +1,5 @@
 /* Spread of configurations: section 3.7 of the design. net_step() checks that no version falls. */
+#include "core/control.h"
 #include "tests/control/net.h"
 
 #define SPREAD_MS 8000
@@ -285,6 +286,32 @@
 }
 END_TEST
 
+/* Pattern: the platform's store comes back from an older copy, and its numbers with it. */
+START_TEST(list_of_a_new_era_is_taken_though_its_revision_is_lower)
+{
+	struct net *net = start(9, 8, 0);
+	int left = 7;
+
+	net->load = false;
+	net->revision = 50;
+	net_publish_list(net);
+	net_run(net, 5000);
+	net->era = 1;
+	net->revision = 2;
+	net->nodes[left].listed = false;
+	net_kill(net, left, false);
+	net_publish_list(net);
+	net_run(net, 5000);
+	for (int i = 0; i < left; i++) {
+		struct ht_revision at = ht_membership_list_revision(net->nodes[i].members->ctx);
+
+		ck_assert_uint_eq(at.era, 1);
+		ck_assert_uint_eq(at.number, 3);
+	}
+	net_free(net);
+}
+END_TEST
+
 static const struct ht_config_if *config_of(const struct net *net, int i)
 {
 	return ht_registry_find(ht_core_registry(net->nodes[i].core), "config");
@@ -338,6 +365,7 @@
 	tcase_add_test(tc, starting_instances_pull_from_different_peers);
 	tcase_add_test(tc, changes_travel_as_differences);
 	tcase_add_test(tc, platform_calls_are_few);
+	tcase_add_test(tc, list_of_a_new_era_is_taken_though_its_revision_is_lower);
 	tcase_add_test(tc, earlier_target_sets_are_kept);
 	suite_add_tcase(s, tc);
 	srunner_run_all(sr, CK_ENV);
--- a/tests/core/core_net.h
+++ b/tests/core/core_net.h
@@ -155,7 +155,8 @@
 	((struct node *)ctx)->timer = due;
 }
 
-static void op_platform(void *ctx, enum ht_platform_call call, uint64_t known, const char *body)
+static void op_platform(void *ctx, enum ht_platform_call call, struct ht_revision known,
+			const char *body)
 {
 	struct node *n = ctx;
 	struct net *net = n->net;
@@ -166,7 +167,7 @@
 	ck_assert_int_lt(net->watch_count, 64);
 	net->watch[net->watch_count].node = n->index;
 	net->watch[net->watch_count].incarnation = n->incarnation;
-	net->watch[net->watch_count].known = known;
+	net->watch[net->watch_count].known = known.number;
 	net->watch[net->watch_count++].kind = call;
 }
 
--- a/tests/core/core_run.h
+++ b/tests/core/core_run.h
@@ -50,7 +50,7 @@
 		list[count] = node_info(&net->nodes[i]);
 		list[count++].leaving = net->nodes[i].leaving;
 	}
-	ht_core_live_list(n->core, net->revision, list, count);
+	ht_core_live_list(n->core, (struct ht_revision){0, net->revision}, list, count);
 }
 
 static inline void platform_step(struct net *net)
--- a/tests/core/test_eras.c
+++ b/tests/core/test_eras.c
@@ -420,6 +420,95 @@
 }
 END_TEST
 
+/* Instances that read one kind of objects, of which the first reads for all. */
+#define FLEET_MAX 300
+#define PAGES 6
+#define NEWS_MS 400 /* until the last instance has heard what the first one has read */
+#define AFTER_MS 10000
+
+static struct ht_reading fleet[FLEET_MAX];
+static ht_ms answer_due[FLEET_MAX];
+
+static void start_fleet(int count)
+{
+	for (int i = 0; i < count; i++) {
+		const struct ht_reading_params reading_params = {.seed = (uint64_t)i,
+								 .pause = 700,
+								 .wait = WAIT,
+								 .settle = 2500,
+								 .patience = 500};
+		ht_ms delay = (ht_ms)i * 100 < 310 ? (ht_ms)i * 100 : 310;
+
+		ht_reading_init(&fleet[i], &reading_params, now);
+		ht_reading_adopt(&fleet[i], rev_of(1, 90), now);
+		ht_reading_learn(&fleet[i], now);
+		ht_reading_set_due_age(&fleet[i], i ? COVER + delay : 0);
+		answer_due[i] = HT_NEVER;
+	}
+}
+
+/* The store answers at once, a watch at its end. Returns true if everything is known as of now. */
+static bool answer_of_second_era(struct ht_reading *one, int page)
+{
+	struct ht_revision at = rev_of(2, 60);
+	char last[16];
+
+	if (ht_reading_answered(one, 2, now) != HT_READING_FITS)
+		return false;
+	if (one->call.watch) {
+		ht_reading_changes(one, at, false, now);
+		return true;
+	}
+	snprintf(last, sizeof(last), "t%d", page);
+	return ht_reading_page(one, at, page < PAGES, last, now) == HT_READING_WHOLE;
+}
+
+/* Calls in the ten seconds after the return; @news: others hear what the first has read. */
+static int calls_after_return(int count, bool news)
+{
+	int calls = 0, page[FLEET_MAX] = {0};
+	ht_ms read_at = HT_NEVER, end = now + AFTER_MS;
+
+	start_fleet(count);
+	for (; now < end; now += 10) {
+		for (int i = 0; i < count; i++) {
+			struct ht_reading *one = &fleet[i];
+
+			if (ht_reading_next(one, now, &call, &due)) {
+				calls++;
+				page[i] = call.watch || !call.after[0] ? 1 : page[i] + 1;
+				answer_due[i] = now + (call.watch ? call.wait : 0);
+			}
+			if (now >= answer_due[i]) {
+				answer_due[i] = HT_NEVER;
+				if (answer_of_second_era(one, page[i]) && !i)
+					read_at = now;
+			}
+			if (!i || !news || read_at == HT_NEVER ||
+			    now != read_at + 10 * (1 + i * NEWS_MS / 10 / FLEET_MAX))
+				continue;
+			if (ht_reading_begin_era(one, 2, now))
+				answer_due[i] = HT_NEVER;
+			ht_reading_adopt(one, rev_of(2, 60), now);
+			ht_reading_learn(one, read_at);
+		}
+	}
+	return calls;
+}
+
+START_TEST(calls_after_a_return_do_not_grow_with_the_fleet)
+{
+	int few = calls_after_return(3, true), many = calls_after_return(FLEET_MAX, true);
+
+	/* One listing, and a watch each wait. */
+	ck_assert_int_le(few, PAGES + 2 + AFTER_MS / WAIT);
+	ck_assert_int_eq(many, few);
+	/* Where nobody hears of another, each lists once and keeps its own proof young. */
+	many = calls_after_return(FLEET_MAX, false);
+	ck_assert_int_le(many, FLEET_MAX * (PAGES + 2 + AFTER_MS / WAIT));
+}
+END_TEST
+
 static struct ht_view_state view_of(struct ht_revision targets, uint64_t version)
 {
 	return (struct ht_view_state){
@@ -464,6 +553,7 @@
 	tcase_add_test(tc, answer_of_an_earlier_era_counts_as_failed);
 	tcase_add_test(tc, covered_instance_takes_the_new_era_from_its_neighbours);
 	tcase_add_test(tc, era_that_a_neighbour_alone_tells_is_proven_by_a_read);
+	tcase_add_test(tc, calls_after_a_return_do_not_grow_with_the_fleet);
 	tcase_add_test(tc, view_of_an_earlier_era_is_not_fetched);
 	return run_case("eras", tc);
 }
--- a/tests/platform/fake_platform.h
+++ b/tests/platform/fake_platform.h
@@ -25,6 +25,9 @@
 	int lose_answers;  /* writes of the head that take effect without an answer */
 	int lose_writes;   /* writes of the head that are lost before they take effect */
 	int reads, writes; /* calls on objects */
+	int era;	   /* told in each answer; 0: not */
+	long revision;	   /* of the list of instances */
+	int ended;	   /* watches wait no longer */
 	/* Called once before a write of the head, as another operator's write at that moment. */
 	void (*before_write)(struct fake *f);
 	/* Called once after a write of the head whose answer is lost. */
@@ -36,12 +39,19 @@
 	size_t len;
 };
 
-static enum MHD_Result fake_answer(struct MHD_Connection *conn, unsigned int status, json_t *body)
+static enum MHD_Result fake_answer(const struct fake *f, struct MHD_Connection *conn,
+				   unsigned int status, json_t *body)
 {
 	char *text = body ? json_dumps(body, 0) : strdup("");
 	struct MHD_Response *rsp =
 		MHD_create_response_from_buffer(strlen(text), text, MHD_RESPMEM_MUST_FREE);
-	enum MHD_Result ret = MHD_queue_response(conn, status, rsp);
+	enum MHD_Result ret;
+	char era[16];
+
+	snprintf(era, sizeof(era), "%d", f->era);
+	if (f->era)
+		MHD_add_response_header(rsp, "Store-Era", era);
+	ret = MHD_queue_response(conn, status, rsp);
 
 	MHD_destroy_response(rsp);
 	json_decref(body);
@@ -88,7 +98,7 @@
 	old = json_object_get(f->objects, name);
 	have = json_integer_value(json_object_get(old, "version"));
 	if (want != have)
-		return fake_answer(conn, 409, json_incref(old ? old : json_object()));
+		return fake_answer(f, conn, 409, json_incref(old ? old : json_object()));
 	have = fake_put(f, name, json_loadb(up->data, up->len, JSON_DECODE_ANY, NULL), 0);
 	if (head && f->lose_answers > 0) {
 		f->lose_answers--;
@@ -97,7 +107,7 @@
 		f->after_write = NULL;
 		return MHD_NO;
 	}
-	return fake_answer(conn, 200, json_pack("{sI}", "version", (json_int_t)have));
+	return fake_answer(f, conn, 200, json_pack("{sI}", "version", (json_int_t)have));
 }
 
 static enum MHD_Result fake_read(struct fake *f, struct MHD_Connection *conn, const char *name)
@@ -108,14 +118,14 @@
 	f->reads++;
 	while ((obj = json_object_get(f->objects, name)) &&
 	       json_integer_value(json_object_get(obj, "version")) == known) {
-		if (left <= 0)
-			return fake_answer(conn, 304, NULL);
+		if (left <= 0 || f->ended)
+			return fake_answer(f, conn, 304, NULL);
 		pthread_mutex_unlock(&f->lock);
 		usleep(10000);
 		left -= 10;
 		pthread_mutex_lock(&f->lock);
 	}
-	return fake_answer(conn, obj ? 200 : 404, json_incref(obj));
+	return fake_answer(f, conn, obj ? 200 : 404, json_incref(obj));
 }
 
 static enum MHD_Result fake_route(struct fake *f, struct MHD_Connection *conn, const char *url,
@@ -124,7 +134,7 @@
 	static const char objects[] = "/v1/objects/";
 
 	if (f->down)
-		return fake_answer(conn, 503, NULL);
+		return fake_answer(f, conn, 503, NULL);
 	if (strncmp(url, objects, strlen(objects)) == 0) {
 		const char *name = url + strlen(objects);
 
@@ -132,14 +142,14 @@
 						  : fake_read(f, conn, name);
 	}
 	if (strcmp(url, "/v1/instances") == 0)
-		return fake_answer(
-			conn, 200,
-			json_pack("{sIsO}", "revision", (json_int_t)1, "instances", f->instances));
+		return fake_answer(f, conn, 200,
+				   json_pack("{sIsO}", "revision", (json_int_t)f->revision,
+					     "instances", f->instances));
 	if (strcmp(url, "/status") == 0 && f->status)
-		return fake_answer(conn, 200, json_incref(f->status));
+		return fake_answer(f, conn, 200, json_incref(f->status));
 	if (strcmp(url, "/timeline") == 0 && f->timeline)
-		return fake_answer(conn, 200, json_incref(f->timeline));
-	return fake_answer(conn, 404, NULL);
+		return fake_answer(f, conn, 200, json_incref(f->timeline));
+	return fake_answer(f, conn, 404, NULL);
 }
 
 static enum MHD_Result fake_handle(void *ctx, struct MHD_Connection *conn, const char *url,
@@ -191,6 +201,7 @@
 	pthread_mutex_init(&f->lock, NULL);
 	f->objects = json_object();
 	f->instances = json_array();
+	f->revision = 1;
 	f->daemon =
 		MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION, 0,
 				 NULL, NULL, fake_handle, f, MHD_OPTION_SOCK_ADDR, &sa,
@@ -202,6 +213,9 @@
 
 static inline void fake_stop(struct fake *f)
 {
+	pthread_mutex_lock(&f->lock);
+	f->ended = 1;
+	pthread_mutex_unlock(&f->lock);
 	MHD_stop_daemon(f->daemon);
 	json_decref(f->objects);
 	json_decref(f->instances);
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -1,4 +1,5 @@
 /* Tests of the store's answers: what is decoded, and what other writers may leave there. */
+#include "platform/era.h"
 #include "platform/store.h"
 #include "tests/revision.h"
 #include "tests/suite.h"
@@ -206,19 +207,18 @@
 	static const char *const bad[] = {
 		"", "x", "-1", "1x", "1 2", "99999999999999999999", "9223372036854775808"};
 	static const char empty[] = "{\"items\":[],\"at\":9}";
+	uint64_t era;
 
-	ck_assert(ht_store_decode_era("7", &reply) && reply.tells_era);
-	ck_assert_uint_eq(reply.revision.era, 7);
-	ck_assert(ht_store_decode_era("8 ", &reply));
+	ck_assert(ht_platform_era("7", &era));
+	ck_assert_uint_eq(era, 7);
+	ck_assert(ht_platform_era("8 ", &reply.revision.era));
 	ck_assert(ht_store_decode(HT_STORE_TARGETS, empty, strlen(empty), &reply));
 	ck_assert(ht_revision_equal(reply.revision, rev_of(8, 9)));
 	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
-		ck_assert_msg(!ht_store_decode_era(bad[i], &reply), "%s", bad[i]);
-	ck_assert(!reply.tells_era);
+		ck_assert_msg(!ht_platform_era(bad[i], &era), "%s", bad[i]);
 	/* A store without eras has one. */
-	reply.revision.era = 0;
-	ck_assert(ht_store_decode_era(NULL, &reply) && !reply.tells_era);
-	ck_assert_uint_eq(reply.revision.era, 0);
+	ck_assert(ht_platform_era(NULL, &era));
+	ck_assert_uint_eq(era, 0);
 }
 END_TEST
 
--- a/wire/peer.pb-c.c
+++ b/wire/peer.pb-c.c
@@ -2922,7 +2922,7 @@
   (ProtobufCMessageInit) ht__instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__live_list__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ht__live_list__field_descriptors[5] =
 {
   {
     "revision",
@@ -2960,8 +2960,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__LiveList, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__LiveList, from_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__live_list__field_indices_by_name[] = {
+  3,   /* field[3] = era */
+  4,   /* field[4] = from_era */
   1,   /* field[1] = from_revision */
   2,   /* field[2] = instances */
   0,   /* field[0] = revision */
@@ -2969,7 +2995,7 @@
 static const ProtobufCIntRange ht__live_list__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ht__live_list__descriptor =
 {
@@ -2979,7 +3005,7 @@
   "Ht__LiveList",
   "ht",
   sizeof(Ht__LiveList),
-  3,
+  5,
   ht__live_list__field_descriptors,
   ht__live_list__field_indices_by_name,
   1,  ht__live_list__number_ranges,
--- a/wire/peer.pb-c.h
+++ b/wire/peer.pb-c.h
@@ -546,10 +546,15 @@
   uint64_t from_revision;
   size_t n_instances;
   Ht__Instance **instances;
+  /*
+   * of the platform's store, in which the revision counts
+   */
+  uint64_t era;
+  uint64_t from_era;
 };
 #define HT__LIVE_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__live_list__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0, 0 }
 
 
 typedef enum {
