--- a/entry/feed.c
+++ b/entry/feed.c
@@ -312,6 +312,8 @@
 	src->cover_age = wait + (ht_ms)(COVER_SLACK_SHARE * (double)bound);
 	src->rank_max = (ht_ms)(COVER_RANK_SHARE * (double)bound) - COVER_SPREAD_MS;
 	ht_reading_init(&src->reading, &params, ht_now());
+	/* The catalogue may have been filled by a feed before this one. */
+	ht_reading_begin_era(&src->reading, ht_catalog_era(feed->params.catalog), ht_now());
 	ev_timer_init(&src->timer, on_timer, 0, 0);
 	src->timer.data = src;
 }
--- a/entry/views.c
+++ b/entry/views.c
@@ -36,11 +36,12 @@
 
 size_t ht_link_apply(struct ht_link *link, const Ht__EntrySnapshot *msg)
 {
+	uint64_t era = msg->routes_era > msg->era ? msg->routes_era : msg->era;
 	struct ht_feed *feed = ht_link_feed(link);
 	struct ht_snapshot_result result;
 
 	/* A later era than the one that a read has proven has to wait for its proof. */
-	if (!ht_feed_hear_era(feed, msg->era, false) && msg->era > ht_link_view(link).era)
+	if (!ht_feed_hear_era(feed, era, false) && era > ht_link_view(link).era)
 		return 0;
 	result = ht_snapshot_apply(link->params.catalog, msg, ht_link_view(link).targets, ht_now(),
 				   ht_feed_hold(feed));
