core: an opening packet is told from a later flow's by its sequence number

Cause: a copy of an opening packet on a port whose former flow is still in the table was taken for a late copy of that flow, by the copy count alone: a new flow whose first packet was lost, or went through another instance, was steered with the former flow's mark, to a target of its choice whatever its load, doubt or departure; with the former flow still opening, that flow's target got a miss. Now the flow keeps the sequence number of its opening packet; of a flow that came from another instance the numbers of its data tell as much.

Test: new_flow_on_a_used_port_is_placed (marked instead of placed before).

--- a/core/flow_table.h
+++ b/core/flow_table.h
@@ -24,10 +24,12 @@
 	struct ht_target *tried[HT_PLACING_TRIES];
 	size_t tried_count;
 	struct ht_target *target;
-	uint32_t mark;	 /**< by which its packets name the target */
-	uint32_t placed; /**< opening packets sent to a target */
-	bool counted;	 /**< in the target's open flows */
-	ht_ms opened_at; /**< first opening packet */
+	uint32_t mark;		   /**< by which its packets name the target */
+	uint32_t placed;	   /**< opening packets sent to a target */
+	bool counted;		   /**< in the target's open flows */
+	ht_ms opened_at;	   /**< first opening packet */
+	bool opened_here;	   /**< else the flow has come from another instance */
+	uint32_t opening_sequence; /**< of its opening packet, if it was opened here */
 	ht_ms placed_at, asked_at, seen_at;
 	uint32_t acknowledged; /**< by the caller before the answer */
 	uint32_t asked_sequence;
--- a/core/steering.c
+++ b/core/steering.c
@@ -19,6 +19,10 @@
 /* Opening packets come three times; the copies are counted from 0. */
 #define LAST_COPY 2
 
+/* A caller sends at most 16 packets of 1,200 bytes in a round trip: in the 60 s that a flow lasts,
+ * and at 10 ms a round trip, less than this number of bytes. */
+#define FLOW_BYTES_MAX (1U << 27)
+
 struct ht_steering {
 	struct ht_steering_params params;
 	struct ht_placing placing;
@@ -223,6 +227,14 @@
 	return true;
 }
 
+/* True if the opening packet @pkt is of @f, rather than of a later flow from the same port. */
+static bool opens(const struct ht_tracked_flow *f, const struct ht_packet *pkt)
+{
+	if (f->opened_here)
+		return pkt->sequence == f->opening_sequence;
+	return f->asked_sequence - pkt->sequence < FLOW_BYTES_MAX;
+}
+
 /* The copies of an opening packet go to another target each. */
 static void remember(struct ht_steering *st, struct ht_tracked_flow *f, struct ht_target *t,
 		     uint32_t mark, ht_ms now)
@@ -247,8 +259,13 @@
 
 	if (!mark)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
-	if (!f)
+	if (!f) {
 		f = ht_flow_table_add(&st->flows, pkt->src, pkt->dst);
+		if (f) {
+			f->opened_here = true;
+			f->opening_sequence = pkt->sequence;
+		}
+	}
 	if (f)
 		remember(st, f, t, mark, now);
 	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
@@ -270,16 +287,17 @@
 	uncount_quiet(st, now);
 	if (!route)
 		return refuse(st, pkt, HT_STEER_NO_ROUTE, now);
-	if (f && f->phase != HT_PHASE_OPENING) {
-		/* A late copy joins the open flow; a first packet reuses the caller's port. */
-		if (pkt->acknowledged) {
-			d = forward(f->target, f->mark, HT_STEER_MARKED);
-			d.known = true;
-			return d;
-		}
+	/* A first packet, or a copy of one that has not come, uses the caller's port again. */
+	if (f && (!opens(f, pkt) || (f->phase != HT_PHASE_OPENING && !pkt->acknowledged))) {
 		ht_flow_table_end(&st->flows, f);
 		f = NULL;
 	}
+	if (f && f->phase != HT_PHASE_OPENING) {
+		/* A late copy joins the open flow. */
+		d = forward(f->target, f->mark, HT_STEER_MARKED);
+		d.known = true;
+		return d;
+	}
 	if (f && now - f->placed_at < COPY_MIN_MS)
 		return forward(f->target, f->mark, HT_STEER_MARKED);
 	if (f) {
--- a/tests/core/steering_world.h
+++ b/tests/core/steering_world.h
@@ -88,16 +88,23 @@
 				  .dst = {.ip = ADDRESS, .port = port}};
 }
 
-/* Sends opening packet or copy number @copy. */
-static inline struct ht_steering_decision open_flow(uint16_t caller, uint16_t port, uint32_t copy)
+/* Sends opening packet or copy number @copy of a flow that begins at @sequence. */
+static inline struct ht_steering_decision open_flow_at(uint16_t caller, uint16_t port,
+						       uint32_t copy, uint32_t sequence)
 {
 	struct ht_packet pkt = packet_of(caller, port);
 
 	pkt.opens = true;
 	pkt.acknowledged = copy;
+	pkt.sequence = sequence;
 	return ht_steering_packet(st, &pkt, now);
 }
 
+static inline struct ht_steering_decision open_flow(uint16_t caller, uint16_t port, uint32_t copy)
+{
+	return open_flow_at(caller, port, copy, 0);
+}
+
 static inline struct ht_steering_decision send_marked(uint16_t caller, uint16_t port, uint32_t mark,
 						      uint32_t ack, uint16_t length)
 {
--- a/tests/core/test_steering.c
+++ b/tests/core/test_steering.c
@@ -49,6 +49,31 @@
 }
 END_TEST
 
+/* Pattern: a caller uses a port again, and the first packet of the new flow was lost. */
+START_TEST(new_flow_on_a_used_port_is_placed)
+{
+	struct ht_steering_decision d, copy;
+	struct ht_target *t;
+
+	for (int i = 0; i < 8; i++)
+		put_target(i, "stock", "here");
+	d = open_flow_at(1, STOCK_PORT, 0, 0);
+	send_marked(1, STOCK_PORT, d.mark, 100, 0);
+	copy = open_flow_at(1, STOCK_PORT, 1, 0x70000000);
+	ck_assert_int_eq(copy.reason, HT_STEER_PLACED);
+	/* The former flow's target is not blamed when it had not opened yet. */
+	t = copy.target;
+	now += 200;
+	copy = open_flow_at(1, STOCK_PORT, 1, 0x11000000);
+	ck_assert_int_eq(copy.reason, HT_STEER_PLACED);
+	ck_assert_uint_eq(t->evidence.misses, 0);
+	/* One that came from another instance is known by its data only. */
+	send_marked(2, STOCK_PORT, d.mark, 100, 10);
+	ck_assert_int_eq(open_flow_at(2, STOCK_PORT, 2, 0).reason, HT_STEER_MARKED);
+	ck_assert_int_eq(open_flow_at(2, STOCK_PORT, 2, 0x70000000).reason, HT_STEER_PLACED);
+}
+END_TEST
+
 /* Guards against a forged or stale mark that leads a packet to the other service. */
 START_TEST(never_to_a_service_the_route_never_led_to)
 {
@@ -342,6 +367,7 @@
 	tcase_add_test(tc, any_instance_finds_the_target_by_the_mark);
 	tcase_add_test(tc, copy_goes_to_another_target);
 	tcase_add_test(tc, late_copy_joins_the_open_flow);
+	tcase_add_test(tc, new_flow_on_a_used_port_is_placed);
 	tcase_add_test(tc, never_to_a_service_the_route_never_led_to);
 	tcase_add_test(tc, no_reset_before_the_whole_view);
 	tcase_add_test(tc, no_refusal_by_a_view_that_is_older_than_its_bound);
