--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -189,7 +189,7 @@
         self.start()
 
     def start(self):
-        self.ready = self.was_ready = self.paused = False
+        self.ready = self.was_ready = self.paused = self.killed = False
         self.starts.append(time.monotonic())
         self.stop_asked = self.paused_at = None
         self.process = subprocess.Popen(self.command, stdout=self.log, stderr=subprocess.DEVNULL)
@@ -206,7 +206,7 @@
 
     def state(self):
         """What becomes of a packet that is sent to it now."""
-        if self.process.poll() is not None:
+        if self.killed or self.process.poll() is not None:
             return "down"
         if self.paused:
             return "paused"
@@ -221,6 +221,7 @@
             if number in (signal.SIGSTOP, signal.SIGCONT):
                 self.paused = number == signal.SIGSTOP
             if number == signal.SIGKILL:
+                self.killed = True
                 self.killed_at.append(time.monotonic())
             self.process.send_signal(number)
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -372,6 +372,10 @@
         from_instance = by in {i.ip for i in self.instances}
         if what == "reset" and not from_instance and self.target_restarted(flow):
             return {"target restarted"}
+        if what == "reset" and from_instance:
+            # The last packet was answered by the reset, which tells that the target is dead.
+            causes = {self.packet_cause(flow, sent) for sent in flow.packets[:-1]}
+            return causes if "target dead" in causes else causes | {None}
         # The last packet of an open flow may be answered just when its caller gives up.
         given_up = flow.started + GIVE_UP_S - TRANSIT_S
         return {self.packet_cause(flow, sent) for sent in flow.packets if sent[0] < given_up}
