core, soak: flows without a sign of their caller count as open for 0.1 s; the account knows services that nobody can know

A caller whose opening packet is answered sends its next packet a round trip later, so an opening flow counts for 0.1 s now.

--- a/core/flow_table.c
+++ b/core/flow_table.c
@@ -13,6 +13,7 @@
 bool ht_flow_table_init(struct ht_flow_table *table, size_t max)
 {
 	*table = (struct ht_flow_table){.max = max};
+	ht_list_init(&table->opening);
 	ht_list_init(&table->active);
 	ht_list_init(&table->answered);
 	ht_list_init(&table->inactive);
@@ -46,6 +47,7 @@
 
 void ht_flow_table_clear(struct ht_flow_table *table)
 {
+	end_all(table, &table->opening);
 	end_all(table, &table->active);
 	end_all(table, &table->answered);
 	end_all(table, &table->inactive);
@@ -68,11 +70,13 @@
 
 static struct ht_tracked_flow *eviction_candidate(const struct ht_flow_table *table)
 {
-	const struct ht_list *list = &table->inactive;
+	const struct ht_list *const lists[] = {&table->inactive, &table->answered, &table->active,
+					       &table->opening};
+	size_t i = 0;
 
-	if (ht_list_empty(list))
-		list = ht_list_empty(&table->answered) ? &table->active : &table->answered;
-	return ht_container_of(list->next, struct ht_tracked_flow, node);
+	while (ht_list_empty(lists[i]))
+		i++;
+	return ht_container_of(lists[i]->next, struct ht_tracked_flow, node);
 }
 
 struct ht_tracked_flow *ht_flow_table_add(struct ht_flow_table *table, struct ht_endpoint src,
@@ -88,16 +92,29 @@
 	f->src = src;
 	f->dst = dst;
 	ht_hmap_add(&table->map, &f->hnode, ht_flow_hash(src, dst));
-	ht_list_add_tail(&table->active, &f->node);
+	ht_list_add_tail(&table->opening, &f->node);
 	return f;
 }
 
+static struct ht_list *list_of(struct ht_flow_table *table, enum ht_flow_phase phase)
+{
+	switch (phase) {
+	case HT_PHASE_OPENING:
+		return &table->opening;
+	case HT_PHASE_ANSWERED:
+		return &table->answered;
+	case HT_PHASE_OPEN:
+	case HT_PHASE_REQUESTED:
+		break;
+	}
+	return &table->active;
+}
+
 void ht_flow_table_touch(struct ht_flow_table *table, struct ht_tracked_flow *f, ht_ms now)
 {
 	f->last_packet_at = now;
 	ht_list_del(&f->node);
-	ht_list_add_tail(f->phase == HT_PHASE_ANSWERED ? &table->answered : &table->active,
-			 &f->node);
+	ht_list_add_tail(list_of(table, f->phase), &f->node);
 	if (!f->counted)
 		ht_target_count_open(f->target, 1);
 	f->counted = true;
@@ -119,11 +136,12 @@
 	}
 }
 
-void ht_flow_table_uncount_inactive(struct ht_flow_table *table, ht_ms open_timeout,
-				    ht_ms answered_timeout, ht_ms now)
+void ht_flow_table_uncount_inactive(struct ht_flow_table *table,
+				    const struct ht_flow_timeouts *timeouts, ht_ms now)
 {
-	uncount_list(table, &table->active, open_timeout, now);
-	uncount_list(table, &table->answered, answered_timeout, now);
+	uncount_list(table, &table->opening, timeouts->opening, now);
+	uncount_list(table, &table->active, timeouts->open, now);
+	uncount_list(table, &table->answered, timeouts->answered, now);
 }
 
 void ht_flow_set_target(struct ht_tracked_flow *f, struct ht_target *t, uint32_t mark, ht_ms now)
--- a/core/flow_table.h
+++ b/core/flow_table.h
@@ -45,6 +45,7 @@
 	size_t max;
 	struct ht_hmap map;
 	/* Each list is ordered by the time of the last packet, newest at the tail. */
+	struct ht_list opening;	 /**< no packet since the opening one, counted as open */
 	struct ht_list active;	 /**< waiting for the target, counted as open */
 	struct ht_list answered; /**< receiving an answer, counted as open */
 	struct ht_list inactive; /**< not counted: idle, or moved to another instance */
@@ -64,13 +65,12 @@
 /** Records a packet of the flow, which counts as open from now on. */
 void ht_flow_table_touch(struct ht_flow_table *table, struct ht_tracked_flow *flow, ht_ms now);
 /**
- * Stops counting flows without packets for @open_timeout as open: when instances are added or
- * removed, the routers move most flows to other instances, so their ends are not seen here.
- * Answered flows use @answered_timeout: a flow may stay open for many requests and loads its target
- * only during each of them.
+ * Stops counting flows without packets as open: when instances are added or removed, the routers
+ * move most flows to other instances, so their ends are not seen here. An answered flow may stay
+ * open for many requests and loads its target only during each of them.
  */
-void ht_flow_table_uncount_inactive(struct ht_flow_table *table, ht_ms open_timeout,
-				    ht_ms answered_timeout, ht_ms now);
+void ht_flow_table_uncount_inactive(struct ht_flow_table *table,
+				    const struct ht_flow_timeouts *timeouts, ht_ms now);
 
 /** Moves the flow to @target; it is counted there from its next packet on. */
 void ht_flow_set_target(struct ht_tracked_flow *flow, struct ht_target *target, uint32_t mark,
--- a/core/steering.c
+++ b/core/steering.c
@@ -40,8 +40,7 @@
 		.flows_max = 65536,
 		.overdue_after = 600,
 		.overdue_factor = 5,
-		.open_timeout = 400,
-		.answered_timeout = 50,
+		.timeouts = {.opening = 100, .open = 400, .answered = 50},
 		.dead_after = 500,
 		.dead_misses = 2,
 		.flow_expiry = 3000,
@@ -276,8 +275,7 @@
 
 static void uncount_inactive(struct ht_steering *st, ht_ms now)
 {
-	ht_flow_table_uncount_inactive(&st->flows, st->params.open_timeout,
-				       st->params.answered_timeout, now);
+	ht_flow_table_uncount_inactive(&st->flows, &st->params.timeouts, now);
 }
 
 static struct ht_steering_decision steer_opening(struct ht_steering *st,
--- a/core/steering.h
+++ b/core/steering.h
@@ -100,6 +100,11 @@
 };
 
 /** Limits and weights; ht_steering_params_default() sets the defaults. */
+/** Times without packets after which flows are not counted as open any more, by phase. */
+struct ht_flow_timeouts {
+	ht_ms opening, open, answered;
+};
+
 struct ht_steering_params {
 	struct ht_catalog *catalog; /**< borrowed */
 	struct ht_reports *reports; /**< borrowed; collects misses and errors for other instances */
@@ -111,10 +116,9 @@
 	ht_ms overdue_after;
 	/** Multiple of the mean answer time of the service that an overdue answer exceeds. */
 	double overdue_factor;
-	/** A flow without packets for this long is not counted as open. */
-	ht_ms open_timeout;
-	/** The same once an answer has come, as the caller is idle then. */
-	ht_ms answered_timeout;
+	/** A caller sends its next packet a round trip after the target has answered its opening
+	 * packet. An idle caller sends none once an answer has come. */
+	struct ht_flow_timeouts timeouts;
 	/** A flow without packets for this long is removed from the table. */
 	ht_ms flow_expiry;
 	/** The same for a flow between two requests. */
--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -63,6 +63,20 @@
                                     timeout=5) as rsp:
             return int(rsp.read())
 
+    def names(self, kind):
+        """Names of the objects of a kind; each page counts as a read."""
+        found, after, more = set(), "", True
+        while more:
+            query = "?after=" + after if after else ""
+            with urllib.request.urlopen(f"http://{self.address}/-/objects/{kind}{query}",
+                                        timeout=5) as rsp:
+                page = json.load(rsp)
+            names = [item["meta"]["name"] for item in page["items"]]
+            found.update(names)
+            more = page["hasMore"] and names
+            after = names[-1] if names else ""
+        return found
+
     def set_page(self, size):
         """Objects of one page of a listing."""
         self.call("PUT", "/control/page", size)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -45,6 +45,8 @@
 # reads have failed repeats them each second, and the routers ask twice a second.
 START_S = 1.5
 RETRY_S = 1.5
+# The instance that reads for the others pauses 0.7 s between two watches of targets.
+READ_S = 1
 # Changes that the copy lacks at most from which the store comes back, the time in which targets
 # report, and the time after which the entry of a silent one lapses.
 LOST_MAX = 15
@@ -72,6 +74,8 @@
         self.returned_at = []  # the store, from older copies
         self.listings = 0  # that are expected for faults of the store
         self.store_faults = []  # those among them that keep instances from reading
+        self.outages = []  # (start, end) of times in which no instance can read the store
+        self.absences = []  # (start, end, service) of services without a target in the store
         self.pending = []  # (time, function) that undo faults, sorted when run
         self.number = 0x1000
         self.version = 3
@@ -118,6 +122,11 @@
         self.store_faults.append(self.faults[-1])
         return end
 
+    def outage(self, seconds):
+        end = self.store_fault(seconds)
+        self.outages.append(self.faults[-1])
+        return end
+
     def later(self, at, function, *args):
         self.pending.append((at, function, args))
 
@@ -206,9 +215,15 @@
             proxy.reset_all()
 
     def store_down(self):
-        end = self.store_fault(self.random.uniform(0.5, 5))
+        end = self.outage(self.random.uniform(0.5, 5))
         self.store.set_fault("down", True)
-        self.later(end, self.store.set_fault, "down", False)
+        self.later(end, self.store_up)
+
+    def store_up(self):
+        """Ends all outages, those included that were to last longer."""
+        now = time.monotonic()
+        self.outages = [(start, min(end, now)) for start, end in self.outages]
+        self.store.set_fault("down", False)
 
     def store_stale(self):
         end = self.fault(self.random.uniform(0.5, 4))
@@ -222,7 +237,7 @@
 
     def store_returns(self):
         """Away for a moment, then back from an older copy; what was written is written again."""
-        end = self.store_fault(self.random.uniform(0.2, 1.5))
+        end = self.outage(self.random.uniform(0.2, 1.5))
         self.store.set_fault("down", True)
         self.later(end, self.come_back, self.random.randint(1, LOST_MAX))
 
@@ -231,10 +246,20 @@
         self.returned_at.append(now)
         self.listings += INSTANCES
         self.store.come_back(lost)
-        self.store.set_fault("down", False)
+        self.store_up()
         self.later(now + self.random.uniform(0, 1), self.configure_again)
-        for target in self.targets:
-            self.later(now + self.random.uniform(0, REPORT_S), self.report_again, target)
+        reports = {target: now + self.random.uniform(0, REPORT_S) for target in self.targets}
+        for target, at in reports.items():
+            self.later(at, self.report_again, target)
+        self.note_absences(now, reports)
+
+    def note_absences(self, now, reports):
+        """Services of which the copy has no live target, until one of them reports."""
+        present = self.store.names("servers")
+        for service in SERVICES.values():
+            live = self.live(service)
+            if live and not any(t.name in present for t in live):
+                self.absences.append((now, min(reports[t] for t in live), service))
 
     def configure_again(self):
         put_config(self.store, SERVICES, self.version)
@@ -347,6 +372,19 @@
             return "instance starts without the store"
         return None
 
+    def readable_from(self, since, service):
+        """When the store could first be read, for long enough, with a target of the service."""
+        blocked = sorted(self.outages + [(a, b) for a, b, s in self.absences if s == service])
+        for start, end in blocked:
+            if start < since + READ_S and since < end:
+                since = end
+        return since
+
+    def targets_unknown(self, at, service):
+        """No instance has been able to learn of a target of the service since its start."""
+        starts = [max((t for t in inst.starts if t <= at), default=at) for inst in self.instances]
+        return at < min(self.readable_from(t, service) for t in starts) + RETRY_S
+
     def packet_cause(self, flow, sent):
         """Why a packet of a flow had no effect, or None."""
         at, inst, state = sent
@@ -361,6 +399,8 @@
             return "target dead"
         if any(start < at + TRANSIT_S and at < end for start, end in self.callers.stalls):
             return "stand-ins stalled"
+        if self.targets_unknown(at, flow.service):
+            return "targets unknown to all"
         return None
 
     def target_restarted(self, flow):
--- a/tests/core/test_steering.c
+++ b/tests/core/test_steering.c
@@ -264,6 +264,23 @@
 }
 END_TEST
 
+/* An instance that was paused places what waited in its socket in one instant; the callers have
+ * long been served through others. New flows arrive right after that. */
+START_TEST(flows_that_waited_during_a_pause_defer_no_new_one)
+{
+	int deferred = 0;
+
+	put_target(0, "stock", "here");
+	ht_steering_set_instance_count(st, 4);
+	for (uint16_t i = 1; i <= 20; i++)
+		open_flow(i, STOCK_PORT, 0);
+	now += 150;
+	for (uint16_t i = 101; i <= 103; i++)
+		deferred += open_flow(i, STOCK_PORT, 0).reason == HT_STEER_DEFERRED;
+	ck_assert_int_eq(deferred, 0);
+}
+END_TEST
+
 /* Routers move flows to other instances, so their ends are not seen here. */
 START_TEST(inactive_flows_do_not_count_as_open)
 {
@@ -377,6 +394,7 @@
 	tcase_add_test(tc, at_most_half_of_the_targets_are_skipped_as_suspected);
 	tcase_add_test(tc, unreachable_data_centre_is_used_last);
 	tcase_add_test(tc, overload_defers_copies_but_not_the_last);
+	tcase_add_test(tc, flows_that_waited_during_a_pause_defer_no_new_one);
 	tcase_add_test(tc, inactive_flows_do_not_count_as_open);
 	tcase_add_test(tc, target_is_kept_while_flows_refer_to_it);
 	tcase_add_test(tc, flow_table_is_bounded);
