--- a/core/catalog.c
+++ b/core/catalog.c
@@ -32,7 +32,7 @@
 	return s;
 }
 
-static struct ht_dc *find_or_add_dc(struct ht_catalog *cat, const char *name)
+struct ht_dc *ht_catalog_dc(struct ht_catalog *cat, const char *name)
 {
 	struct ht_list *pos;
 	struct ht_dc *dc;
@@ -63,7 +63,7 @@
 	ht_list_init(&cat->dcs);
 	ht_list_init(&cat->targets);
 	ht_list_init(&cat->routes_removed);
-	own = find_or_add_dc(cat, dc);
+	own = ht_catalog_dc(cat, dc);
 	if (own && ht_hmap_init(&cat->by_name) && ht_hmap_init(&cat->by_mark) &&
 	    ht_hmap_init(&cat->routes)) {
 		own->local = true;
@@ -89,11 +89,12 @@
 		s->local_slots -= t->slots;
 }
 
+/* Lists @t for new flows unless its data centre is evacuated. Returns false when out of memory. */
 static bool list_target(struct ht_target *t)
 {
 	struct ht_service *s = t->service;
 
-	if (t->eligible)
+	if (t->eligible || t->dc->evacuated)
 		return true;
 	if (s->count == s->capacity) {
 		size_t capacity = s->capacity ? s->capacity * 2 : 8;
@@ -114,6 +115,14 @@
 	return true;
 }
 
+void ht_catalog_update_eligible(struct ht_target *t, ht_ms now)
+{
+	if (t->dc->evacuated)
+		unlist(t);
+	else if (!t->draining && (t->gone_at == HT_NEVER || now < t->held_until))
+		list_target(t); /* if out of memory, at its next change */
+}
+
 static void set_restored(struct ht_catalog *cat, struct ht_target *t, bool restored)
 {
 	cat->restored += restored;
@@ -291,7 +300,7 @@
 {
 	struct ht_target *t = ht_catalog_by_name(cat, e->name);
 	struct ht_service *service = ht_catalog_service(cat, e->service);
-	struct ht_dc *dc = find_or_add_dc(cat, e->dc);
+	struct ht_dc *dc = ht_catalog_dc(cat, e->dc);
 	bool known = t, same;
 
 	if (e->revision.era < cat->era.number)
@@ -445,6 +454,7 @@
 	if (cat->era.lapsed || proven_at - cat->era.began_at < lapse)
 		return 0;
 	cat->era.lapsed = true;
+	ht_catalog_drop_unconfirmed_evacuations(cat, now);
 	if (!cat->restored)
 		return 0;
 	ht_list_for_each (pos, &cat->targets) {
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -36,12 +36,21 @@
 	return a.ip == b.ip && a.port == b.port;
 }
 
-/** Address that callers use, and the service that it maps to. */
+/** A service of a route that splits its new flows. */
+struct ht_share_entry {
+	char service[HT_CATALOG_NAME];
+	uint32_t weight; /**< relative to the other services of the route; 0: no new flows */
+};
+
+/** Address that callers use, and the services that it maps to. */
 struct ht_route_entry {
 	struct ht_endpoint at;
-	char service[HT_CATALOG_NAME];
+	char service[HT_CATALOG_NAME]; /**< gets all new flows, unless share_count is set */
+	size_t first_share;	       /**< index in ht_route_table.shares */
+	size_t share_count;
 	uint32_t priority; /**< 0 is the highest */
 	bool idempotent;   /**< requests may be executed more than once */
+	bool unreadable;   /**< only the address is known; the route keeps its former meaning */
 };
 
 /** Identifies a configuration: ordered by the operator's version, then by the store's revision. */
@@ -69,6 +78,11 @@
 	struct ht_revision base; /**< that the difference applies to; number 0: complete */
 	size_t count;
 	struct ht_route_entry *entries;
+	size_t share_count;
+	struct ht_share_entry *shares;
+	/** Some routes could not be read and are not in @entries: a route that is missing here is
+	 * not known to be removed. */
+	bool incomplete;
 	size_t gone_count; /**< routes of the base that are removed */
 	struct ht_endpoint *gone;
 };
@@ -93,6 +107,7 @@
 struct ht_view_id {
 	struct ht_routes_id routes;
 	struct ht_revision targets;
+	struct ht_revision evacuations;
 };
 
 struct ht_service {
@@ -111,6 +126,9 @@
 	struct ht_list node;
 	char name[HT_CATALOG_NAME];
 	bool local;
+	bool evacuated;				/**< its targets get no new flows */
+	bool evacuation_listed;			/* by the current listing */
+	struct ht_revision evacuation_revision; /**< of the last change; 0: never evacuated */
 	struct ht_evidence evidence;
 };
 
@@ -155,11 +173,22 @@
 		target->service->open += (uint64_t)(int64_t)by;
 }
 
+/** A service that gets, or formerly got, new flows of a route. */
+struct ht_share {
+	struct ht_service *service;
+	uint32_t weight;
+};
+
 struct ht_route {
 	struct ht_hnode hnode;
 	struct ht_endpoint at;
-	struct ht_service *service;
-	struct ht_service *previous_service; /**< before the last change of service, or NULL */
+	/**
+	 * Services of the configuration in force, then former ones, whose flows may still be open.
+	 * None at all if the route could not be read and had no former meaning.
+	 */
+	struct ht_share *shares;
+	size_t share_count;   /**< of the configuration in force */
+	size_t service_count; /**< former ones included */
 	uint32_t priority;
 	bool idempotent;
 	/* Configurations are numbered in the order in which this instance applied them. */
@@ -188,12 +217,14 @@
 	HT_CATALOG_FAILED,	  /**< out of memory */
 };
 
-/** Callbacks for changes, used for logging; either may be NULL. */
+/** Callbacks for changes, used for logging; each may be NULL. */
 struct ht_catalog_observer {
 	/** A configuration came into force. */
 	void (*routes)(void *ctx, const struct ht_route_table *table);
 	/** A target was added or changed, or its entry is missing. */
 	void (*target)(void *ctx, const struct ht_target *target, ht_ms now);
+	/** The evacuation of a data centre has begun or ended. */
+	void (*evacuation)(void *ctx, const struct ht_dc *dc, ht_ms now);
 	void *ctx;
 };
 
@@ -233,6 +264,25 @@
  */
 size_t ht_catalog_readmit_restored(struct ht_catalog *cat, ht_ms proven_at, ht_ms lapse, ht_ms now);
 
+/** The evacuation of data centre @dc has been requested or taken back, as of @revision. */
+enum ht_catalog_change ht_catalog_put_evacuation(struct ht_catalog *cat, const char *dc,
+						 bool evacuated, struct ht_revision revision,
+						 ht_ms now);
+/** Begins a listing of all evacuations, made of the following ht_catalog_put_evacuation(). */
+void ht_catalog_begin_evacuations(struct ht_catalog *cat);
+/**
+ * Ends evacuations that a complete listing as of @revision lacks. Those known from an earlier era
+ * continue: the operators may have to write them again.
+ */
+void ht_catalog_end_evacuations(struct ht_catalog *cat, struct ht_revision revision, ht_ms now);
+/** A neighbour, whose evacuations are known here now, knows of a change of them at @revision. */
+void ht_catalog_note_evacuations(struct ht_catalog *cat, struct ht_revision revision);
+/** Revision of the latest change of the evacuations; its number is 0 if there was none. */
+struct ht_revision ht_catalog_evacuations(const struct ht_catalog *cat);
+/** Calls @visit for each evacuated data centre. */
+void ht_catalog_each_evacuated(const struct ht_catalog *cat,
+			       void (*visit)(void *ctx, const struct ht_dc *dc), void *ctx);
+
 /** Adds or updates a target. */
 enum ht_catalog_change ht_catalog_put_target(struct ht_catalog *cat,
 					     const struct ht_target_entry *entry,
@@ -282,6 +332,8 @@
 void ht_catalog_each_route_gone(const struct ht_catalog *cat, uint64_t number,
 				void (*visit)(void *ctx, struct ht_endpoint at), void *ctx);
 size_t ht_catalog_route_count(const struct ht_catalog *cat);
+/** True if the configuration in force may have routes that are not known here. */
+bool ht_catalog_routes_incomplete(const struct ht_catalog *cat);
 void ht_catalog_each_service(const struct ht_catalog *cat,
 			     void (*visit)(void *ctx, const struct ht_service *service), void *ctx);
 
--- /dev/null
+++ b/core/catalog_evacuations.c
@@ -0,0 +1,114 @@
+/* Data centres that the operators have evacuated: their targets get no new flows. */
+#include "core/catalog_internal.h"
+
+static void set_evacuated(struct ht_catalog *cat, struct ht_dc *dc, bool evacuated, ht_ms now)
+{
+	struct ht_list *pos;
+
+	if (dc->evacuated == evacuated)
+		return;
+	dc->evacuated = evacuated;
+	ht_list_for_each (pos, &cat->targets) {
+		struct ht_target *t = ht_container_of(pos, struct ht_target, node);
+
+		if (t->dc == dc)
+			ht_catalog_update_eligible(t, now);
+	}
+	if (cat->observer.evacuation)
+		cat->observer.evacuation(cat->observer.ctx, dc, now);
+}
+
+static void note_change(struct ht_catalog *cat, struct ht_dc *dc, struct ht_revision revision)
+{
+	dc->evacuation_revision = revision;
+	cat->evacuations = ht_revision_max(cat->evacuations, revision);
+}
+
+enum ht_catalog_change ht_catalog_put_evacuation(struct ht_catalog *cat, const char *name,
+						 bool evacuated, struct ht_revision revision,
+						 ht_ms now)
+{
+	struct ht_dc *dc = ht_catalog_dc(cat, name);
+	bool before;
+
+	if (revision.era < cat->era.number)
+		return HT_CATALOG_OLDER;
+	if (!dc)
+		return HT_CATALOG_FAILED;
+	dc->evacuation_listed = true;
+	if (ht_revision_before(revision, dc->evacuation_revision))
+		return HT_CATALOG_OLDER;
+	before = dc->evacuated;
+	note_change(cat, dc, revision);
+	set_evacuated(cat, dc, evacuated, now);
+	return before == evacuated ? HT_CATALOG_SAME : HT_CATALOG_CHANGED;
+}
+
+void ht_catalog_begin_evacuations(struct ht_catalog *cat)
+{
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &cat->dcs)
+		ht_container_of(pos, struct ht_dc, node)->evacuation_listed = false;
+}
+
+/* An evacuation that is only known from an earlier era may just not be in the backup. */
+static bool awaits_rewrite(const struct ht_catalog *cat, const struct ht_dc *dc)
+{
+	return dc->evacuation_revision.era < cat->era.number && !cat->era.lapsed;
+}
+
+void ht_catalog_end_evacuations(struct ht_catalog *cat, struct ht_revision revision, ht_ms now)
+{
+	struct ht_list *pos;
+
+	if (revision.era < cat->era.number)
+		return;
+	ht_list_for_each (pos, &cat->dcs) {
+		struct ht_dc *dc = ht_container_of(pos, struct ht_dc, node);
+
+		if (dc->evacuation_listed || !dc->evacuated || awaits_rewrite(cat, dc) ||
+		    ht_revision_before(revision, dc->evacuation_revision))
+			continue;
+		note_change(cat, dc, revision);
+		set_evacuated(cat, dc, false, now);
+	}
+	/* Neighbours compare revisions of one era. */
+	if (cat->evacuations.number && cat->evacuations.era < revision.era)
+		cat->evacuations = revision;
+}
+
+void ht_catalog_drop_unconfirmed_evacuations(struct ht_catalog *cat, ht_ms now)
+{
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &cat->dcs) {
+		struct ht_dc *dc = ht_container_of(pos, struct ht_dc, node);
+
+		if (dc->evacuated && dc->evacuation_revision.era < cat->era.number)
+			set_evacuated(cat, dc, false, now);
+	}
+}
+
+void ht_catalog_note_evacuations(struct ht_catalog *cat, struct ht_revision revision)
+{
+	cat->evacuations = ht_revision_max(cat->evacuations, revision);
+}
+
+struct ht_revision ht_catalog_evacuations(const struct ht_catalog *cat)
+{
+	return cat->evacuations;
+}
+
+void ht_catalog_each_evacuated(const struct ht_catalog *cat,
+			       void (*visit)(void *ctx, const struct ht_dc *dc), void *ctx)
+{
+	const struct ht_list *pos;
+
+	ht_list_for_each (pos, &cat->dcs) {
+		const struct ht_dc *dc = ht_container_of(pos, const struct ht_dc, node);
+
+		if (dc->evacuated)
+			visit(ctx, dc);
+	}
+}
--- a/core/catalog_internal.h
+++ b/core/catalog_internal.h
@@ -1,4 +1,4 @@
-/* Shared by catalog.c (targets) and catalog_routes.c. */
+/* Shared by catalog.c (targets), catalog_routes.c and catalog_evacuations.c. */
 #ifndef HT_CORE_CATALOG_INTERNAL_H
 #define HT_CORE_CATALOG_INTERNAL_H
 
@@ -12,6 +12,7 @@
 	struct ht_catalog_observer observer;
 	struct ht_hmap by_name, by_mark, routes;
 	struct ht_routes_id in_force;
+	bool incomplete; /* routes of the configuration in force could not be read */
 	/*
 	 * Ring buffer of the revisions of the last configurations: number n is at index n - 1.
 	 * Differences to those before routes_first are not available.
@@ -26,12 +27,19 @@
 		ht_ms began_at;
 		bool lapsed; /* since then, entries of dead targets have expired */
 	} era;
+	struct ht_revision evacuations; /* latest change; number 0: none */
 	struct ht_revision history;
 	size_t target_count, restored;
 };
 
 /** Finds or adds the service; NULL when out of memory. */
 struct ht_service *ht_catalog_service(struct ht_catalog *cat, const char *name);
+/** Finds or adds the data centre; NULL when out of memory. */
+struct ht_dc *ht_catalog_dc(struct ht_catalog *cat, const char *name);
+/** Lists or unlists @target after a change of its data centre. */
+void ht_catalog_update_eligible(struct ht_target *target, ht_ms now);
+/** Ends evacuations that were not confirmed in the current era. */
+void ht_catalog_drop_unconfirmed_evacuations(struct ht_catalog *cat, ht_ms now);
 void ht_catalog_clear_routes(struct ht_catalog *cat);
 
 #endif
--- a/core/catalog_routes.c
+++ b/core/catalog_routes.c
@@ -3,6 +3,10 @@
 #include "core/catalog_internal.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+/* Former services kept per route, for flows that are still open there. */
+#define FORMER_MAX 8
 
 /* A route that was removed by configuration @number. */
 struct removed_route {
@@ -17,6 +21,12 @@
 	free(g);
 }
 
+static void free_route(struct ht_route *r)
+{
+	free(r->shares);
+	free(r);
+}
+
 void ht_catalog_clear_routes(struct ht_catalog *cat)
 {
 	struct ht_list *gone, *tmp;
@@ -26,7 +36,7 @@
 
 		for (; pos; pos = next) {
 			next = pos->next;
-			free(ht_container_of(pos, struct ht_route, hnode));
+			free_route(ht_container_of(pos, struct ht_route, hnode));
 		}
 	}
 	ht_hmap_clear(&cat->routes);
@@ -52,32 +62,111 @@
 	return NULL;
 }
 
-static bool set_route(struct ht_catalog *cat, const struct ht_route_entry *e, uint64_t number)
+static struct ht_route *add_route(struct ht_catalog *cat, struct ht_endpoint at, uint64_t number)
 {
-	struct ht_service *service = ht_catalog_service(cat, e->service);
-	struct ht_route *r = ht_catalog_route(cat, e->at);
+	struct ht_route *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->at = at;
+	r->changed_config = number;
+	ht_hmap_add(&cat->routes, &r->hnode, endpoint_hash(at));
+	return r;
+}
+
+static bool has_service(const struct ht_share *shares, size_t n, const struct ht_service *service)
+{
+	for (size_t i = 0; i < n; i++)
+		if (shares[i].service == service)
+			return true;
+	return false;
+}
+
+/* Appends services of @old that the @count shares lack; flows to them may be open. */
+static size_t append_former(struct ht_share *shares, size_t count, const struct ht_route *old)
+{
+	size_t n = count;
 
-	if (!service)
+	for (size_t i = 0; i < old->service_count && n < count + FORMER_MAX; i++)
+		if (!has_service(shares, n, old->shares[i].service))
+			shares[n++] = (struct ht_share){.service = old->shares[i].service};
+	return n;
+}
+
+/* Number of services of @e; a route without shares has a single one. */
+static size_t entry_services(const struct ht_route_entry *e)
+{
+	return e->share_count ? e->share_count : 1;
+}
+
+/* Fills @shares with the services of @e. Returns false when out of memory. */
+static bool resolve_shares(struct ht_catalog *cat, const struct ht_route_table *table,
+			   const struct ht_route_entry *e, struct ht_share *shares)
+{
+	const struct ht_share_entry *from = table->shares + e->first_share;
+
+	for (size_t i = 0; i < e->share_count; i++) {
+		shares[i].service = ht_catalog_service(cat, from[i].service);
+		shares[i].weight = from[i].weight;
+		if (!shares[i].service)
+			return false;
+	}
+	if (e->share_count)
+		return true;
+	shares[0] = (struct ht_share){.service = ht_catalog_service(cat, e->service), .weight = 1};
+	return shares[0].service;
+}
+
+static bool same_shares(const struct ht_route *r, const struct ht_share *shares, size_t count)
+{
+	if (r->share_count != count)
 		return false;
-	if (!r) {
-		r = calloc(1, sizeof(*r));
-		if (!r)
+	for (size_t i = 0; i < count; i++)
+		if (r->shares[i].service != shares[i].service ||
+		    r->shares[i].weight != shares[i].weight)
 			return false;
-		r->at = e->at;
-		r->service = service;
-		r->changed_config = number;
-		ht_hmap_add(&cat->routes, &r->hnode, endpoint_hash(e->at));
+	return true;
+}
+
+static bool set_shares(struct ht_catalog *cat, const struct ht_route_table *table,
+		       const struct ht_route_entry *e, struct ht_route *r, uint64_t number)
+{
+	size_t count = entry_services(e);
+	struct ht_share *shares = calloc(count + FORMER_MAX, sizeof(*shares));
+
+	if (!shares || !resolve_shares(cat, table, e, shares)) {
+		free(shares);
+		return false;
 	}
-	if (r->service != service || r->priority != e->priority || r->idempotent != e->idempotent)
-		r->changed_config = number;
-	if (r->service != service) {
-		r->previous_service = r->service;
-		r->service = service;
+	if (same_shares(r, shares, count)) {
+		free(shares);
+		return true;
 	}
+	r->changed_config = number;
+	r->service_count = append_former(shares, count, r);
+	r->share_count = count;
+	free(r->shares);
+	r->shares = shares;
+	return true;
+}
+
+static bool set_route(struct ht_catalog *cat, const struct ht_route_table *table,
+		      const struct ht_route_entry *e, uint64_t number)
+{
+	struct ht_route *r = ht_catalog_route(cat, e->at);
+
+	if (!r)
+		r = add_route(cat, e->at, number);
+	if (!r)
+		return false;
+	r->last_config = number;
+	if (e->unreadable)
+		return true;
+	if (r->priority != e->priority || r->idempotent != e->idempotent)
+		r->changed_config = number;
 	r->priority = e->priority;
 	r->idempotent = e->idempotent;
-	r->last_config = number;
-	return true;
+	return set_shares(cat, table, e, r, number);
 }
 
 static bool remove_route(struct ht_catalog *cat, struct ht_route *r, uint64_t number)
@@ -90,7 +179,7 @@
 	g->number = number;
 	ht_list_add_tail(&cat->routes_removed, &g->node);
 	ht_hmap_del(&cat->routes, &r->hnode);
-	free(r);
+	free_route(r);
 	return true;
 }
 
@@ -118,8 +207,8 @@
 	bool ok = true;
 
 	for (size_t i = 0; i < table->count; i++)
-		ok = set_route(cat, &table->entries[i], number) && ok;
-	return ok && remove_routes_not_in(cat, number);
+		ok = set_route(cat, table, &table->entries[i], number) && ok;
+	return ok && (table->incomplete || remove_routes_not_in(cat, number));
 }
 
 static bool apply_difference(struct ht_catalog *cat, const struct ht_route_table *table,
@@ -135,7 +224,7 @@
 			ok = remove_route(cat, r, number) && ok;
 	}
 	for (size_t i = 0; i < table->count; i++)
-		ok = set_route(cat, &table->entries[i], number) && ok;
+		ok = set_route(cat, table, &table->entries[i], number) && ok;
 	return ok;
 }
 
@@ -149,8 +238,10 @@
 		for (struct ht_hnode *h = cat->routes.buckets[i]; h; h = h->next) {
 			const struct ht_route *r = ht_container_of(h, struct ht_route, hnode);
 
-			if (r->priority < r->service->top_priority)
-				r->service->top_priority = r->priority;
+			for (size_t k = 0; k < r->share_count; k++)
+				if (r->shares[k].weight &&
+				    r->priority < r->shares[k].service->top_priority)
+					r->shares[k].service->top_priority = r->priority;
 		}
 	}
 }
@@ -161,6 +252,7 @@
 	struct ht_list *pos, *tmp;
 
 	cat->in_force = table->id;
+	cat->incomplete = table->incomplete;
 	cat->routes_ring[cat->routes_number++ % HT_CATALOG_ROUTES_RING] = table->id.revision;
 	if (cat->routes_number - cat->routes_first >= HT_CATALOG_ROUTES_RING)
 		cat->routes_first = cat->routes_number + 1 - HT_CATALOG_ROUTES_RING;
@@ -242,6 +334,11 @@
 	}
 }
 
+bool ht_catalog_routes_incomplete(const struct ht_catalog *cat)
+{
+	return cat->incomplete;
+}
+
 size_t ht_catalog_route_count(const struct ht_catalog *cat)
 {
 	return cat->routes.count;
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -35,6 +35,7 @@
 	ht_ms behind_since; /* a local neighbour has had a newer view since then, or HT_NEVER */
 	struct ht_revision behind_targets; /* own view at behind_since */
 	struct ht_routes_id behind_routes;
+	struct ht_revision behind_evacuations;
 	uint64_t epoch;	 /* selects the order of readers among instances of equal size */
 	uint64_t reader; /* hash of the name of the last announcement's reader... */
 	uint32_t reader_size;
@@ -50,6 +51,7 @@
 bool ht_view_later(const struct ht_view_state *other, const struct ht_view_state *own)
 {
 	return ht_revision_before(own->targets, other->targets) ||
+	       ht_revision_before(own->evacuations, other->evacuations) ||
 	       ht_routes_compare(other->routes, own->routes) > 0;
 }
 
@@ -517,10 +519,12 @@
 		return false;
 	}
 	if (nb->behind_since == HT_NEVER || !ht_revision_equal(nb->behind_targets, own->targets) ||
+	    !ht_revision_equal(nb->behind_evacuations, own->evacuations) ||
 	    ht_routes_compare(nb->behind_routes, own->routes) != 0) {
 		nb->behind_since = now;
 		nb->behind_targets = own->targets;
 		nb->behind_routes = own->routes;
+		nb->behind_evacuations = own->evacuations;
 	}
 	return now - nb->behind_since >= nb->params.lag_max;
 }
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -19,14 +19,17 @@
 
 /** State of an instance's view. */
 struct ht_view_state {
-	bool usable;		       /**< routes and targets have been read completely */
-	bool standby;		       /**< neighbours read the store for it */
-	bool failing;		       /**< the last call to the store failed */
-	uint64_t era;		       /**< newest era of the store that a read has proven */
-	struct ht_routes_id routes;    /**< the configuration in force */
-	struct ht_revision read_to;    /**< all changes of routes up to this revision are known */
-	struct ht_revision targets;    /**< all changes of targets up to this revision are known */
-	ht_ms routes_age, targets_age; /**< since proven by an exact read, or HT_NEVER */
+	bool usable;		    /**< routes and targets have been read completely */
+	bool standby;		    /**< neighbours read the store for it */
+	bool failing;		    /**< the last call to the store failed */
+	uint64_t era;		    /**< newest era of the store that a read has proven */
+	struct ht_routes_id routes; /**< the configuration in force */
+	/** All changes of routes and evacuations up to this revision are known. */
+	struct ht_revision read_to;
+	struct ht_revision targets;	/**< all changes of targets up to this revision are known */
+	struct ht_revision evacuations; /**< latest change of the evacuations */
+	/** Since an exact read proved routes and evacuations, or targets; HT_NEVER: never. */
+	ht_ms routes_age, targets_age;
 };
 
 /**
@@ -36,7 +39,7 @@
  */
 bool ht_view_improves(const struct ht_view_state *before, const struct ht_view_state *after);
 
-/** True if the configuration or the targets of the view @other are later than those of @own. */
+/** True if routes, targets or evacuations of the view @other are later than those of @own. */
 bool ht_view_later(const struct ht_view_state *other, const struct ht_view_state *own);
 
 struct ht_neighbour {
--- a/core/steering.c
+++ b/core/steering.c
@@ -2,6 +2,7 @@
 
 #include "core/flow_table.h"
 #include "core/placing.h"
+#include "core/split.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -211,9 +212,9 @@
  * shed a new flow. The last copy of an opening packet is never deferred.
  */
 static bool should_defer(const struct ht_steering *st, const struct ht_route *route,
-			 const struct ht_packet *pkt, struct ht_steering_decision *d)
+			 const struct ht_service *s, const struct ht_packet *pkt,
+			 struct ht_steering_decision *d)
 {
-	const struct ht_service *s = route->service;
 	double room = (double)s->local_slots * st->params.flows_per_slot, open = (double)s->open;
 
 	if (pkt->acknowledged >= LAST_OPENING_COPY)
@@ -250,11 +251,11 @@
 	ht_flow_table_touch(&st->flows, f, now);
 }
 
-static struct ht_steering_decision place(struct ht_steering *st, struct ht_route *route,
+static struct ht_steering_decision place(struct ht_steering *st, struct ht_service *service,
 					 const struct ht_packet *pkt, struct ht_tracked_flow *f,
 					 ht_ms now)
 {
-	struct ht_target *t = ht_placing_choose(&st->placing, route->service, f ? f->tried : NULL,
+	struct ht_target *t = ht_placing_choose(&st->placing, service, f ? f->tried : NULL,
 						f ? f->tried_count : 0, now);
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 	bool again = f;
@@ -278,14 +279,24 @@
 	ht_flow_table_uncount_inactive(&st->flows, &st->params.timeouts, now);
 }
 
+/* A configuration that could not be read completely may have any route. Its callers are neither
+ * refused, as that might be wrong, nor served by a guess. */
+static bool is_unreadable(const struct ht_steering *st, const struct ht_route *route)
+{
+	return route ? !route->share_count : ht_catalog_routes_incomplete(st->params.catalog);
+}
+
 static struct ht_steering_decision steer_opening(struct ht_steering *st,
 						 const struct ht_packet *pkt, ht_ms now)
 {
 	struct ht_route *route = ht_catalog_route(st->params.catalog, pkt->dst);
 	struct ht_tracked_flow *f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
+	struct ht_service *service = route ? ht_split_pick(route, pkt->src) : NULL;
 	struct ht_steering_decision d;
 
 	uncount_inactive(st, now);
+	if (is_unreadable(st, route))
+		return make_decision(HT_STEER_DROP, HT_STEER_UNREADABLE_ROUTE);
 	if (!route)
 		return refuse(st, pkt, HT_STEER_NO_ROUTE, now);
 	/* The caller reuses its port for a new flow, whose first packet may have been lost. */
@@ -301,13 +312,15 @@
 	}
 	if (f && now - f->placed_at < RETRANSMIT_MIN_MS)
 		return forward(f->target, f->mark, HT_STEER_MARKED);
+	if (!service)
+		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
 	if (f) {
 		notify_flow(st, f, HT_FLOW_UNANSWERED, f->placed_at, 0, now);
 		record_miss(st, f->target, f->placed_at, now);
-	} else if (should_defer(st, route, pkt, &d)) {
+	} else if (should_defer(st, route, service, pkt, &d)) {
 		return d;
 	}
-	return place(st, route, pkt, f, now);
+	return place(st, service, pkt, f, now);
 }
 
 static void record_answer(const struct ht_steering *st, struct ht_tracked_flow *f,
@@ -472,7 +485,7 @@
 				     st->complete ? HT_STEER_NO_ROUTE : HT_STEER_NO_VIEW);
 	if (!t)
 		return make_decision(HT_STEER_DROP, HT_STEER_UNKNOWN_MARK);
-	if (t->service != route->service && t->service != route->previous_service)
+	if (!ht_split_includes(route, t->service))
 		return make_decision(HT_STEER_DROP, HT_STEER_FOREIGN_TARGET);
 	f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
 	d = forward(t, pkt->mark, HT_STEER_MARKED);
@@ -562,6 +575,7 @@
 		[HT_STEER_NO_VIEW] = "no-view",
 		[HT_STEER_STALE_VIEW] = "stale-view",
 		[HT_STEER_NO_ROUTE] = "no-route",
+		[HT_STEER_UNREADABLE_ROUTE] = "unreadable-route",
 		[HT_STEER_NO_TARGET] = "no-target",
 		[HT_STEER_UNKNOWN_MARK] = "unknown-mark",
 		[HT_STEER_FOREIGN_TARGET] = "foreign-target",
--- a/core/steering.h
+++ b/core/steering.h
@@ -39,10 +39,11 @@
 	HT_STEER_STALE_VIEW, /**< routes or targets are older than their bound and may have changed
 			      */
 	HT_STEER_NO_ROUTE,   /**< the configuration has no such address */
-	HT_STEER_NO_TARGET,  /**< no target can take a new flow */
-	HT_STEER_UNKNOWN_MARK,	 /**< no known target has the mark */
-	HT_STEER_FOREIGN_TARGET, /**< the route never led to the target's service */
-	HT_STEER_DEAD_TARGET,	 /**< the flow's target is gone or does not respond */
+	HT_STEER_UNREADABLE_ROUTE, /**< the configuration has it, but its meaning is not known */
+	HT_STEER_NO_TARGET,	   /**< no target can take a new flow */
+	HT_STEER_UNKNOWN_MARK,	   /**< no known target has the mark */
+	HT_STEER_FOREIGN_TARGET,   /**< the route never led to the target's service */
+	HT_STEER_DEAD_TARGET,	   /**< the flow's target is gone or does not respond */
 	HT_STEER_REASONS
 };
 
@@ -99,12 +100,12 @@
 	void *ctx;
 };
 
-/** Limits and weights; ht_steering_params_default() sets the defaults. */
 /** Times without packets after which flows are not counted as open any more, by phase. */
 struct ht_flow_timeouts {
 	ht_ms opening, open, answered;
 };
 
+/** Limits and weights; ht_steering_params_default() sets the defaults. */
 struct ht_steering_params {
 	struct ht_catalog *catalog; /**< borrowed */
 	struct ht_reports *reports; /**< borrowed; collects misses and errors for other instances */
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -63,7 +63,8 @@
 	bool routes = ht_routes_compare(view.routes, base->routes) > 0 &&
 		      ht_catalog_routes_number(link->params.catalog, base->routes.revision);
 
-	if (!base->targets.number || (!ht_revision_before(base->targets, view.targets) && !routes))
+	if (!base->targets.number || (!ht_revision_before(base->targets, view.targets) && !routes &&
+				      !ht_revision_before(base->evacuations, view.evacuations)))
 		return NULL;
 	if (!routes)
 		have.routes = HT_ROUTES_NEVER;
@@ -137,6 +138,7 @@
 	struct ht_view_id *announced = &link->announced;
 
 	announced->targets = ht_revision_max(announced->targets, view->targets);
+	announced->evacuations = ht_revision_max(announced->evacuations, view->evacuations);
 	if (ht_routes_compare(view->routes, announced->routes) > 0)
 		announced->routes = view->routes;
 }
@@ -268,6 +270,7 @@
 	struct ht_view_id view = ht_link_view_id(link), *theirs = &link->relay.view;
 
 	return ht_revision_before(view.targets, theirs->targets) ||
+	       ht_revision_before(view.evacuations, theirs->evacuations) ||
 	       ht_routes_compare(view.routes, theirs->routes) < 0;
 }
 
@@ -329,6 +332,7 @@
 		return;
 	}
 	after.targets = ht_revision_max(after.targets, theirs.targets);
+	after.evacuations = ht_revision_max(after.evacuations, theirs.evacuations);
 	if (ht_routes_compare(theirs.routes, after.routes) > 0)
 		after.routes = theirs.routes;
 	if (!ht_view_improves(before, &after)) {
@@ -345,7 +349,9 @@
 		return;
 	}
 	relay->source = from;
-	relay->view = (struct ht_view_id){.routes = theirs.routes, .targets = theirs.targets};
+	relay->view = (struct ht_view_id){.routes = theirs.routes,
+					  .targets = theirs.targets,
+					  .evacuations = theirs.evacuations};
 	relay->base = msg->changes ? ht_snapshot_base(msg->changes) : (struct ht_view_id){0};
 	if (msg->to_dc || strcmp(msg->self->dc, link->params.settings->data_centre) == 0)
 		note_announced(link, &relay->view);
--- a/entry/decisions.c
+++ b/entry/decisions.c
@@ -1,6 +1,7 @@
 #include "entry/decisions.h"
 
 #include "core/flow_table.h"
+#include "core/split.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -152,6 +153,7 @@
 			ht_ms now)
 {
 	const struct ht_route *route = ht_catalog_route(dec->params.catalog, pkt->dst);
+	const struct ht_service *service = route ? ht_split_pick(route, pkt->src) : NULL;
 	struct fields f = {.len = 0};
 
 	if (!ht_logger_admit(dec->params.log, number))
@@ -164,8 +166,8 @@
 		append(&f, " mark=%08x", pkt->mark);
 	if (d->reason == HT_STEER_DEFERRED)
 		append(&f, " open=%.0f room=%.1f", d->open, d->capacity);
-	if (route)
-		append_service(&f, route->service, now);
+	if (service)
+		append_service(&f, service, now);
 	append_view(&f, dec);
 	ht_logger_write(dec->params.log, number, "%s", f.text);
 }
@@ -288,6 +290,17 @@
 				time_left(t->warmup_ends_at, now), text);
 }
 
+static void on_evacuation(void *ctx, const struct ht_dc *dc, ht_ms now)
+{
+	const struct ht_decisions *dec = ctx;
+	char text[HT_REVISION_TEXT];
+
+	(void)now;
+	ht_logger_event(
+		dec->params.log, dc->evacuated ? HT_EV_DC_EVACUATED : HT_EV_DC_EVACUATION_ENDED,
+		"dc=%s revision=%s", dc->name, ht_revision_text(text, dc->evacuation_revision));
+}
+
 struct ht_decisions *ht_decisions_new(const struct ht_decisions_params *params)
 {
 	struct ht_decisions *dec = calloc(1, sizeof(*dec));
@@ -309,7 +322,8 @@
 
 struct ht_catalog_observer ht_decisions_catalog_observer(struct ht_decisions *dec)
 {
-	return (struct ht_catalog_observer){.routes = on_routes, .target = on_target, .ctx = dec};
+	return (struct ht_catalog_observer){
+		.routes = on_routes, .target = on_target, .evacuation = on_evacuation, .ctx = dec};
 }
 
 struct ht_steering_observer ht_decisions_observer(struct ht_decisions *dec)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -258,7 +258,8 @@
 		ht_logger_event(e->log, HT_EV_SETTINGS_NEED_START, "file=%s", e->path);
 	store_changed = !same_addr(&set.store_address, &e->settings.store_address) ||
 			set.drain_bound != e->settings.drain_bound ||
-			set.config_bound != e->settings.config_bound;
+			set.config_bound != e->settings.config_bound ||
+			set.evacuation_bound != e->settings.evacuation_bound;
 	ht_entry_settings_clear(&e->settings);
 	e->settings = set;
 	ht_logger_configure(e->log, log_level(&e->settings), total_budget(&e->settings),
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -52,7 +52,8 @@
 struct ht_feed {
 	struct ht_feed_params params;
 	struct ht_store *store;
-	struct source routes, targets;
+	struct source sources[HT_STORE_KINDS];
+	bool evacuations; /* are read */
 	bool standby;
 	size_t rank;
 	bool era_logged; /* the summary of the new era has been logged */
@@ -60,6 +61,24 @@
 
 static void start_due_call(struct source *src);
 
+static struct ht_reading *reading_of(struct ht_feed *feed, enum ht_store_kind kind)
+{
+	return &feed->sources[kind].reading;
+}
+
+static const struct ht_reading *const_reading(const struct ht_feed *feed, enum ht_store_kind kind)
+{
+	return &feed->sources[kind].reading;
+}
+
+/* Starts the calls that are due, of all kinds that are read. */
+static void start_due_calls(struct ht_feed *feed)
+{
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
+		if (kind != HT_STORE_EVACUATIONS || feed->evacuations)
+			start_due_call(&feed->sources[kind]);
+}
+
 static void apply_target(struct source *src, const struct ht_store_target *t, ht_ms now)
 {
 	struct ht_catalog *cat = src->feed->params.catalog;
@@ -101,11 +120,18 @@
 		ht_logger_event(log, HT_EV_OUT_OF_MEMORY, "object=routes");
 }
 
+static void apply_evacuation(struct source *src, const struct ht_store_evacuation *ev, ht_ms now)
+{
+	if (ht_catalog_put_evacuation(src->feed->params.catalog, ev->dc, !ev->deleted, ev->revision,
+				      now) == HT_CATALOG_FAILED)
+		ht_logger_event(src->feed->params.log, HT_EV_OUT_OF_MEMORY, "object=%s", ev->dc);
+}
+
 /* Makes entries that a restore of the store from an older backup has brought back usable again,
  * once they have had time to expire and have not. */
 static void readmit_restored(struct ht_feed *feed, ht_ms now)
 {
-	ht_ms proven_at = feed->targets.reading.proven_at;
+	ht_ms proven_at = reading_of(feed, HT_STORE_TARGETS)->proven_at;
 	ht_ms lapse = (ht_ms)(LAPSE_INTERVALS * feed->params.settings->report_interval);
 
 	if (proven_at != HT_NEVER)
@@ -123,7 +149,7 @@
 	feed->era_logged = true;
 	ht_logger_event(feed->params.log, HT_EV_STORE_ERA_KNOWN,
 			"revision=%s version=%llu targets=%zu missing=%zu restored=%zu",
-			ht_revision_text(text, feed->targets.reading.revision),
+			ht_revision_text(text, reading_of(feed, HT_STORE_TARGETS)->revision),
 			(unsigned long long)ht_catalog_routes(cat).version,
 			ht_catalog_target_count(cat), missing, ht_catalog_restored(cat));
 }
@@ -139,8 +165,7 @@
  * NULL. */
 static void begin_era(struct ht_feed *feed, uint64_t era, struct source *discovered_by)
 {
-	struct source *sources[] = {&feed->routes, &feed->targets};
-	const struct ht_reading *targets = &feed->targets.reading;
+	const struct ht_reading *targets = reading_of(feed, HT_STORE_TARGETS);
 	struct ht_revision known = targets->listed ? targets->revision : (struct ht_revision){0};
 	char text[HT_REVISION_TEXT];
 	ht_ms now = ht_now();
@@ -153,13 +178,13 @@
 			feed->params.log, HT_EV_STORE_ERA, "era=%llu known=%s version=%llu",
 			(unsigned long long)era, ht_revision_text(text, known),
 			(unsigned long long)ht_catalog_routes(feed->params.catalog).version);
-	for (size_t i = 0; i < 2; i++) {
-		if (sources[i] == discovered_by ||
-		    !ht_reading_begin_era(&sources[i]->reading, era, now))
-			continue;
-		cancel_call(sources[i]);
-		start_due_call(sources[i]);
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++) {
+		struct source *src = &feed->sources[kind];
+
+		if (src != discovered_by && ht_reading_begin_era(&src->reading, era, now))
+			cancel_call(src);
 	}
+	start_due_calls(feed);
 }
 
 /* Returns true if @reply may be used: it is of the current era, or is the first page of a
@@ -179,6 +204,17 @@
 	return answer == HT_READING_CURRENT_ERA;
 }
 
+static void log_unreadable(struct source *src, const struct ht_store_reply *reply)
+{
+	for (size_t i = 0; i < reply->unreadable_count && i < HT_STORE_UNREADABLE_MAX; i++)
+		ht_logger_event(src->feed->params.log, HT_EV_ROUTE_UNREADABLE,
+				"route=%s version=%llu reason=\"%s\" count=%zu",
+				reply->unreadable[i].name[0] ? reply->unreadable[i].name : "-",
+				(unsigned long long)reply->routes.id.version,
+				reply->unreadable[i].reason, reply->unreadable_count);
+	src->feed->params.stats->routes_unreadable += reply->unreadable_count;
+}
+
 /* Returns true if an exact read has now proven what is known. */
 static bool apply_reply(struct source *src, const struct ht_store_reply *reply, ht_ms now)
 {
@@ -190,16 +226,22 @@
 
 	if (listing_starts && src->kind == HT_STORE_TARGETS)
 		ht_catalog_begin_listing(cat, HT_CATALOG_STORE);
+	if (listing_starts && src->kind == HT_STORE_EVACUATIONS)
+		ht_catalog_begin_evacuations(cat);
 	for (size_t i = 0; i < reply->target_count; i++)
 		apply_target(src, &reply->targets[i], now);
+	for (size_t i = 0; i < reply->evacuation_count; i++)
+		apply_evacuation(src, &reply->evacuations[i], now);
+	log_unreadable(src, reply);
 	if (reply->has_routes)
 		apply_routes(src, &reply->routes);
 	if (reply->malformed)
 		ht_logger_event(src->feed->params.log, HT_EV_STORE_OBJECTS_SKIPPED, "count=%zu",
 				reply->malformed);
 	if (reply->watch) {
-		ht_reading_changes(&src->reading, reply->revision,
-				   reply->target_count || reply->has_routes, now);
+		ht_reading_changes(
+			&src->reading, reply->revision,
+			reply->target_count || reply->has_routes || reply->evacuation_count, now);
 		return true;
 	}
 	if (ht_reading_page(&src->reading, reply->revision, reply->more, reply->last, now) !=
@@ -210,6 +252,8 @@
 						 now, ht_reading_hold_until(&src->reading, now));
 		log_era_synced(src->feed, missing);
 	}
+	if (src->kind == HT_STORE_EVACUATIONS)
+		ht_catalog_end_evacuations(cat, src->reading.list_revision, now);
 	return src->reading.exact_list;
 }
 
@@ -223,11 +267,10 @@
 	src->failing = failed;
 	if (failed)
 		ht_logger_event(src->feed->params.log, HT_EV_STORE_LOST, "kind=%s reason=\"%s\"",
-				src->kind == HT_STORE_ROUTES ? "routes" : "targets",
-				reply->err.text);
+				ht_store_kind_name(src->kind), reply->err.text);
 	else
 		ht_logger_event(src->feed->params.log, HT_EV_STORE_REGAINED, "kind=%s",
-				src->kind == HT_STORE_ROUTES ? "routes" : "targets");
+				ht_store_kind_name(src->kind));
 }
 
 static void count_call(const struct source *src, const struct ht_store_reply *reply, ht_ms now)
@@ -305,9 +348,9 @@
 	start_due_call(timer->data);
 }
 
-static void init_source(struct source *src, struct ht_feed *feed, enum ht_store_kind kind,
-			ht_ms bound, ht_ms pause)
+static void init_source(struct ht_feed *feed, enum ht_store_kind kind, ht_ms bound, ht_ms pause)
 {
+	struct source *src = &feed->sources[kind];
 	ht_ms wait = (ht_ms)(WAIT_SHARE * (double)bound);
 	const struct ht_reading_params params = {
 		.seed = feed->params.seed + kind,
@@ -343,29 +386,54 @@
 		free(feed);
 		return NULL;
 	}
-	init_source(&feed->routes, feed, HT_STORE_ROUTES, (ht_ms)set->config_bound, 0);
-	init_source(&feed->targets, feed, HT_STORE_TARGETS, (ht_ms)set->drain_bound,
-		    TARGETS_PAUSE_MS);
-	start_due_call(&feed->routes);
-	start_due_call(&feed->targets);
+	feed->evacuations = set->evacuation_bound > 0;
+	init_source(feed, HT_STORE_ROUTES, (ht_ms)set->config_bound, 0);
+	init_source(feed, HT_STORE_TARGETS, (ht_ms)set->drain_bound, TARGETS_PAUSE_MS);
+	init_source(feed, HT_STORE_EVACUATIONS,
+		    (ht_ms)(feed->evacuations ? set->evacuation_bound : set->config_bound), 0);
+	start_due_calls(feed);
 	return feed;
 }
 
+/* Evacuations have no age of their own in messages: they and the routes count as proven when both
+ * are. */
+static void include_evacuations(const struct ht_feed *feed, struct ht_view_state *view, ht_ms now)
+{
+	const struct ht_reading *r = const_reading(feed, HT_STORE_EVACUATIONS);
+	ht_ms age = ht_reading_age(r, now);
+
+	if (!feed->evacuations)
+		return;
+	view->usable = view->usable && r->listed;
+	view->failing = view->failing || feed->sources[HT_STORE_EVACUATIONS].failing;
+	view->evacuations = ht_catalog_evacuations(feed->params.catalog);
+	if (ht_revision_before(r->revision, view->read_to))
+		view->read_to = r->revision;
+	if (age == HT_NEVER || view->routes_age == HT_NEVER)
+		view->routes_age = HT_NEVER;
+	else if (age > view->routes_age)
+		view->routes_age = age;
+}
+
 void ht_feed_view(const struct ht_feed *feed, struct ht_view_state *view)
 {
+	const struct ht_reading *routes = const_reading(feed, HT_STORE_ROUTES);
+	const struct ht_reading *targets = const_reading(feed, HT_STORE_TARGETS);
 	ht_ms now = ht_now();
 
 	*view = (struct ht_view_state){
-		.usable = feed->routes.reading.listed && feed->targets.reading.listed,
+		.usable = routes->listed && targets->listed,
 		.standby = feed->standby,
-		.failing = feed->routes.failing || feed->targets.failing,
-		.era = feed->targets.reading.era,
+		.failing = feed->sources[HT_STORE_ROUTES].failing ||
+			   feed->sources[HT_STORE_TARGETS].failing,
+		.era = targets->era,
 		.routes = ht_catalog_routes(feed->params.catalog),
-		.read_to = feed->routes.reading.revision,
-		.targets = feed->targets.reading.revision,
-		.routes_age = ht_reading_age(&feed->routes.reading, now),
-		.targets_age = ht_reading_age(&feed->targets.reading, now),
+		.read_to = routes->revision,
+		.targets = targets->revision,
+		.routes_age = ht_reading_age(routes, now),
+		.targets_age = ht_reading_age(targets, now),
 	};
+	include_evacuations(feed, view, now);
 }
 
 static ht_ms due_age(const struct source *src, bool standby, size_t rank)
@@ -387,83 +455,95 @@
 		ht_logger_event(feed->params.log, HT_EV_STORE_READER, "standby=%d", standby);
 	feed->standby = standby;
 	feed->rank = rank;
-	ht_reading_set_max_age(&feed->routes.reading, due_age(&feed->routes, standby, rank));
-	ht_reading_set_max_age(&feed->targets.reading, due_age(&feed->targets, standby, rank));
-	start_due_call(&feed->routes);
-	start_due_call(&feed->targets);
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
+		ht_reading_set_max_age(&feed->sources[kind].reading,
+				       due_age(&feed->sources[kind], standby, rank));
+	start_due_calls(feed);
 }
 
 ht_ms ht_feed_standby_read_age(const struct ht_feed *feed)
 {
-	return feed->targets.standby_read_age;
+	return feed->sources[HT_STORE_TARGETS].standby_read_age;
 }
 
 void ht_feed_defer_listing(struct ht_feed *feed, bool defer)
 {
-	if (defer == feed->targets.reading.deferred)
+	if (defer == feed->sources[HT_STORE_TARGETS].reading.deferred)
 		return;
-	ht_reading_set_deferred(&feed->routes.reading, defer);
-	ht_reading_set_deferred(&feed->targets.reading, defer);
-	start_due_call(&feed->routes);
-	start_due_call(&feed->targets);
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
+		ht_reading_set_deferred(&feed->sources[kind].reading, defer);
+	start_due_calls(feed);
 }
 
 bool ht_feed_observe_era(struct ht_feed *feed, uint64_t era, bool proven)
 {
-	uint64_t known = feed->targets.reading.era;
+	uint64_t known = reading_of(feed, HT_STORE_TARGETS)->era;
 
 	if (era <= known)
 		return era == known;
-	if (proven || !feed->targets.reading.listed) {
+	if (proven || !reading_of(feed, HT_STORE_TARGETS)->listed) {
 		begin_era(feed, era, NULL);
 		return true;
 	}
-	ht_reading_verify_era(&feed->routes.reading, ht_now());
-	start_due_call(&feed->routes);
+	ht_reading_verify_era(reading_of(feed, HT_STORE_ROUTES), ht_now());
+	start_due_call(&feed->sources[HT_STORE_ROUTES]);
 	return false;
 }
 
 void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to)
 {
-	ht_reading_adopt(&feed->routes.reading, read_to, ht_now());
-	start_due_call(&feed->routes);
+	ht_reading_adopt(reading_of(feed, HT_STORE_ROUTES), read_to, ht_now());
+	start_due_call(&feed->sources[HT_STORE_ROUTES]);
+}
+
+void ht_feed_adopt_evacuations(struct ht_feed *feed, struct ht_revision read_to)
+{
+	if (!feed->evacuations)
+		return;
+	ht_reading_adopt(reading_of(feed, HT_STORE_EVACUATIONS), read_to, ht_now());
+	start_due_call(&feed->sources[HT_STORE_EVACUATIONS]);
 }
 
 void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, size_t missing)
 {
-	ht_reading_adopt(&feed->targets.reading, revision, ht_now());
+	ht_reading_adopt(reading_of(feed, HT_STORE_TARGETS), revision, ht_now());
 	log_era_synced(feed, missing);
-	start_due_call(&feed->targets);
+	start_due_call(&feed->sources[HT_STORE_TARGETS]);
 }
 
 void ht_feed_adopt_proofs(struct ht_feed *feed, ht_ms routes_proven_at, ht_ms targets_proven_at)
 {
-	if (routes_proven_at != HT_NEVER)
-		ht_reading_proven_by_neighbour(&feed->routes.reading, routes_proven_at);
+	if (routes_proven_at != HT_NEVER) {
+		ht_reading_proven_by_neighbour(reading_of(feed, HT_STORE_ROUTES), routes_proven_at);
+		ht_reading_proven_by_neighbour(reading_of(feed, HT_STORE_EVACUATIONS),
+					       routes_proven_at);
+	}
 	if (targets_proven_at != HT_NEVER)
-		ht_reading_proven_by_neighbour(&feed->targets.reading, targets_proven_at);
+		ht_reading_proven_by_neighbour(reading_of(feed, HT_STORE_TARGETS),
+					       targets_proven_at);
 	readmit_restored(feed, ht_now());
-	start_due_call(&feed->routes);
-	start_due_call(&feed->targets);
+	start_due_calls(feed);
 }
 
 bool ht_feed_complete(const struct ht_feed *feed)
 {
-	return ht_reading_complete(&feed->routes.reading) &&
-	       ht_reading_complete(&feed->targets.reading);
+	return ht_reading_complete(const_reading(feed, HT_STORE_ROUTES)) &&
+	       ht_reading_complete(const_reading(feed, HT_STORE_TARGETS)) &&
+	       (!feed->evacuations ||
+		ht_reading_complete(const_reading(feed, HT_STORE_EVACUATIONS)));
 }
 
 ht_ms ht_feed_hold_until(const struct ht_feed *feed)
 {
-	return ht_reading_hold_until(&feed->targets.reading, ht_now());
+	return ht_reading_hold_until(const_reading(feed, HT_STORE_TARGETS), ht_now());
 }
 
 void ht_feed_free(struct ht_feed *feed)
 {
 	if (!feed)
 		return;
-	ev_timer_stop(feed->params.loop, &feed->routes.timer);
-	ev_timer_stop(feed->params.loop, &feed->targets.timer);
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
+		ev_timer_stop(feed->params.loop, &feed->sources[kind].timer);
 	ht_store_free(feed->store);
 	free(feed);
 }
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -35,7 +35,7 @@
 
 /** Fills @view with what is known, read from the store or adopted from neighbours. */
 void ht_feed_view(const struct ht_feed *feed, struct ht_view_state *view);
-/** True once exact reads have confirmed both routes and targets. */
+/** True once exact reads have confirmed routes, targets and evacuations. */
 bool ht_feed_complete(const struct ht_feed *feed);
 /** Time until which a target that is found missing now may still be used. */
 ht_ms ht_feed_hold_until(const struct ht_feed *feed);
@@ -55,15 +55,16 @@
  */
 bool ht_feed_observe_era(struct ht_feed *feed, uint64_t era, bool proven);
 /**
- * Marks routes as known up to revision @read_to, or targets up to @revision, of the current era
- * after a neighbour's view has been applied. @missing is the number of targets that were known
- * here and that the view lacks.
+ * Marks routes or evacuations as known up to revision @read_to, or targets up to @revision, of the
+ * current era after a neighbour's view has been applied. @missing is the number of targets that
+ * were known here and that the view lacks.
  */
 void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to);
+void ht_feed_adopt_evacuations(struct ht_feed *feed, struct ht_revision read_to);
 void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, size_t missing);
 /**
  * Adopts the times at which neighbours have proven what is known here too; HT_NEVER for what they
- * have not proven.
+ * have not proven. Evacuations are proven together with the routes.
  */
 void ht_feed_adopt_proofs(struct ht_feed *feed, ht_ms routes_proven_at, ht_ms targets_proven_at);
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -25,6 +25,13 @@
 /* Greetings handled per loop iteration. */
 #define BATCH_MAX 32
 
+/* Values of EntryGreeting.view. */
+enum {
+	VIEW_NONE,
+	VIEW_WITHOUT_EVACUATIONS,
+	VIEW_FULL
+};
+
 static struct ht_endpoint endpoint_from_addr(const struct ht_addr *addr)
 {
 	const struct sockaddr_in *in = (const struct sockaddr_in *)&addr->ss;
@@ -60,7 +67,8 @@
 {
 	struct ht_view_state view = ht_link_view(link);
 
-	return (struct ht_view_id){.routes = view.routes, .targets = view.targets};
+	return (struct ht_view_id){
+		.routes = view.routes, .targets = view.targets, .evacuations = view.evacuations};
 }
 
 static uint32_t encode_age(ht_ms age)
@@ -81,7 +89,7 @@
 struct ht_view_state ht_link_sender_view(const Ht__EntryGreeting *msg)
 {
 	return (struct ht_view_state){
-		.usable = msg->usable,
+		.usable = msg->view != VIEW_NONE,
 		.failing = msg->store_failing,
 		.era = msg->era,
 		.routes = {msg->routes_version,
@@ -89,7 +97,10 @@
 		.read_to = decode_revision(msg->era, msg->read_era_behind, msg->routes_read_to),
 		.targets =
 			decode_revision(msg->era, msg->targets_era_behind, msg->targets_revision),
-		.routes_age = decode_age(msg->routes_age_ms),
+		.evacuations = decode_revision(msg->era, msg->evacuations_era_behind,
+					       msg->evacuations_revision),
+		/* An instance that does not read evacuations proves nothing about them. */
+		.routes_age = msg->view == VIEW_FULL ? decode_age(msg->routes_age_ms) : HT_NEVER,
 		.targets_age = decode_age(msg->targets_age_ms),
 	};
 }
@@ -108,7 +119,7 @@
 
 	ht_link_describe_self(link, self);
 	msg->self = self;
-	msg->usable = view.usable;
+	msg->view = view.usable ? VIEW_FULL : VIEW_NONE;
 	msg->store_failing = view.failing;
 	msg->era = view.era;
 	msg->routes_version = view.routes.version;
@@ -118,6 +129,10 @@
 	msg->routes_read_to = view.read_to.number;
 	msg->targets_era_behind = view.era - view.targets.era;
 	msg->targets_revision = view.targets.number;
+	if (view.evacuations.number) {
+		msg->evacuations_era_behind = view.era - view.evacuations.era;
+		msg->evacuations_revision = view.evacuations.number;
+	}
 	msg->routes_age_ms = encode_age(view.routes_age);
 	msg->targets_age_ms = encode_age(view.targets_age);
 	msg->clock = ht_logger_stamp(link->params.log);
@@ -191,9 +206,11 @@
 	if (!theirs->usable || !view.usable)
 		return;
 	if (theirs->routes_age != HT_NEVER && theirs->read_to.era == view.era &&
-	    ht_routes_compare(view.routes, theirs->routes) >= 0) {
+	    ht_routes_compare(view.routes, theirs->routes) >= 0 &&
+	    !ht_revision_before(view.evacuations, theirs->evacuations)) {
 		routes = heard - theirs->routes_age;
 		ht_feed_adopt_routes(ht_link_feed(link), theirs->read_to);
+		ht_feed_adopt_evacuations(ht_link_feed(link), theirs->read_to);
 	}
 	if (theirs->targets_age != HT_NEVER && theirs->targets.era == view.era &&
 	    !ht_revision_before(view.targets, theirs->targets))
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -22,11 +22,6 @@
 	struct ht_http_server *server;
 };
 
-static const char *const store_kind_names[] = {
-	[HT_STORE_ROUTES] = "routes",
-	[HT_STORE_TARGETS] = "targets",
-};
-
 static const char *const store_call_names[] = {
 	[HT_CALL_LIST] = "list",
 	[HT_CALL_WATCH] = "watch",
@@ -131,7 +126,9 @@
 	for (int k = 0; k < HT_STORE_KINDS; k++) {
 		for (int c = 0; c < HT_STORE_CALLS; c++) {
 			const struct ht_label labels[] = {
-				{"kind", store_kind_names[k]}, {"call", store_call_names[c]}, {0}};
+				{"kind", ht_store_kind_name((enum ht_store_kind)k)},
+				{"call", store_call_names[c]},
+				{0}};
 
 			ht_exposition_histogram(out, time, labels, &st->store[k][c].time);
 		}
@@ -140,7 +137,9 @@
 	for (int k = 0; k < HT_STORE_KINDS; k++) {
 		for (int c = 0; c < HT_STORE_CALLS; c++) {
 			const struct ht_label labels[] = {
-				{"kind", store_kind_names[k]}, {"call", store_call_names[c]}, {0}};
+				{"kind", ht_store_kind_name((enum ht_store_kind)k)},
+				{"call", store_call_names[c]},
+				{0}};
 
 			ht_exposition_sample(out, failed, "", labels,
 					     (double)st->store[k][c].failed);
@@ -242,6 +241,11 @@
 	return age == HT_NEVER ? -1 : (double)age / 1000;
 }
 
+static void write_evacuated(void *ctx, const struct ht_dc *dc)
+{
+	labelled_sample(ctx, METRIC("evacuated"), "dc", dc->name, 1);
+}
+
 static void write_state(const struct ht_metrics_params *p, FILE *out)
 {
 	struct ht_metrics_state state;
@@ -264,6 +268,12 @@
 	gauge(out, METRIC("targets_restored"),
 	      "Targets that had left, and that a copy of the store has brought back: not used.",
 	      (double)ht_catalog_restored(p->catalog));
+	counter(out, METRIC("routes_unreadable_total"),
+		"Routes in configurations read from the store that could not be read.",
+		p->stats->routes_unreadable);
+	ht_exposition_begin(out, METRIC("evacuated"), "gauge",
+			    "1 for each data centre whose targets get no new flows.");
+	ht_catalog_each_evacuated(p->catalog, write_evacuated, out);
 	gauge(out, METRIC("routes_age_seconds"), "Since the routes were proven; -1: never.",
 	      age_seconds(state.view.routes_age));
 	gauge(out, METRIC("targets_age_seconds"), "Since the targets were proven; -1: never.",
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -47,6 +47,8 @@
 	 .help = "time until a change of a target takes effect, ms"},
 	{FIELD(config_bound), .type = HT_OPT_DOUBLE, .min = 2000, .max = 600000, .def = "3000",
 	 .help = "time until an accepted configuration takes effect, ms"},
+	{FIELD(evacuation_bound), .type = HT_OPT_DOUBLE, .max = 600000, .def = "0",
+	 .help = "time until the evacuation of a data centre takes effect, ms; 0: none is read"},
 	{FIELD(report_interval), .type = HT_OPT_DOUBLE, .min = 100, .max = 600000, .def = "1200",
 	 .help = "interval at which targets write to the store, ms"},
 	{FIELD(stop_grace_s), .type = HT_OPT_DOUBLE, .min = 1, .max = 3600, .def = "6",
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -22,10 +22,12 @@
 	double log_event_lines, log_event_bytes; /**< per second, for each event number */
 	double log_sample;  /**< ordinary steps are logged for one flow in this many; 0: for none */
 	double drain_bound; /**< ms until an accepted change of a target takes effect here */
-	double config_bound;	/**< ms until an accepted configuration takes effect here */
-	double report_interval; /**< ms between two reports of a target to the store */
-	double stop_grace_s;	/**< s from the stop signal until the process is killed */
-	double flow_max_s;	/**< s; older flows may be dropped */
+	double config_bound;	 /**< ms until an accepted configuration takes effect here */
+	double evacuation_bound; /**< ms until an accepted evacuation takes effect here; 0: not read
+				  */
+	double report_interval;	 /**< ms between two reports of a target to the store */
+	double stop_grace_s;	 /**< s from the stop signal until the process is killed */
+	double flow_max_s;	 /**< s; older flows may be dropped */
 };
 
 /**
--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -1,5 +1,7 @@
 #include "entry/snapshot.h"
 
+#include "core/split.h"
+
 #include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,12 +10,20 @@
 /* Version of the snapshot format, sent in requests and answers; any other is refused. */
 #define FORMAT 3
 
+/* Content of the messages of this build, see wire/entry.proto. Routes of an earlier one may lack
+ * services, and it does not know evacuations. */
+#define CONTENT 1
+
 /* Maximum length of a 64-bit number in hexadecimal. */
 #define HEX_DIGITS 16
 
 struct ht_snapshot {
 	Ht__EntrySnapshot msg;
 	Ht__EntryRoute *routes, **route_list;
+	Ht__EntryShare *shares, **share_list;
+	size_t share_count;
+	Ht__EntryAddress *unreadable, **unreadable_list;
+	uint32_t *evacuated;
 	Ht__EntryAddress *routes_gone, **routes_gone_list;
 	Ht__EntryTarget *targets, **target_list;
 	Ht__EntryGone *gone, **gone_list;
@@ -101,17 +111,49 @@
 	return len > 0 && len < HT_CATALOG_NAME;
 }
 
+static void encode_address(Ht__EntryAddress *m, struct ht_endpoint at)
+{
+	ht__entry_address__init(m);
+	m->ip = at.ip;
+	m->port = at.port;
+}
+
+static void encode_shares(struct ht_snapshot *snap, Ht__EntryRoute *m, const struct ht_route *r)
+{
+	m->shares = &snap->share_list[snap->share_count];
+	for (size_t i = 0; i < r->share_count; i++) {
+		Ht__EntryShare *share = &snap->shares[snap->share_count];
+
+		ht__entry_share__init(share);
+		share->service = intern_text(snap, r->shares[i].service->name);
+		share->weight = r->shares[i].weight;
+		snap->share_list[snap->share_count++] = share;
+	}
+	m->n_shares = r->share_count;
+}
+
 static void add_route(void *ctx, const struct ht_route *r)
 {
+	const struct ht_service *main_service = ht_split_main(r);
 	struct ht_snapshot *snap = ctx;
 	Ht__EntryRoute *m = &snap->routes[snap->msg.n_routes];
 
 	if (snap->routes_base && r->changed_config <= snap->routes_base)
 		return;
+	if (!r->share_count) {
+		encode_address(&snap->unreadable[snap->msg.n_routes_unreadable], r->at);
+		snap->unreadable_list[snap->msg.n_routes_unreadable] =
+			&snap->unreadable[snap->msg.n_routes_unreadable];
+		snap->msg.n_routes_unreadable++;
+		return;
+	}
 	ht__entry_route__init(m);
 	m->ip = r->at.ip;
 	m->port = r->at.port;
-	m->service = intern_text(snap, r->service->name);
+	m->service =
+		intern_text(snap, main_service ? main_service->name : r->shares[0].service->name);
+	if (r->share_count > 1 || !main_service)
+		encode_shares(snap, m, r);
 	m->priority = r->priority;
 	m->idempotent = r->idempotent;
 	snap->route_list[snap->msg.n_routes++] = m;
@@ -128,9 +170,7 @@
 	struct ht_snapshot *snap = ctx;
 	Ht__EntryAddress *m = &snap->routes_gone[snap->msg.n_routes_gone];
 
-	ht__entry_address__init(m);
-	m->ip = at.ip;
-	m->port = at.port;
+	encode_address(m, at);
 	snap->routes_gone_list[snap->msg.n_routes_gone++] = m;
 }
 
@@ -210,10 +250,28 @@
 			msg->newest_revision - msg->gone[i]->revision_before;
 }
 
-static bool allocate(struct ht_snapshot *snap, size_t routes, size_t routes_gone, size_t targets)
+static void count_shares(void *ctx, const struct ht_route *r)
+{
+	*(size_t *)ctx += r->share_count;
+}
+
+static bool allocate_routes(struct ht_snapshot *snap, const struct ht_catalog *cat)
 {
+	size_t routes = ht_catalog_route_count(cat), shares = 0;
+
+	ht_catalog_each_route(cat, count_shares, &shares);
 	snap->routes = calloc(routes + 1, sizeof(*snap->routes));
 	snap->route_list = calloc(routes + 1, sizeof(Ht__EntryRoute *));
+	snap->shares = calloc(shares + 1, sizeof(*snap->shares));
+	snap->share_list = calloc(shares + 1, sizeof(Ht__EntryShare *));
+	snap->unreadable = calloc(routes + 1, sizeof(*snap->unreadable));
+	snap->unreadable_list = calloc(routes + 1, sizeof(Ht__EntryAddress *));
+	return snap->routes && snap->route_list && snap->shares && snap->share_list &&
+	       snap->unreadable && snap->unreadable_list;
+}
+
+static bool allocate(struct ht_snapshot *snap, size_t routes_gone, size_t targets)
+{
 	snap->routes_gone = calloc(routes_gone + 1, sizeof(*snap->routes_gone));
 	snap->routes_gone_list = calloc(routes_gone + 1, sizeof(Ht__EntryAddress *));
 	snap->targets = calloc(targets + 1, sizeof(*snap->targets));
@@ -222,9 +280,8 @@
 	snap->gone = calloc(targets + 1, sizeof(*snap->gone));
 	snap->gone_list = calloc(targets + 1, sizeof(Ht__EntryGone *));
 	snap->gone_names = calloc(targets + 1, sizeof(*snap->gone_names));
-	return snap->routes && snap->route_list && snap->routes_gone && snap->routes_gone_list &&
-	       snap->targets && snap->target_list && snap->target_names && snap->gone &&
-	       snap->gone_list && snap->gone_names;
+	return snap->routes_gone && snap->routes_gone_list && snap->targets && snap->target_list &&
+	       snap->target_names && snap->gone && snap->gone_list && snap->gone_names;
 }
 
 static bool fill_routes(struct ht_snapshot *snap, struct ht_catalog *cat)
@@ -233,11 +290,45 @@
 	if (snap->routes_base)
 		ht_catalog_each_route_gone(cat, snap->routes_base, add_route_gone, snap);
 	snap->msg.has_routes = true;
+	snap->msg.routes_incomplete = ht_catalog_routes_incomplete(cat);
+	snap->msg.routes_unreadable = snap->unreadable_list;
 	snap->msg.routes = snap->route_list;
 	snap->msg.routes_gone = snap->routes_gone_list;
 	return !snap->failed;
 }
 
+static void count_dc(void *ctx, const struct ht_dc *dc)
+{
+	(void)dc;
+	++*(size_t *)ctx;
+}
+
+/* An evacuation of an earlier era ends by itself if it is not confirmed: receivers that do not know
+ * it need not learn of it. */
+static void add_evacuated(void *ctx, const struct ht_dc *dc)
+{
+	struct ht_snapshot *snap = ctx;
+
+	if (dc->evacuation_revision.era == snap->msg.evacuations_era)
+		snap->evacuated[snap->msg.n_evacuated++] = intern_text(snap, dc->name);
+}
+
+static bool fill_evacuations(struct ht_snapshot *snap, const struct ht_catalog *cat)
+{
+	struct ht_revision revision = ht_catalog_evacuations(cat);
+	size_t count = 0;
+
+	ht_catalog_each_evacuated(cat, count_dc, &count);
+	snap->evacuated = calloc(count + 1, sizeof(*snap->evacuated));
+	if (!snap->evacuated)
+		return false;
+	snap->msg.evacuations_era = revision.era;
+	snap->msg.evacuations_revision = revision.number;
+	ht_catalog_each_evacuated(cat, add_evacuated, snap);
+	snap->msg.evacuated = snap->evacuated;
+	return !snap->failed;
+}
+
 static bool fill(struct ht_snapshot *snap, struct ht_catalog *cat, bool with_routes)
 {
 	Ht__EntrySnapshot *msg = &snap->msg;
@@ -245,10 +336,11 @@
 
 	if (snap->routes_base)
 		ht_catalog_each_route_gone(cat, snap->routes_base, count_route_gone, &routes_gone);
-	if (!allocate(snap, with_routes ? ht_catalog_route_count(cat) : 0, routes_gone,
-		      ht_catalog_target_count(cat)))
+	if (!allocate(snap, routes_gone, ht_catalog_target_count(cat)))
 		return false;
-	if (with_routes && !fill_routes(snap, cat))
+	if (with_routes && (!allocate_routes(snap, cat) || !fill_routes(snap, cat)))
+		return false;
+	if (!fill_evacuations(snap, cat))
 		return false;
 	ht_catalog_each_target(cat, add_target, snap);
 	msg->routes_version = snap->view.routes.version;
@@ -287,6 +379,7 @@
 		snap->msg.routes_base = have->routes.revision.number;
 	}
 	snap->msg.format = FORMAT;
+	snap->msg.content = CONTENT;
 	if (fill(snap, cat, with_routes))
 		return snap;
 	ht_snapshot_free(snap);
@@ -302,6 +395,11 @@
 	free(snap->texts);
 	free(snap->routes);
 	free(snap->route_list);
+	free(snap->shares);
+	free(snap->share_list);
+	free(snap->unreadable);
+	free(snap->unreadable_list);
+	free(snap->evacuated);
 	free(snap->routes_gone);
 	free(snap->routes_gone_list);
 	free(snap->targets);
@@ -343,6 +441,7 @@
 	return (struct ht_view_id){
 		.routes = {msg->routes_version, {msg->routes_era, msg->routes_revision}},
 		.targets = {msg->era, msg->targets_revision},
+		.evacuations = {msg->evacuations_era, msg->evacuations_revision},
 	};
 }
 
@@ -359,6 +458,14 @@
 	return request->format == FORMAT;
 }
 
+static bool route_well_formed(const Ht__EntrySnapshot *msg, const Ht__EntryRoute *m)
+{
+	for (size_t i = 0; i < m->n_shares; i++)
+		if (m->shares[i]->service >= msg->n_texts)
+			return false;
+	return m->service < msg->n_texts;
+}
+
 /* True if every string table index is valid and every name and revision can be decoded. */
 static bool well_formed(const Ht__EntrySnapshot *msg)
 {
@@ -368,7 +475,10 @@
 		if (strlen(msg->texts[i]) >= HT_CATALOG_NAME)
 			return false;
 	for (size_t i = 0; i < msg->n_routes; i++)
-		if (msg->routes[i]->service >= msg->n_texts)
+		if (!route_well_formed(msg, msg->routes[i]))
+			return false;
+	for (size_t i = 0; i < msg->n_evacuated; i++)
+		if (msg->evacuated[i] >= msg->n_texts)
 			return false;
 	for (size_t i = 0; i < msg->n_targets; i++) {
 		const Ht__EntryTarget *m = msg->targets[i];
@@ -385,6 +495,20 @@
 	return msg->format == FORMAT;
 }
 
+static void decode_shares(const Ht__EntrySnapshot *msg, const Ht__EntryRoute *m,
+			  struct ht_route_table *table, struct ht_route_entry *e)
+{
+	e->first_share = table->share_count;
+	e->share_count = m->n_shares;
+	for (size_t i = 0; i < m->n_shares; i++) {
+		struct ht_share_entry *share = &table->shares[table->share_count++];
+
+		share->weight = m->shares[i]->weight;
+		snprintf(share->service, sizeof(share->service), "%s",
+			 msg->texts[m->shares[i]->service]);
+	}
+}
+
 static void decode_routes(const Ht__EntrySnapshot *msg, struct ht_route_table *table)
 {
 	for (size_t i = 0; i < msg->n_routes; i++) {
@@ -395,6 +519,13 @@
 		e->priority = m->priority;
 		e->idempotent = m->idempotent;
 		snprintf(e->service, sizeof(e->service), "%s", msg->texts[m->service]);
+		decode_shares(msg, m, table, e);
+	}
+	for (size_t i = 0; i < msg->n_routes_unreadable; i++) {
+		const Ht__EntryAddress *m = msg->routes_unreadable[i];
+
+		table->entries[table->count++] = (struct ht_route_entry){
+			.at = {.ip = m->ip, .port = (uint16_t)m->port}, .unreadable = true};
 	}
 	for (size_t i = 0; i < msg->n_routes_gone; i++) {
 		const Ht__EntryAddress *m = msg->routes_gone[i];
@@ -404,21 +535,34 @@
 	}
 }
 
+static size_t count_message_shares(const Ht__EntrySnapshot *msg)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < msg->n_routes; i++)
+		count += msg->routes[i]->n_shares;
+	return count;
+}
+
 static bool apply_routes(struct ht_catalog *cat, const Ht__EntrySnapshot *msg)
 {
 	struct ht_route_table table = {
 		.id = ht_snapshot_view(msg).routes,
 		.base = ht_snapshot_base(msg).routes.revision,
-		.entries = calloc(msg->n_routes + 1, sizeof(*table.entries)),
+		.entries = calloc(msg->n_routes + msg->n_routes_unreadable + 1,
+				  sizeof(*table.entries)),
+		.shares = calloc(count_message_shares(msg) + 1, sizeof(*table.shares)),
+		.incomplete = msg->routes_incomplete,
 		.gone = calloc(msg->n_routes_gone + 1, sizeof(*table.gone)),
 	};
 	bool changed = false;
 
-	if (table.entries && table.gone) {
+	if (table.entries && table.shares && table.gone) {
 		decode_routes(msg, &table);
 		changed = ht_catalog_set_routes(cat, &table) == HT_CATALOG_CHANGED;
 	}
 	free(table.entries);
+	free(table.shares);
 	free(table.gone);
 	return changed;
 }
@@ -471,19 +615,39 @@
 	result->changed += result->missing;
 }
 
+static size_t apply_evacuations(struct ht_catalog *cat, const Ht__EntrySnapshot *msg, ht_ms now)
+{
+	struct ht_revision revision = ht_snapshot_view(msg).evacuations;
+	size_t changed = 0;
+
+	if (!revision.number || !ht_revision_before(ht_catalog_evacuations(cat), revision))
+		return 0;
+	ht_catalog_begin_evacuations(cat);
+	for (size_t i = 0; i < msg->n_evacuated; i++)
+		changed += ht_catalog_put_evacuation(cat, msg->texts[msg->evacuated[i]], true,
+						     revision, now) == HT_CATALOG_CHANGED;
+	ht_catalog_end_evacuations(cat, revision, now);
+	ht_catalog_note_evacuations(cat, revision);
+	return changed;
+}
+
 struct ht_snapshot_result ht_snapshot_apply(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
 					    struct ht_revision have_targets, ht_ms now,
 					    ht_ms held_until)
 {
 	struct ht_routes_id routes = ht_snapshot_view(msg).routes;
+	bool has_routes = msg->has_routes && msg->content >= CONTENT;
 	struct ht_snapshot_result result = {0};
 
 	result.malformed = !well_formed(msg);
 	if (result.malformed)
 		return result;
-	if (msg->has_routes && ht_routes_compare(routes, ht_catalog_routes(cat)) > 0)
+	result.evacuations = msg->content >= CONTENT;
+	if (result.evacuations)
+		result.changed += apply_evacuations(cat, msg, now);
+	if (has_routes && ht_routes_compare(routes, ht_catalog_routes(cat)) > 0)
 		result.changed += apply_routes(cat, msg);
-	result.routes = msg->has_routes && ht_routes_compare(ht_catalog_routes(cat), routes) >= 0;
+	result.routes = has_routes && ht_routes_compare(ht_catalog_routes(cat), routes) >= 0;
 	if (msg->era < ht_catalog_era(cat) ||
 	    ht_revision_before(have_targets, ht_snapshot_base(msg).targets))
 		return result;
--- a/entry/snapshot.h
+++ b/entry/snapshot.h
@@ -30,11 +30,12 @@
 
 /** What has been applied from a snapshot. */
 struct ht_snapshot_result {
-	bool malformed; /**< nothing was applied */
-	bool routes;	/**< its configuration, or a newer one, is in force */
-	bool targets;	/**< all targets are known up to its revision */
-	size_t changed; /**< changed objects */
-	size_t missing; /**< known targets that a full snapshot lacks */
+	bool malformed;	  /**< nothing was applied */
+	bool routes;	  /**< its configuration, or a newer one, is in force */
+	bool evacuations; /**< its evacuations, or newer ones, are in force */
+	bool targets;	  /**< all targets are known up to its revision */
+	size_t changed;	  /**< changed objects */
+	size_t missing;	  /**< known targets that a full snapshot lacks */
 };
 
 /**
--- a/entry/stats.h
+++ b/entry/stats.h
@@ -48,9 +48,10 @@
 	uint64_t decisions[HT_STEER_ACTIONS][HT_STEER_REASONS];
 	uint64_t flow_events[HT_FLOW_EVENTS];
 	uint64_t health_changes[HT_HEALTH_CAUSES];
-	uint64_t malformed;	/**< packets without a valid header */
-	uint64_t unsent;	/**< packets for which sendto() failed */
-	uint64_t store_returns; /**< restores of the store from an older backup */
+	uint64_t malformed;	    /**< packets without a valid header */
+	uint64_t unsent;	    /**< packets for which sendto() failed */
+	uint64_t routes_unreadable; /**< in configurations read from the store */
+	uint64_t store_returns;	    /**< restores of the store from an older backup */
 	struct ht_histogram decision_time;
 	struct ht_histogram open_to_data; /**< from an opening packet to the caller's first data */
 	struct ht_histogram routes_age, targets_age; /**< of the view, sampled each tick */
--- a/entry/views.c
+++ b/entry/views.c
@@ -52,6 +52,8 @@
 		ht_logger_event(link->params.log, HT_EV_SNAPSHOT_FAILED, "reason=malformed");
 	if (result.routes)
 		ht_feed_adopt_routes(feed, ht_snapshot_view(msg).routes.revision);
+	if (result.evacuations)
+		ht_feed_adopt_evacuations(feed, ht_snapshot_view(msg).evacuations);
 	if (result.targets)
 		ht_feed_adopt_targets(feed, ht_snapshot_view(msg).targets, result.missing);
 	return result.changed;
@@ -87,7 +89,7 @@
 void ht_link_fetch(struct ht_link *link, struct ht_endpoint source)
 {
 	struct ht_view_state view = ht_link_view(link);
-	struct ht_view_id have = {.routes = view.routes};
+	struct ht_view_id have = {.routes = view.routes, .evacuations = view.evacuations};
 	Ht__EntrySnapshotRequest request;
 
 	if (view.usable)
--- a/tests/entry/test_snapshot.c
+++ b/tests/entry/test_snapshot.c
@@ -486,6 +486,102 @@
 }
 END_TEST
 
+static void put_split(struct ht_catalog *cat, uint64_t version)
+{
+	struct ht_share_entry shares[] = {{"docs", 10}, {"stock", 90}, {"old", 0}};
+	struct ht_route_entry entries[] = {
+		{.at = {1, 443}, .share_count = 3},
+		{.at = {1, 80}, .unreadable = true},
+	};
+	struct ht_route_table table = {.id = {version, rev(version)},
+				       .count = 2,
+				       .entries = entries,
+				       .share_count = 3,
+				       .shares = shares,
+				       .incomplete = true};
+
+	ht_catalog_set_routes(cat, &table);
+}
+
+START_TEST(snapshot_carries_shares_and_unreadable_routes)
+{
+	const struct ht_route *r;
+
+	put_split(from, 7);
+	copy_all(6);
+	r = ht_catalog_route(to, (struct ht_endpoint){1, 443});
+	ck_assert_uint_eq(r->share_count, 3);
+	ck_assert_str_eq(r->shares[1].service->name, "stock");
+	ck_assert_uint_eq(r->shares[1].weight, 90);
+	ck_assert_uint_eq(r->shares[2].weight, 0);
+	ck_assert_uint_eq(ht_catalog_route(to, (struct ht_endpoint){1, 80})->share_count, 0);
+	ck_assert(ht_catalog_routes_incomplete(to));
+}
+END_TEST
+
+/* An earlier build knows one service per route: it gets the one of the largest weight, and no
+ * route that it would take for one of a single service. */
+START_TEST(earlier_builds_get_the_main_service)
+{
+	struct ht_snapshot *snap;
+	const Ht__EntrySnapshot *msg;
+
+	put_split(from, 7);
+	snap = make_snapshot(0, 0, 6);
+	msg = ht_snapshot_message(snap);
+	ck_assert_uint_eq(msg->n_routes, 1);
+	ck_assert_str_eq(msg->texts[msg->routes[0]->service], "stock");
+	ht_snapshot_free(snap);
+}
+END_TEST
+
+/* An earlier build takes routes with shares for malformed, so its routes may be incomplete. */
+START_TEST(routes_of_earlier_builds_are_not_used)
+{
+	struct ht_snapshot *snap;
+	struct ht_snapshot_result result;
+
+	put_routes(from, 7, 443);
+	put(from, 1, 5, false);
+	snap = make_snapshot(0, 0, 6);
+	ht_snapshot_message(snap)->content = 0;
+	result = ht_snapshot_apply(to, ht_snapshot_message(snap), rev(0), 0, 0);
+	ck_assert(!result.routes && !result.evacuations && result.targets);
+	ck_assert_uint_eq(ht_catalog_route_count(to), 0);
+	ck_assert_ptr_nonnull(ht_catalog_by_name(to, "i-1001"));
+	ht_snapshot_free(snap);
+}
+END_TEST
+
+START_TEST(snapshot_carries_evacuations)
+{
+	put(from, 1, 5, false);
+	ht_catalog_put_evacuation(from, "north", true, rev(8), 0);
+	copy_all(6);
+	ck_assert(!ht_catalog_by_name(to, "i-1001")->eligible);
+	ck_assert(ht_revision_equal(ht_catalog_evacuations(to), rev(8)));
+	ht_catalog_put_evacuation(from, "north", false, rev(9), 0);
+	/* A difference without any changed target carries the end of the evacuation. */
+	ck_assert_uint_eq(copy_changes(0, 6, 6), 0);
+	ck_assert(ht_catalog_by_name(to, "i-1001")->eligible);
+}
+END_TEST
+
+/* The receivers know the evacuation from the earlier era themselves, or have just started. */
+START_TEST(evacuations_of_an_earlier_era_are_not_sent)
+{
+	put(from, 1, 5, false);
+	ht_catalog_put_evacuation(from, "north", true, rev(8), 0);
+	ht_catalog_begin_era(from, 1, 8, 0);
+	ht_catalog_begin_evacuations(from);
+	ht_catalog_end_evacuations(from, rev_of(1, 20), 0);
+	copy_all(6);
+	ck_assert(!ht_catalog_by_name(from, "i-1001")->eligible);
+	ck_assert(ht_revision_equal(ht_catalog_evacuations(to), rev_of(1, 20)));
+	ck_assert(ht_catalog_by_name(to, "i-1001")->eligible);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("snapshot");
@@ -508,5 +604,10 @@
 	tcase_add_test(tc, snapshot_of_earlier_era_gives_configuration_only);
 	tcase_add_test(tc, snapshot_stays_in_old_era_while_next_is_listed);
 	tcase_add_test(tc, requests_carry_eras);
+	tcase_add_test(tc, snapshot_carries_shares_and_unreadable_routes);
+	tcase_add_test(tc, earlier_builds_get_the_main_service);
+	tcase_add_test(tc, routes_of_earlier_builds_are_not_used);
+	tcase_add_test(tc, snapshot_carries_evacuations);
+	tcase_add_test(tc, evacuations_of_an_earlier_era_are_not_sent);
 	return run_case("snapshot", tc);
 }
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -159,7 +159,8 @@
 	ck_assert_uint_eq(reply.routes.id.version, 7);
 	ck_assert_uint_eq(reply.routes.id.revision.number, 8);
 	ck_assert_uint_eq(reply.routes.count, 2);
-	ck_assert_uint_eq(reply.malformed, 3);
+	ck_assert_uint_eq(reply.unreadable_count, 3);
+	ck_assert(reply.routes.incomplete);
 	ck_assert_uint_eq(reply.routes.entries[0].at.ip, 0xc6120001);
 	ck_assert_uint_eq(reply.routes.entries[0].at.port, 8443);
 	ck_assert_uint_eq(reply.routes.entries[0].priority, 2);
@@ -170,6 +171,95 @@
 }
 END_TEST
 
+/* Decodes a configuration of one route with @services as its services and @head as its address. */
+static void decode_route(const char *head, const char *services)
+{
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+		 "{\"items\":[{\"meta\":{\"name\":\"main\",\"rev\":8},\"spec\":{"
+		 "\"configVersion\":7,\"routes\":[{\"name\":\"r-1\",%s,%s,\"routeType\":"
+		 "\"safe\",\"priority\":2}]}}],\"at\":9}",
+		 head, services);
+	ck_assert(decode(HT_STORE_ROUTES, text));
+}
+
+static const char address[] = "\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/80/\"";
+
+START_TEST(decodes_routes_with_shares)
+{
+	decode_route(address, "\"backends\":[{\"service\":\"a\",\"weight\":90},"
+			      "{\"service\":\"b\",\"weight\":0.5},"
+			      "{\"service\":\"c\",\"weight\":0}]");
+	ck_assert_uint_eq(reply.unreadable_count, 0);
+	ck_assert_uint_eq(reply.routes.entries[0].share_count, 3);
+	ck_assert_str_eq(reply.routes.shares[1].service, "b");
+	ck_assert_uint_eq(reply.routes.shares[0].weight, 180 * reply.routes.shares[1].weight);
+	ck_assert_uint_eq(reply.routes.shares[2].weight, 0);
+	decode_route(address, "\"service\":\"a\",\"backends\":[]");
+	ck_assert_uint_eq(reply.routes.entries[0].share_count, 0);
+	ck_assert_str_eq(reply.routes.entries[0].service, "a");
+}
+END_TEST
+
+/* One field mangled at a time: the route is never taken for absent. */
+START_TEST(mangled_route_is_unreadable_and_not_absent)
+{
+	static const char *const services[] = {
+		"\"service\":7",
+		"\"service\":\"\"",
+		"\"other\":1",
+		"\"backends\":[]",
+		"\"backends\":{}",
+		"\"backends\":[7]",
+		"\"backends\":[{\"weight\":1}]",
+		"\"backends\":[{\"service\":\"a\"}]",
+		"\"backends\":[{\"service\":\"a\",\"weight\":-1}]",
+		"\"backends\":[{\"service\":\"a\",\"weight\":\"1\"}]",
+		"\"backends\":[{\"service\":\"a\",\"weight\":1},{\"service\":[],\"weight\":1}]",
+	};
+	static const char *const heads[] = {
+		"\"pathPrefix\":\"/80/\"",
+		"\"hostname\":1,\"pathPrefix\":\"/80/\"",
+		"\"hostname\":\"198.18.0.1\"",
+		"\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/x/\"",
+	};
+
+	for (size_t i = 0; i < sizeof(services) / sizeof(services[0]); i++) {
+		decode_route(address, services[i]);
+		ck_assert_msg(reply.routes.count == 1 && reply.routes.entries[0].unreadable, "%s",
+			      services[i]);
+		ck_assert_uint_eq(reply.routes.entries[0].at.port, 80);
+		ck_assert_uint_eq(reply.unreadable_count, 1);
+		ck_assert_str_eq(reply.unreadable[0].name, "r-1");
+		ck_assert_ptr_nonnull(reply.unreadable[0].reason);
+	}
+	for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+		decode_route(heads[i], "\"service\":\"a\"");
+		ck_assert_msg(!reply.routes.count && reply.routes.incomplete, "%s", heads[i]);
+		ck_assert_uint_eq(reply.unreadable_count, 1);
+	}
+}
+END_TEST
+
+START_TEST(decodes_evacuations)
+{
+	ck_assert(decode(HT_STORE_EVACUATIONS,
+			 "{\"items\":[{\"meta\":{\"name\":\"salto\",\"rev\":5},\"spec\":{}},"
+			 "{\"meta\":{\"name\":\"x\"}},{\"meta\":{\"name\":\"paysandu\",\"rev\":6},"
+			 "\"spec\":7}],\"at\":9}"));
+	ck_assert_uint_eq(reply.evacuation_count, 2);
+	ck_assert_uint_eq(reply.malformed, 1);
+	ck_assert_str_eq(reply.evacuations[1].dc, "paysandu");
+	ck_assert_uint_eq(reply.evacuations[0].revision.number, 5);
+	reply.watch = true;
+	ck_assert(decode(HT_STORE_EVACUATIONS,
+			 "{\"events\":[{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"salto\","
+			 "\"rev\":8}}}],\"at\":9}"));
+	ck_assert(reply.evacuations[0].deleted);
+}
+END_TEST
+
 /* A malformed route of another writer must not precede all others. */
 START_TEST(route_without_valid_priority_comes_last)
 {
@@ -233,6 +323,9 @@
 	tcase_add_test(tc, listing_continues_after_unusable_name);
 	tcase_add_test(tc, decodes_changes);
 	tcase_add_test(tc, decodes_routes);
+	tcase_add_test(tc, decodes_routes_with_shares);
+	tcase_add_test(tc, mangled_route_is_unreadable_and_not_absent);
+	tcase_add_test(tc, decodes_evacuations);
 	tcase_add_test(tc, route_without_valid_priority_comes_last);
 	tcase_add_test(tc, rejects_malformed_responses);
 	tcase_add_test(tc, parses_era_header);
--- a/tests/property/prop_eras.cc
+++ b/tests/property/prop_eras.cc
@@ -188,7 +188,7 @@
 
 	void fetch_snapshot(Instance &source, ht_ms now)
 	{
-		ht_view_id have = {ht_catalog_routes(cat), listed ? known : ht_revision{0, 0}};
+		ht_view_id have = {ht_catalog_routes(cat), listed ? known : ht_revision{0, 0}, {}};
 		ht_snapshot *snap;
 
 		if (!source.listed || source.known.era < ht_catalog_era(source.cat))
--- a/tests/property/prop_steering.cc
+++ b/tests/property/prop_steering.cc
@@ -30,7 +30,9 @@
 	uint64_t revision = 10;
 	uint64_t version = 0;
 	std::map<int, uint64_t> newest; // revision of the newest answer given, by target
-	std::map<int, bool> usable;	// takes new flows according to the newest answer
+	uint64_t evacuation_revision = 0;
+	bool evacuated[2] = {};
+	std::map<int, bool> usable; // takes new flows according to the newest answer
 	// Services that each port has ever led to.
 	std::map<uint16_t, std::set<std::string>> port_services;
 
@@ -85,9 +87,16 @@
 		}
 	}
 
+	void evacuate(int dc, bool on)
+	{
+		ht_catalog_put_evacuation(cat, kDcs[dc], on, {0, ++evacuation_revision}, now);
+		evacuated[dc] = on;
+	}
+
 	void routes(uint64_t v, bool swapped)
 	{
 		ht_route_entry e[2] = {};
+		ht_share_entry shares[2] = {};
 		ht_route_table table = {};
 
 		for (uint16_t k = 0; k < 2; k++) {
@@ -95,6 +104,19 @@
 			snprintf(e[k].service, sizeof(e[k].service), "%s",
 				 kServices[swapped ? 1 - k : k]);
 		}
+		// Every third version splits the first route between both services.
+		if (v % 3 == 0) {
+			for (uint32_t k = 0; k < 2; k++) {
+				snprintf(shares[k].service, sizeof(shares[k].service), "%s",
+					 kServices[k]);
+				shares[k].weight = static_cast<uint32_t>(v) % 5 * k + 1 - k;
+				if (v > ht_catalog_routes(cat).version)
+					port_services[100].insert(kServices[k]);
+			}
+			e[0].share_count = 2;
+			table.shares = shares;
+			table.share_count = 2;
+		}
 		table.id = {v, {0, v}};
 		table.count = 2;
 		table.entries = e;
@@ -120,8 +142,10 @@
 	if (!pkt.opens)
 		RC_ASSERT(d.mark == pkt.mark);
 	// A copy sent to the target of its open flow is no new flow.
-	if (pkt.opens && d.reason != HT_STEER_MARKED)
+	if (pkt.opens && d.reason != HT_STEER_MARKED) {
 		RC_ASSERT(w.usable[index_of(d.target)]);
+		RC_ASSERT(!w.evacuated[index_of(d.target) % 3 == 0]);
+	}
 }
 
 void packet(World &w)
@@ -161,7 +185,7 @@
 	uint64_t rev = *rc::gen::inRange(0, 3) ? ++w.revision
 					       : *rc::gen::inRange<uint64_t>(1, w.revision + 1);
 
-	switch (*rc::gen::inRange(0, 9)) {
+	switch (*rc::gen::inRange(0, 10)) {
 	case 0:
 	case 1:
 	case 2:
@@ -193,6 +217,9 @@
 		ht_steering_apply_report(w.st, &report, w.now);
 		break;
 	}
+	case 6:
+		w.evacuate(*rc::gen::inRange(0, 2), *rc::gen::inRange(0, 2) == 0);
+		break;
 	default:
 		packet(w);
 	}
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &ht__entry_snapshot_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ht__entry_share__init
+                     (Ht__EntryShare         *message)
+{
+  static const Ht__EntryShare init_value = HT__ENTRY_SHARE__INIT;
+  *message = init_value;
+}
+size_t ht__entry_share__get_packed_size
+                     (const Ht__EntryShare *message)
+{
+  assert(message->base.descriptor == &ht__entry_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_share__pack
+                     (const Ht__EntryShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_share__pack_to_buffer
+                     (const Ht__EntryShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryShare *
+       ht__entry_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryShare *)
+     protobuf_c_message_unpack (&ht__entry_share__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_share__free_unpacked
+                     (Ht__EntryShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ht__entry_route__init
                      (Ht__EntryRoute         *message)
 {
@@ -611,7 +656,7 @@
   (ProtobufCMessageInit) ht__entry_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[21] =
+static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[23] =
 {
   {
     "self",
@@ -626,12 +671,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "usable",
+    "view",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Ht__EntryGreeting, usable),
+    offsetof(Ht__EntryGreeting, view),
     NULL,
     NULL,
     0,             /* flags */
@@ -865,12 +910,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations_revision",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryGreeting, evacuations_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_era_behind",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryGreeting, evacuations_era_behind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_greeting__field_indices_by_name[] = {
   6,   /* field[6] = answer_wanted */
   12,   /* field[12] = changes */
   10,   /* field[10] = clock */
   16,   /* field[16] = era */
+  22,   /* field[22] = evacuations_era_behind */
+  21,   /* field[21] = evacuations_revision */
   9,   /* field[9] = evidence */
   7,   /* field[7] = known */
   11,   /* field[11] = pass_on */
@@ -887,13 +958,13 @@
   20,   /* field[20] = targets_era_behind */
   3,   /* field[3] = targets_revision */
   13,   /* field[13] = to_dc */
-  1,   /* field[1] = usable */
+  1,   /* field[1] = view */
 };
 static const ProtobufCIntRange ht__entry_greeting__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 21 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor ht__entry_greeting__descriptor =
 {
@@ -903,7 +974,7 @@
   "Ht__EntryGreeting",
   "ht",
   sizeof(Ht__EntryGreeting),
-  21,
+  23,
   ht__entry_greeting__field_descriptors,
   ht__entry_greeting__field_indices_by_name,
   2,  ht__entry_greeting__number_ranges,
@@ -1013,7 +1084,58 @@
   (ProtobufCMessageInit) ht__entry_snapshot_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[5] =
+static const ProtobufCFieldDescriptor ht__entry_share__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryShare, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryShare, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_share__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange ht__entry_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ht__entry_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryShare",
+  "EntryShare",
+  "Ht__EntryShare",
+  "ht",
+  sizeof(Ht__EntryShare),
+  2,
+  ht__entry_share__field_descriptors,
+  ht__entry_share__field_indices_by_name,
+  1,  ht__entry_share__number_ranges,
+  (ProtobufCMessageInit) ht__entry_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[6] =
 {
   {
     "ip",
@@ -1075,6 +1197,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shares",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntryRoute, n_shares),
+    offsetof(Ht__EntryRoute, shares),
+    &ht__entry_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_route__field_indices_by_name[] = {
   4,   /* field[4] = idempotent */
@@ -1082,13 +1216,14 @@
   1,   /* field[1] = port */
   2,   /* field[2] = priority */
   3,   /* field[3] = service */
+  5,   /* field[5] = shares */
 };
 static const ProtobufCIntRange ht__entry_route__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 5, 2 },
   { 8, 4 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor ht__entry_route__descriptor =
 {
@@ -1098,7 +1233,7 @@
   "Ht__EntryRoute",
   "ht",
   sizeof(Ht__EntryRoute),
-  5,
+  6,
   ht__entry_route__field_descriptors,
   ht__entry_route__field_indices_by_name,
   3,  ht__entry_route__number_ranges,
@@ -1454,7 +1589,7 @@
   (ProtobufCMessageInit) ht__entry_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[20] =
+static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[26] =
 {
   {
     "routes_version",
@@ -1696,13 +1831,89 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "content",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntrySnapshot, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes_unreadable",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntrySnapshot, n_routes_unreadable),
+    offsetof(Ht__EntrySnapshot, routes_unreadable),
+    &ht__entry_address__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes_incomplete",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntrySnapshot, routes_incomplete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_revision",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntrySnapshot, evacuations_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuations_era",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntrySnapshot, evacuations_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ht__EntrySnapshot, n_evacuated),
+    offsetof(Ht__EntrySnapshot, evacuated),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_snapshot__field_indices_by_name[] = {
   17,   /* field[17] = base_era */
   3,   /* field[3] = base_revision */
   5,   /* field[5] = clock */
+  20,   /* field[20] = content */
   15,   /* field[15] = era */
   16,   /* field[16] = era_begun */
+  25,   /* field[25] = evacuated */
+  24,   /* field[24] = evacuations_era */
+  23,   /* field[23] = evacuations_revision */
   6,   /* field[6] = format */
   14,   /* field[14] = gone */
   2,   /* field[2] = has_routes */
@@ -1712,7 +1923,9 @@
   19,   /* field[19] = routes_base_era */
   18,   /* field[18] = routes_era */
   10,   /* field[10] = routes_gone */
+  22,   /* field[22] = routes_incomplete */
   1,   /* field[1] = routes_revision */
+  21,   /* field[21] = routes_unreadable */
   0,   /* field[0] = routes_version */
   12,   /* field[12] = started_ms */
   13,   /* field[13] = targets */
@@ -1725,7 +1938,7 @@
   { 4, 2 },
   { 6, 3 },
   { 10, 5 },
-  { 0, 20 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor ht__entry_snapshot__descriptor =
 {
@@ -1735,7 +1948,7 @@
   "Ht__EntrySnapshot",
   "ht",
   sizeof(Ht__EntrySnapshot),
-  20,
+  26,
   ht__entry_snapshot__field_descriptors,
   ht__entry_snapshot__field_indices_by_name,
   4,  ht__entry_snapshot__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Ht__EntryEvidence Ht__EntryEvidence;
 typedef struct Ht__EntryGreeting Ht__EntryGreeting;
 typedef struct Ht__EntrySnapshotRequest Ht__EntrySnapshotRequest;
+typedef struct Ht__EntryShare Ht__EntryShare;
 typedef struct Ht__EntryRoute Ht__EntryRoute;
 typedef struct Ht__EntryAddress Ht__EntryAddress;
 typedef struct Ht__EntryName Ht__EntryName;
@@ -81,9 +82,9 @@
   ProtobufCMessage base;
   Ht__EntryInstance *self;
   /*
-   * routes and targets are known
+   * 1: routes and targets are known; 2: evacuations and weights of services too. Was a bool.
    */
-  protobuf_c_boolean usable;
+  uint32_t view;
   uint64_t routes_revision;
   uint64_t targets_revision;
   /*
@@ -134,10 +135,15 @@
   uint64_t routes_era_behind;
   uint64_t read_era_behind;
   uint64_t targets_era_behind;
+  /*
+   * latest change; 0: none. Age and read_to are those of the routes
+   */
+  uint64_t evacuations_revision;
+  uint64_t evacuations_era_behind;
 };
 #define HT__ENTRY_GREETING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_greeting__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -164,21 +170,41 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+struct  Ht__EntryShare
+{
+  ProtobufCMessage base;
+  /*
+   * place in EntrySnapshot.texts
+   */
+  uint32_t service;
+  uint32_t weight;
+};
+#define HT__ENTRY_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_share__descriptor) \
+    , 0, 0 }
+
+
 struct  Ht__EntryRoute
 {
   ProtobufCMessage base;
   uint32_t ip;
   uint32_t port;
   /*
-   * place in EntrySnapshot.texts
+   * Place in EntrySnapshot.texts. With shares: the one of the largest weight, for instances that
+   * do not know shares.
    */
   uint32_t service;
+  /*
+   * none: a single service
+   */
+  size_t n_shares;
+  Ht__EntryShare **shares;
   uint32_t priority;
   protobuf_c_boolean idempotent;
 };
 #define HT__ENTRY_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_route__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Ht__EntryAddress
@@ -321,10 +347,33 @@
   uint64_t base_era;
   uint64_t routes_era;
   uint64_t routes_base_era;
+  /*
+   * 1: of an instance that knows weights and evacuations
+   */
+  uint32_t content;
+  /*
+   * without a former meaning
+   */
+  size_t n_routes_unreadable;
+  Ht__EntryAddress **routes_unreadable;
+  /*
+   * the configuration may have further routes
+   */
+  protobuf_c_boolean routes_incomplete;
+  /*
+   * latest change; 0: there has been none
+   */
+  uint64_t evacuations_revision;
+  uint64_t evacuations_era;
+  /*
+   * data centres, places in texts
+   */
+  size_t n_evacuated;
+  uint32_t *evacuated;
 };
 #define HT__ENTRY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_snapshot__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /* Ht__EntryInstance methods */
@@ -403,6 +452,25 @@
 void   ht__entry_snapshot_request__free_unpacked
                      (Ht__EntrySnapshotRequest *message,
                       ProtobufCAllocator *allocator);
+/* Ht__EntryShare methods */
+void   ht__entry_share__init
+                     (Ht__EntryShare         *message);
+size_t ht__entry_share__get_packed_size
+                     (const Ht__EntryShare   *message);
+size_t ht__entry_share__pack
+                     (const Ht__EntryShare   *message,
+                      uint8_t             *out);
+size_t ht__entry_share__pack_to_buffer
+                     (const Ht__EntryShare   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryShare *
+       ht__entry_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_share__free_unpacked
+                     (Ht__EntryShare *message,
+                      ProtobufCAllocator *allocator);
 /* Ht__EntryRoute methods */
 void   ht__entry_route__init
                      (Ht__EntryRoute         *message);
@@ -531,6 +599,9 @@
 typedef void (*Ht__EntrySnapshotRequest_Closure)
                  (const Ht__EntrySnapshotRequest *message,
                   void *closure_data);
+typedef void (*Ht__EntryShare_Closure)
+                 (const Ht__EntryShare *message,
+                  void *closure_data);
 typedef void (*Ht__EntryRoute_Closure)
                  (const Ht__EntryRoute *message,
                   void *closure_data);
@@ -559,6 +630,7 @@
 extern const ProtobufCMessageDescriptor ht__entry_evidence__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_greeting__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_snapshot_request__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_share__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_route__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_address__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_name__descriptor;
