core, entry: an instance whose data centre is evacuated and cut off leaves the rotation

The routers use instances of other data centres once none of a data centre is ready, so an instance whose own data centre has no target for new flows says so while no other one answers. Weighed: serving from evacuated targets as a last resort (breaks what the operator asked for, and EVAC soon after the cut has ended), and refusing (stands; nobody is served). Test: instance_is_stranded_if_all_other_data_centres_are_silent.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -81,6 +81,7 @@
 	if (!t->eligible)
 		return;
 	t->eligible = false;
+	t->dc->eligible--;
 	last = s->targets[--s->count];
 	last->service_index = t->service_index;
 	s->targets[last->service_index] = last;
@@ -109,6 +110,7 @@
 	t->service_index = s->count;
 	s->targets[s->count++] = t;
 	t->eligible = true;
+	t->dc->eligible++;
 	s->open += t->open;
 	if (t->dc->local)
 		s->local_slots += t->slots;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -129,6 +129,7 @@
 	bool evacuated;				/**< its targets get no new flows */
 	bool evacuation_listed;			/* by the current listing */
 	struct ht_revision evacuation_revision; /**< of the last change; 0: never evacuated */
+	size_t eligible; /**< targets that may get new flows */
 	struct ht_evidence evidence;
 };
 
@@ -279,6 +280,11 @@
 void ht_catalog_note_evacuations(struct ht_catalog *cat, struct ht_revision revision);
 /** Revision of the latest change of the evacuations; its number is 0 if there was none. */
 struct ht_revision ht_catalog_evacuations(const struct ht_catalog *cat);
+/**
+ * True if there are targets for new flows, but none in the own data centre, and no data centre that
+ * has some has answered the last packets sent there.
+ */
+bool ht_catalog_is_stranded(const struct ht_catalog *cat, ht_ms now);
 /** Calls @visit for each evacuated data centre. */
 void ht_catalog_each_evacuated(const struct ht_catalog *cat,
 			       void (*visit)(void *ctx, const struct ht_dc *dc), void *ctx);
--- a/core/catalog_evacuations.c
+++ b/core/catalog_evacuations.c
@@ -1,6 +1,9 @@
 /* Data centres that the operators have evacuated: their targets get no new flows. */
 #include "core/catalog_internal.h"
 
+/* Packets without an answer in a row, so that a few dead targets do not count. */
+#define STRANDED_MISSES 4
+
 static void set_evacuated(struct ht_catalog *cat, struct ht_dc *dc, bool evacuated, ht_ms now)
 {
 	struct ht_list *pos;
@@ -95,6 +98,24 @@
 	cat->evacuations = ht_revision_max(cat->evacuations, revision);
 }
 
+bool ht_catalog_is_stranded(const struct ht_catalog *cat, ht_ms now)
+{
+	const struct ht_list *pos;
+	size_t silent = 0;
+
+	ht_list_for_each (pos, &cat->dcs) {
+		const struct ht_dc *dc = ht_container_of(pos, const struct ht_dc, node);
+
+		if (!dc->eligible)
+			continue;
+		if (dc->local || dc->evidence.misses < STRANDED_MISSES ||
+		    !ht_evidence_suspected(&dc->evidence, now))
+			return false;
+		silent++;
+	}
+	return silent;
+}
+
 struct ht_revision ht_catalog_evacuations(const struct ht_catalog *cat)
 {
 	return cat->evacuations;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -59,7 +59,7 @@
 	ev_timer start_round;
 	ev_prepare before_wait;
 	ht_ms started_at;
-	bool usable, stopping;
+	bool usable, stopping, stranded;
 	unsigned int ticks;
 	ht_ms stop_asked;
 };
@@ -91,10 +91,23 @@
 	const struct ht_entry *e = ctx;
 
 	ht_feed_view(e->feed, &state->view);
-	state->ready = e->usable && !e->stopping;
+	state->ready = e->usable && !e->stopping && !e->stranded;
 	state->neighbours = ht_link_neighbours(e->link);
 }
 
+/* A stranded instance leaves the rotation: when all of its data centre do, the routers use other
+ * data centres for its callers. */
+static void update_readiness(struct ht_entry *e)
+{
+	bool stranded = ht_catalog_is_stranded(e->catalog, ht_now());
+
+	if (stranded != e->stranded)
+		ht_logger_event(e->log, stranded ? HT_EV_ENTRY_STRANDED : HT_EV_ENTRY_REJOINED,
+				"dc=%s", e->settings.data_centre);
+	e->stranded = stranded;
+	ht_readiness_set(e->readiness, e->usable && !e->stopping && !stranded);
+}
+
 /* @listed: the view comes from a read of the store, so other instances may not have one yet. */
 static void update_state(struct ht_entry *e, bool listed)
 {
@@ -116,7 +129,7 @@
 			ht_link_announce_view(e->link, listed);
 		}
 	}
-	ht_readiness_set(e->readiness, e->usable && !e->stopping);
+	update_readiness(e);
 }
 
 static void on_store_read(void *ctx, bool proven)
@@ -175,7 +188,7 @@
 		return;
 	e->stopping = true;
 	e->stop_asked = ht_now();
-	ht_readiness_set(e->readiness, false);
+	update_readiness(e);
 	ht_logger_event(e->log, HT_EV_ENTRY_STOPPING, "flows=%zu",
 			ht_steering_flow_count(e->steering));
 	schedule_exit(e);
@@ -326,10 +339,11 @@
 
 static void on_before_wait(struct ev_loop *loop, ev_prepare *prepare, int revents)
 {
-	const struct ht_entry *e = prepare->data;
+	struct ht_entry *e = prepare->data;
 
 	(void)loop;
 	(void)revents;
+	update_readiness(e);
 	ht_logger_flush(e->log);
 }
 
--- a/tests/core/test_evacuation.c
+++ b/tests/core/test_evacuation.c
@@ -145,6 +145,45 @@
 }
 END_TEST
 
+static void miss_all(struct ht_target *t, int times)
+{
+	for (int i = 0; i < times; i++)
+		ht_evidence_miss(&t->dc->evidence, now, now);
+}
+
+/* The own data centre is evacuated, and then cut off from the others: the routers can send its
+ * callers through other data centres only if this instance leaves the rotation. */
+START_TEST(instance_is_stranded_if_all_other_data_centres_are_silent)
+{
+	struct ht_target *there = put_target(2, "stock", "there"), *far;
+
+	put_target(1, "stock", "here");
+	far = put_target(3, "stock", "far");
+	miss_all(there, 5);
+	miss_all(far, 5);
+	ck_assert(!ht_catalog_is_stranded(cat, now));
+	evacuate("here", true);
+	ck_assert(ht_catalog_is_stranded(cat, now));
+	ht_evidence_set_alive(&far->dc->evidence, now);
+	ck_assert(!ht_catalog_is_stranded(cat, now));
+	miss_all(far, 2);
+	ck_assert(!ht_catalog_is_stranded(cat, now));
+	miss_all(far, 2);
+	ck_assert(ht_catalog_is_stranded(cat, now));
+	now += 60000;
+	ck_assert(!ht_catalog_is_stranded(cat, now));
+}
+END_TEST
+
+/* It answers its callers with a refusal then. */
+START_TEST(instance_without_any_target_is_not_stranded)
+{
+	put_target(1, "stock", "here");
+	evacuate("here", true);
+	ck_assert(!ht_catalog_is_stranded(cat, now));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("evacuation");
@@ -159,5 +198,7 @@
 	tcase_add_test(tc, late_answers_do_not_take_an_evacuation_back);
 	tcase_add_test(tc, evacuation_that_a_backup_lacks_stays_until_it_could_be_written_again);
 	tcase_add_test(tc, evacuation_written_again_in_a_new_era_stays);
+	tcase_add_test(tc, instance_is_stranded_if_all_other_data_centres_are_silent);
+	tcase_add_test(tc, instance_without_any_target_is_not_stranded);
 	return run_case("evacuation", tc);
 }
