--- a/core/steering.c
+++ b/core/steering.c
@@ -326,16 +326,23 @@
 static void record_answer(const struct ht_steering *st, struct ht_tracked_flow *f,
 			  struct ht_target *t, ht_ms now)
 {
-	double *mean = &t->service->answer_ms;
 	ht_ms took = now - f->requested_at;
 
 	f->phase = HT_PHASE_ANSWERED;
 	f->answer_delay = took;
 	notify_flow(st, f, HT_FLOW_ANSWERED, f->requested_at, 0, now);
-	ht_evidence_answer(&t->evidence, took);
 	t->answers++;
 	t->answers_ms += took;
 	ht_histogram_add(&t->service->answer_time, (double)took / 1000);
+}
+
+/* An answer that looks like an error says nothing about the speed of its target: the one that fails
+ * at once would look like the fastest. */
+static void learn_speed(struct ht_target *t, ht_ms took)
+{
+	double *mean = &t->service->answer_ms;
+
+	ht_evidence_answer(&t->evidence, took);
 	*mean = *mean > 0 ? *mean + SERVICE_MEAN_WEIGHT * ((double)took - *mean) : (double)took;
 }
 
@@ -349,6 +356,8 @@
 
 	if (error)
 		notify_flow(st, f, HT_FLOW_ERROR, now - f->answer_delay, bytes, now);
+	else
+		learn_speed(t, f->answer_delay);
 	record_result(st, t, error, HT_HEALTH_ERRORS, now);
 	if (error)
 		ht_reports_error(st->params.reports, t->marks[0].value);
