--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -21,6 +21,17 @@
 	ht_packet_reset(out, &pkt);
 }
 
+/* A route that cannot be read must leave a trace, so that it is not taken for absent. */
+static void check_unreadable(const struct ht_store_reply *reply)
+{
+	size_t named = 0;
+
+	for (size_t i = 0; i < reply->routes.count; i++)
+		named += reply->routes.entries[i].unreadable;
+	if (reply->unreadable_count > named && !reply->routes.incomplete)
+		__builtin_trap();
+}
+
 static void answer(enum ht_store_kind kind, bool watch, const char *text, size_t len)
 {
 	struct ht_store_reply reply = {.watch = watch};
@@ -31,6 +42,11 @@
 			if (reply.targets[i].usable)
 				ht_catalog_put_target(cat, &reply.targets[i].entry,
 						      HT_CATALOG_STORE, 0);
+		for (size_t i = 0; i < reply.evacuation_count; i++)
+			ht_catalog_put_evacuation(cat, reply.evacuations[i].dc,
+						  !reply.evacuations[i].deleted,
+						  reply.evacuations[i].revision, 0);
+		check_unreadable(&reply);
 		if (reply.has_routes)
 			ht_catalog_set_routes(cat, &reply.routes);
 	}
@@ -60,7 +76,7 @@
 
 	if (!size)
 		return 0;
-	switch (data[0] % 6) {
+	switch (data[0] % 8) {
 	case 0:
 		packet(data + 1, size - 1);
 		break;
@@ -76,6 +92,12 @@
 	case 4:
 		era((const char *)data + 1, size - 1);
 		break;
+	case 6:
+		answer(HT_STORE_EVACUATIONS, false, (const char *)data + 1, size - 1);
+		break;
+	case 7:
+		answer(HT_STORE_EVACUATIONS, true, (const char *)data + 1, size - 1);
+		break;
 	default:
 		if (ht_entry_settings_parse(&set, "fuzz", (const char *)data + 1, size - 1, &err))
 			ht_entry_settings_clear(&set);
