--- a/bench/flowsim.c
+++ b/bench/flowsim.c
@@ -11,7 +11,6 @@
 #define SERVICE_PORT 443
 #define SLOTS 3
 #define QUEUE_MAX 8
-#define ONE_WAY_MS 1
 #define PROBE_MS 1000
 #define REPORT_MS 150
 #define EXPIRE_MS 500
@@ -97,6 +96,8 @@
 		.speed_min = 1,
 		.speed_max = 1,
 		.cold = 2000,
+		.one_way = 1,
+		.error_share = 1,
 		.seed = 1,
 	};
 }
@@ -264,7 +265,7 @@
 	f->mark = d.mark;
 	sim->sums.lost += f->target->fault != FLOWSIM_NONE && f->target->fault != FLOWSIM_ILL_ONLY;
 	if (!silent(sim, f->target))
-		f->due = sim->now + 2 * ONE_WAY_MS;
+		f->due = sim->now + 2 * sim->params.one_way;
 }
 
 /* Another try on a flow of its own, or the end of the request. */
@@ -314,9 +315,10 @@
 {
 	struct target *t = f->target;
 
-	if (t->fault == FLOWSIM_ERRORS) {
+	if (t->fault == FLOWSIM_ERRORS && chance(sim) < sim->params.error_share) {
+		sim->sums.errors++;
 		f->state = SHED;
-		f->due = sim->now + 2;
+		f->due = sim->now + 1 + sim->params.one_way;
 	} else if (t->running < SLOTS) {
 		start_work(sim, f);
 	} else if (t->queued < QUEUE_MAX) {
@@ -327,7 +329,7 @@
 	} else {
 		sim->sums.shed++;
 		f->state = SHED;
-		f->due = sim->now + ONE_WAY_MS;
+		f->due = sim->now + sim->params.one_way;
 	}
 }
 
@@ -356,7 +358,7 @@
 	case OPENING:
 		f->state = ASKED;
 		send_data(sim, f);
-		f->due = sim->now + ONE_WAY_MS;
+		f->due = sim->now + sim->params.one_way;
 		break;
 	case ASKED:
 		if (silent(sim, f->target))
@@ -367,7 +369,7 @@
 	case RUNNING:
 		f->target->running--;
 		f->state = ANSWERED;
-		f->due = silent(sim, f->target) ? HT_NEVER : sim->now + ONE_WAY_MS;
+		f->due = silent(sim, f->target) ? HT_NEVER : sim->now + sim->params.one_way;
 		break;
 	case ANSWERED: {
 		ht_ms took = sim->now - f->asked_at;
--- a/bench/flowsim.h
+++ b/bench/flowsim.h
@@ -21,7 +21,7 @@
 	FLOWSIM_NONE,
 	FLOWSIM_DEAD,	 /**< nothing comes from it; probes fail */
 	FLOWSIM_HANGS,	 /**< flows open, requests are never answered; probes succeed */
-	FLOWSIM_ERRORS,	 /**< each request is answered by an error; probes succeed */
+	FLOWSIM_ERRORS,	 /**< requests are answered by errors at once; probes succeed */
 	FLOWSIM_SLOW,	 /**< work takes five times as long; probes succeed */
 	FLOWSIM_FLAPS,	 /**< dead and well by turns of a second */
 	FLOWSIM_ILL_ONLY /**< probes fail, but it works well */
@@ -36,6 +36,8 @@
 	ht_ms deadline;		     /**< of a request */
 	unsigned int tries;	     /**< flows that a caller opens for a request at most */
 	double speed_min, speed_max; /**< of targets, evenly spread */
+	ht_ms one_way;		     /**< between callers and instances or targets */
+	double error_share;	     /**< of the requests at a target with FLOWSIM_ERRORS */
 	ht_ms cold;		     /**< a target that starts is half as fast for this long */
 	uint64_t seed;
 };
@@ -62,6 +64,7 @@
 	uint64_t served;   /**< answered within the deadline */
 	uint64_t failed;   /**< given up: by the deadline, or as all tries ended */
 	uint64_t shed;	   /**< tries that a full target turned away */
+	uint64_t errors;   /**< answered to callers */
 	uint64_t lost;	   /**< flows placed at a target with a fault */
 	uint64_t deferred; /**< opening packets that instances dropped as targets were busy */
 	double capacity;   /**< requests that all targets without a fault could have served */
--- a/core/catalog_evacuations.c
+++ b/core/catalog_evacuations.c
@@ -60,24 +60,24 @@
 	return false;
 }
 
-enum ht_catalog_change ht_catalog_put_evacuation(struct ht_catalog *cat, const char *name,
+enum ht_catalog_change ht_catalog_put_evacuation(struct ht_catalog *cat, const char *dc,
 						 bool evacuated, struct ht_revision revision,
 						 ht_ms now)
 {
-	struct ht_dc *dc = ht_catalog_dc(cat, name);
+	struct ht_dc *d = ht_catalog_dc(cat, dc);
 	bool before;
 
 	if (revision.era < cat->era.number)
 		return HT_CATALOG_OLDER;
-	if (!dc)
+	if (!d)
 		return HT_CATALOG_FAILED;
-	dc->evacuation_listed = true;
-	if (ht_revision_before(revision, dc->evacuation_revision))
+	d->evacuation_listed = true;
+	if (ht_revision_before(revision, d->evacuation_revision))
 		return HT_CATALOG_OLDER;
-	before = dc->evacuated;
-	dc->evacuation_restored = evacuated && is_restored(cat, dc, revision);
-	note_change(cat, dc, revision);
-	set_evacuated(cat, dc, evacuated && !dc->evacuation_restored, now);
+	before = d->evacuated;
+	d->evacuation_restored = evacuated && is_restored(cat, d, revision);
+	note_change(cat, d, revision);
+	set_evacuated(cat, d, evacuated && !d->evacuation_restored, now);
 	/* An evacuation that may just be missing in the backup must not take the last targets. */
 	if (evacuated && !any_target_eligible(cat))
 		end_unconfirmed(cat, now);
--- a/tests/core/test_load.c
+++ b/tests/core/test_load.c
@@ -165,6 +165,35 @@
 }
 END_TEST
 
+/*
+ * A large fleet before many targets with short work, of which some answer 0.4 of their requests by
+ * an error at once. Each instance meets a target once in seconds, and the time of an answer is
+ * mostly that of the network, so such targets must not look like the fastest ones.
+ */
+START_TEST(targets_that_fail_at_once_are_not_preferred)
+{
+	double errors;
+
+	params.instances = 80;
+	params.targets = 120;
+	params.load = 0.05;
+	params.work_ms = 15;
+	params.one_way = 3;
+	params.error_share = 0.4;
+	params.speed_min = 0.6;
+	params.speed_max = 1.6;
+	start_and_warm_up();
+	flowsim_run(sim, 4000);
+	flowsim_set_fault(sim, 18, FLOWSIM_ERRORS);
+	measure(6000);
+	/* If all targets got the same share, 0.4 of 15 % of the requests would fail. */
+	errors = share(sums.errors, sums.asked);
+
+	ck_assert_msg(errors <= 0.03, "%.4f", errors);
+	ck_assert(share(sums.failed, sums.asked) <= 0.002);
+}
+END_TEST
+
 /* The health probe fails although the target works. */
 START_TEST(failed_probe_alone_has_no_effect)
 {
@@ -189,6 +218,7 @@
 	tcase_add_test(tc, healthy_targets_are_not_suspected);
 	tcase_add_test(tc, shared_reports_detect_silent_targets_first);
 	tcase_add_test(tc, successful_probe_hides_no_fault);
+	tcase_add_test(tc, targets_that_fail_at_once_are_not_preferred);
 	tcase_add_test(tc, failed_probe_alone_has_no_effect);
 	return run_case("load", tc);
 }
