--- a/entry/feed.c
+++ b/entry/feed.c
@@ -71,12 +71,10 @@
 	return &feed->sources[kind].reading;
 }
 
-/* Starts the calls that are due, of all kinds that are read. */
 static void start_due_calls(struct ht_feed *feed)
 {
 	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
-		if (kind != HT_STORE_EVACUATIONS || feed->evacuations)
-			start_due_call(&feed->sources[kind]);
+		start_due_call(&feed->sources[kind]);
 }
 
 static void apply_target(struct source *src, const struct ht_store_target *t, ht_ms now)
@@ -181,10 +179,11 @@
 	for (int kind = 0; kind < HT_STORE_KINDS; kind++) {
 		struct source *src = &feed->sources[kind];
 
-		if (src != discovered_by && ht_reading_begin_era(&src->reading, era, now))
-			cancel_call(src);
+		if (src == discovered_by || !ht_reading_begin_era(&src->reading, era, now))
+			continue;
+		cancel_call(src);
+		start_due_call(src);
 	}
-	start_due_calls(feed);
 }
 
 /* Returns true if @reply may be used: it is of the current era, or is the first page of a
@@ -325,6 +324,8 @@
 	struct ht_reading_call call;
 	ht_ms now = ht_now(), due;
 
+	if (src->kind == HT_STORE_EVACUATIONS && !feed->evacuations)
+		return;
 	ev_timer_stop(feed->params.loop, &src->timer);
 	if (ht_reading_next(&src->reading, now, &call, &due)) {
 		src->op = ht_store_read(feed->store, src->kind, &call, ANSWER_MARGIN_MS, on_reply,
