core, entry: feed's readings by their index; a service is drawn only for packets that are placed

Read once more: two accessors in feed.c that only spelt an index, a hash of every copy of an opening packet whose result was not used, and a field of a request that no message carries. Behaviour as before: of 1,290 functions the instructions of two differ, ht_steering_packet and ht_link_fetch; unit tests, prop_steering and test_returns pass.

--- a/core/steering.c
+++ b/core/steering.c
@@ -291,7 +291,7 @@
 {
 	struct ht_route *route = ht_catalog_route(st->params.catalog, pkt->dst);
 	struct ht_tracked_flow *f = ht_flow_table_find(&st->flows, pkt->src, pkt->dst);
-	struct ht_service *service = route ? ht_split_pick(route, pkt->src) : NULL;
+	struct ht_service *service;
 	struct ht_steering_decision d;
 
 	uncount_inactive(st, now);
@@ -312,6 +312,7 @@
 	}
 	if (f && now - f->placed_at < RETRANSMIT_MIN_MS)
 		return forward(f->target, f->mark, HT_STEER_MARKED);
+	service = ht_split_pick(route, pkt->src);
 	if (!service)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
 	if (f) {
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -61,16 +61,6 @@
 
 static void start_due_call(struct source *src);
 
-static struct ht_reading *reading_of(struct ht_feed *feed, enum ht_store_kind kind)
-{
-	return &feed->sources[kind].reading;
-}
-
-static const struct ht_reading *const_reading(const struct ht_feed *feed, enum ht_store_kind kind)
-{
-	return &feed->sources[kind].reading;
-}
-
 static void start_due_calls(struct ht_feed *feed)
 {
 	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
@@ -129,7 +119,7 @@
  * once they have had time to expire and have not. */
 static void readmit_restored(struct ht_feed *feed, ht_ms now)
 {
-	ht_ms proven_at = reading_of(feed, HT_STORE_TARGETS)->proven_at;
+	ht_ms proven_at = feed->sources[HT_STORE_TARGETS].reading.proven_at;
 	ht_ms lapse = (ht_ms)(LAPSE_INTERVALS * feed->params.settings->report_interval);
 
 	if (proven_at != HT_NEVER)
@@ -147,7 +137,7 @@
 	feed->era_logged = true;
 	ht_logger_event(feed->params.log, HT_EV_STORE_ERA_KNOWN,
 			"revision=%s version=%llu targets=%zu missing=%zu restored=%zu",
-			ht_revision_text(text, reading_of(feed, HT_STORE_TARGETS)->revision),
+			ht_revision_text(text, feed->sources[HT_STORE_TARGETS].reading.revision),
 			(unsigned long long)ht_catalog_routes(cat).version,
 			ht_catalog_target_count(cat), missing, ht_catalog_restored(cat));
 }
@@ -163,7 +153,7 @@
  * NULL. */
 static void begin_era(struct ht_feed *feed, uint64_t era, struct source *discovered_by)
 {
-	const struct ht_reading *targets = reading_of(feed, HT_STORE_TARGETS);
+	const struct ht_reading *targets = &feed->sources[HT_STORE_TARGETS].reading;
 	struct ht_revision known = targets->listed ? targets->revision : (struct ht_revision){0};
 	char text[HT_REVISION_TEXT];
 	ht_ms now = ht_now();
@@ -400,7 +390,7 @@
  * are. */
 static void include_evacuations(const struct ht_feed *feed, struct ht_view_state *view, ht_ms now)
 {
-	const struct ht_reading *r = const_reading(feed, HT_STORE_EVACUATIONS);
+	const struct ht_reading *r = &feed->sources[HT_STORE_EVACUATIONS].reading;
 	ht_ms age = ht_reading_age(r, now);
 
 	if (!feed->evacuations)
@@ -418,8 +408,8 @@
 
 void ht_feed_view(const struct ht_feed *feed, struct ht_view_state *view)
 {
-	const struct ht_reading *routes = const_reading(feed, HT_STORE_ROUTES);
-	const struct ht_reading *targets = const_reading(feed, HT_STORE_TARGETS);
+	const struct ht_reading *routes = &feed->sources[HT_STORE_ROUTES].reading;
+	const struct ht_reading *targets = &feed->sources[HT_STORE_TARGETS].reading;
 	ht_ms now = ht_now();
 
 	*view = (struct ht_view_state){
@@ -478,22 +468,22 @@
 
 bool ht_feed_observe_era(struct ht_feed *feed, uint64_t era, bool proven)
 {
-	uint64_t known = reading_of(feed, HT_STORE_TARGETS)->era;
+	uint64_t known = feed->sources[HT_STORE_TARGETS].reading.era;
 
 	if (era <= known)
 		return era == known;
-	if (proven || !reading_of(feed, HT_STORE_TARGETS)->listed) {
+	if (proven || !feed->sources[HT_STORE_TARGETS].reading.listed) {
 		begin_era(feed, era, NULL);
 		return true;
 	}
-	ht_reading_verify_era(reading_of(feed, HT_STORE_ROUTES), ht_now());
+	ht_reading_verify_era(&feed->sources[HT_STORE_ROUTES].reading, ht_now());
 	start_due_call(&feed->sources[HT_STORE_ROUTES]);
 	return false;
 }
 
 void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to)
 {
-	ht_reading_adopt(reading_of(feed, HT_STORE_ROUTES), read_to, ht_now());
+	ht_reading_adopt(&feed->sources[HT_STORE_ROUTES].reading, read_to, ht_now());
 	start_due_call(&feed->sources[HT_STORE_ROUTES]);
 }
 
@@ -501,13 +491,13 @@
 {
 	if (!feed->evacuations)
 		return;
-	ht_reading_adopt(reading_of(feed, HT_STORE_EVACUATIONS), read_to, ht_now());
+	ht_reading_adopt(&feed->sources[HT_STORE_EVACUATIONS].reading, read_to, ht_now());
 	start_due_call(&feed->sources[HT_STORE_EVACUATIONS]);
 }
 
 void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, size_t missing)
 {
-	ht_reading_adopt(reading_of(feed, HT_STORE_TARGETS), revision, ht_now());
+	ht_reading_adopt(&feed->sources[HT_STORE_TARGETS].reading, revision, ht_now());
 	log_era_synced(feed, missing);
 	start_due_call(&feed->sources[HT_STORE_TARGETS]);
 }
@@ -515,12 +505,13 @@
 void ht_feed_adopt_proofs(struct ht_feed *feed, ht_ms routes_proven_at, ht_ms targets_proven_at)
 {
 	if (routes_proven_at != HT_NEVER) {
-		ht_reading_proven_by_neighbour(reading_of(feed, HT_STORE_ROUTES), routes_proven_at);
-		ht_reading_proven_by_neighbour(reading_of(feed, HT_STORE_EVACUATIONS),
+		ht_reading_proven_by_neighbour(&feed->sources[HT_STORE_ROUTES].reading,
+					       routes_proven_at);
+		ht_reading_proven_by_neighbour(&feed->sources[HT_STORE_EVACUATIONS].reading,
 					       routes_proven_at);
 	}
 	if (targets_proven_at != HT_NEVER)
-		ht_reading_proven_by_neighbour(reading_of(feed, HT_STORE_TARGETS),
+		ht_reading_proven_by_neighbour(&feed->sources[HT_STORE_TARGETS].reading,
 					       targets_proven_at);
 	readmit_restored(feed, ht_now());
 	start_due_calls(feed);
@@ -528,15 +519,15 @@
 
 bool ht_feed_complete(const struct ht_feed *feed)
 {
-	return ht_reading_complete(const_reading(feed, HT_STORE_ROUTES)) &&
-	       ht_reading_complete(const_reading(feed, HT_STORE_TARGETS)) &&
+	return ht_reading_complete(&feed->sources[HT_STORE_ROUTES].reading) &&
+	       ht_reading_complete(&feed->sources[HT_STORE_TARGETS].reading) &&
 	       (!feed->evacuations ||
-		ht_reading_complete(const_reading(feed, HT_STORE_EVACUATIONS)));
+		ht_reading_complete(&feed->sources[HT_STORE_EVACUATIONS].reading));
 }
 
 ht_ms ht_feed_hold_until(const struct ht_feed *feed)
 {
-	return ht_reading_hold_until(const_reading(feed, HT_STORE_TARGETS), ht_now());
+	return ht_reading_hold_until(&feed->sources[HT_STORE_TARGETS].reading, ht_now());
 }
 
 void ht_feed_free(struct ht_feed *feed)
--- a/entry/views.c
+++ b/entry/views.c
@@ -89,7 +89,7 @@
 void ht_link_fetch(struct ht_link *link, struct ht_endpoint source)
 {
 	struct ht_view_state view = ht_link_view(link);
-	struct ht_view_id have = {.routes = view.routes, .evacuations = view.evacuations};
+	struct ht_view_id have = {.routes = view.routes};
 	Ht__EntrySnapshotRequest request;
 
 	if (view.usable)
