soak: a flow may be refused while the store has no usable target for it

The instances refuse at once, as they must; the account took any refusal for a fault. It now explains a refusal only if the store, at some time within the bound of a view, had no ready entry of the route's services outside the evacuated data centres. Every other refusal still breaks the run, and it does so even if it happens once (tests/scripts/test_soak.py).

--- a/mk/standins.mk
+++ b/mk/standins.mk
@@ -17,6 +17,7 @@
 	@python3 tests/scripts/test_pages.py
 	@python3 tests/scripts/test_regress.py
 	@python3 tests/scripts/test_compare.py
+	@python3 tests/scripts/test_soak.py
 	@$(PYTHON) tests/scripts/test_operations.py
 	@$(PYTHON) tests/scripts/test_returns.py
 	@$(PYTHON) scripts/soak.py --seconds $(SOAK_SHORT_S) $$(grep -o '^[0-9]*' tests/soak/seeds.txt)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -380,11 +380,34 @@
             if version != self.version:
                 self.problems.append(f"{inst.name} has version {version}, not {self.version}")
 
+    def usable(self, target, at):
+        """By the content of the store, the target may get a new flow."""
+        left = [t for t in (target.leaves_at, target.lapsed_at) if t]
+        return (target.comes_at <= at and all(at < t for t in left)
+                and not any(dc == target.dc and start <= at < end
+                            for dc, start, end in self.evacuations))
+
+    def none_usable(self, flow):
+        """The store has had no target for the flow at some time within the bound of a view."""
+        services = self.callers.allowed.get(flow.dport, {flow.service})
+        targets = [t for t in self.targets if t.service in services]
+        since = flow.failed_at - EVACUATION_BOUND_S - SLACK_S
+        changes = [t for target in targets for t in (target.leaves_at, target.lapsed_at) if t]
+        changes += [start for _, start, _ in self.evacuations]
+        moments = [since] + [t for t in changes if since < t <= flow.failed_at]
+        return any(not any(self.usable(t, at) for t in targets) for at in moments)
+
+    def was_refused(self, flow, what, by):
+        """An instance has reset the flow before it was open."""
+        return what == "reset" and not flow.open and by in {i.ip for i in self.instances}
+
     def check_end(self):
         if self.callers.wrong:
             self.problems.append(f"{self.callers.wrong} answers of another service")
-        if self.callers.refused:
-            self.problems.append(f"{self.callers.refused} flows refused while targets were there")
+        refused = sum(self.was_refused(flow, what, by) and not self.none_usable(flow)
+                      for flow, what, by in self.callers.failed)
+        if refused:
+            self.problems.append(f"{refused} flows refused while targets were there")
         if self.callers.told and not self.died:
             self.problems.append(f"{self.callers.told} open flows reset though no target had died")
         self.check_calls()
@@ -460,6 +483,8 @@
         from_instance = by in {i.ip for i in self.instances}
         if what == "reset" and not from_instance and self.target_restarted(flow):
             return {"target restarted"}
+        if self.was_refused(flow, what, by) and self.none_usable(flow):
+            return {"no target allowed"}
         if what == "reset" and from_instance:
             # The last packet was answered by the reset, which tells that the target is dead.
             causes = {self.packet_cause(flow, sent) for sent in flow.packets[:-1]}
