core, entry, platform: limit of new flows of cold targets, shared by permits

Cause: a service may state how many requests per second its cold targets bear, and nobody read it.

The limit is divided into permits, and a hash over the names of the target's data centre gives each to one instance (core/warmup). Ruled out: dividing by the number of live instances, which breaks the bound with a stale count. The rate travels with the routes; earlier builds say nothing of it, and it is kept then. No message is longer while no service states a rate.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -141,6 +141,7 @@
 	ht_hmap_del(&cat->by_name, &t->by_name);
 	ht_list_del(&t->node);
 	cat->target_count--;
+	free(t->flows_while_cold);
 	free(t);
 }
 
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -15,6 +15,7 @@
 #include "base/revision.h"
 #include "core/answers.h"
 #include "core/evidence.h"
+#include "core/warmup.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -42,6 +43,14 @@
 	uint32_t weight; /**< relative to the other services of the route; 0: no new flows */
 };
 
+/** What the configuration says of a service; services without such a limit are not listed. */
+struct ht_service_entry {
+	char name[HT_CATALOG_NAME];
+	uint32_t warmup_rate; /**< requests that a cold target bears, in thousandths per second */
+	ht_ms warmup;	      /**< time for which a target is cold */
+	bool unreadable;      /**< only the name is known; the service keeps its former limit */
+};
+
 /** Address that callers use, and the services that it maps to. */
 struct ht_route_entry {
 	struct ht_endpoint at;
@@ -80,6 +89,9 @@
 	struct ht_route_entry *entries;
 	size_t share_count;
 	struct ht_share_entry *shares;
+	size_t service_count; /**< all services with a limit, also in a difference */
+	struct ht_service_entry *services;
+	bool services_unknown; /**< nothing is said of services; they keep their limits */
 	/** Some routes could not be read and are not in @entries: a route that is missing here is
 	 * not known to be removed. */
 	bool incomplete;
@@ -119,6 +131,8 @@
 	uint64_t local_slots;  /**< sum of the slots of @targets in the own data centre */
 	double answer_ms;      /**< smoothed time to an answer over all targets; 0: no answer yet */
 	uint32_t top_priority; /**< lowest priority number (served first) of its routes */
+	uint32_t warmup_rate;  /**< that a cold target bears, see ht_service_entry; 0: no limit */
+	ht_ms warmup;	       /**< time for which its targets are cold */
 	struct ht_histogram answer_time; /**< from a request to its first answer */
 };
 
@@ -163,8 +177,9 @@
 	uint32_t open;	/**< recently active flows seen by this instance */
 	uint32_t flows; /**< flows that refer to the target, which is not freed before they end */
 	struct ht_evidence evidence;
-	uint64_t answers; /**< seen by this instance... */
-	ht_ms answers_ms; /**< ...and the sum of their times */
+	uint64_t answers;		    /**< seen by this instance... */
+	ht_ms answers_ms;		    /**< ...and the sum of their times */
+	struct ht_warmup *flows_while_cold; /**< NULL if there have been none under a limit */
 };
 
 /** Adds @by, 1 or -1, to the number of open flows of @target. */
@@ -175,6 +190,16 @@
 		target->service->open += (uint64_t)(int64_t)by;
 }
 
+/**
+ * The target may be cold without its entry saying so yet. Matters only for services that limit the
+ * flows of cold targets.
+ */
+static inline void ht_target_assume_cold(struct ht_target *target, ht_ms now)
+{
+	if (target->service->warmup_rate && target->warmup_ends_at < now + target->service->warmup)
+		target->warmup_ends_at = now + target->service->warmup;
+}
+
 /** A service that gets, or formerly got, new flows of a route. */
 struct ht_share {
 	struct ht_service *service;
@@ -339,6 +364,8 @@
 void ht_catalog_each_route_gone(const struct ht_catalog *cat, uint64_t number,
 				void (*visit)(void *ctx, struct ht_endpoint at), void *ctx);
 size_t ht_catalog_route_count(const struct ht_catalog *cat);
+/** True if a service limits the flows of its cold targets. */
+bool ht_catalog_limits_cold(const struct ht_catalog *cat);
 /** True if the configuration in force may have routes that are not known here. */
 bool ht_catalog_routes_incomplete(const struct ht_catalog *cat);
 void ht_catalog_each_service(const struct ht_catalog *cat,
--- a/core/catalog_evacuations.c
+++ b/core/catalog_evacuations.c
@@ -14,8 +14,11 @@
 	ht_list_for_each (pos, &cat->targets) {
 		struct ht_target *t = ht_container_of(pos, struct ht_target, node);
 
-		if (t->dc == dc)
-			ht_catalog_update_eligible(t, now);
+		if (t->dc != dc)
+			continue;
+		if (!evacuated)
+			ht_target_assume_cold(t, now);
+		ht_catalog_update_eligible(t, now);
 	}
 	if (cat->observer.evacuation)
 		cat->observer.evacuation(cat->observer.ctx, dc, now);
--- a/core/catalog_routes.c
+++ b/core/catalog_routes.c
@@ -246,6 +246,46 @@
 	}
 }
 
+static const struct ht_service_entry *find_service(const struct ht_route_table *table,
+						   const char *name)
+{
+	for (size_t i = 0; i < table->service_count; i++)
+		if (strcmp(table->services[i].name, name) == 0)
+			return &table->services[i];
+	return NULL;
+}
+
+static bool apply_services(struct ht_catalog *cat, const struct ht_route_table *table)
+{
+	struct ht_list *pos;
+
+	if (table->services_unknown)
+		return true;
+	for (size_t i = 0; i < table->service_count; i++)
+		if (!ht_catalog_service(cat, table->services[i].name))
+			return false;
+	ht_list_for_each (pos, &cat->services) {
+		struct ht_service *s = ht_container_of(pos, struct ht_service, node);
+		const struct ht_service_entry *e = find_service(table, s->name);
+
+		if (e && e->unreadable)
+			continue;
+		s->warmup_rate = e ? e->warmup_rate : 0;
+		s->warmup = e ? e->warmup : 0;
+	}
+	return true;
+}
+
+bool ht_catalog_limits_cold(const struct ht_catalog *cat)
+{
+	const struct ht_list *pos;
+
+	ht_list_for_each (pos, &cat->services)
+		if (ht_container_of(pos, const struct ht_service, node)->warmup_rate)
+			return true;
+	return false;
+}
+
 /* Records that @table has been applied. */
 static void record_applied(struct ht_catalog *cat, const struct ht_route_table *table)
 {
@@ -287,6 +327,7 @@
 		return HT_CATALOG_BASE_MISMATCH;
 	ok = table->base.number ? apply_difference(cat, table, number)
 				: apply_complete(cat, table, number);
+	ok = apply_services(cat, table) && ok;
 	update_top_priorities(cat);
 	if (!ok) {
 		/* It was applied in part: no differences can be computed. */
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -68,6 +68,7 @@
 		.max = 1024,
 		.forget_after = 120000,
 		.startup_standby = 1500,
+		.settle_after = 10000,
 		.stale_after = 3000,
 		.lag_max = 500,
 		.snapshot_pause = 1000,
@@ -477,6 +478,25 @@
 	return count;
 }
 
+size_t ht_neighbours_local_names(const struct ht_neighbours *nb, uint64_t *out, size_t max)
+{
+	const struct ht_list *pos;
+	size_t count = 0;
+
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (n->local && n->name[0] && count < max)
+			out[count++] = ht_hash_str(n->name);
+	}
+	return count;
+}
+
+bool ht_neighbours_settled(const struct ht_neighbours *nb, ht_ms now)
+{
+	return now - nb->started_at >= nb->params.settle_after;
+}
+
 void ht_neighbours_each_local(const struct ht_neighbours *nb, ht_ms now,
 			      void (*visit)(void *ctx, const struct ht_neighbour *n, bool fresh),
 			      void *ctx)
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -63,6 +63,7 @@
 	size_t max;	       /**< neighbours kept; the one heard longest ago is replaced first */
 	ht_ms forget_after;    /**< removes neighbours that are silent for this long */
 	ht_ms startup_standby; /**< an instance is on standby for this long after its start */
+	ht_ms settle_after;    /**< then it knows its data centre, and is known there */
 	ht_ms stale_after;     /**< fetches a snapshot when the view was proven this long ago */
 	ht_ms lag_max;	       /**< fetches a snapshot after being behind for this long */
 	ht_ms snapshot_pause;  /**< minimum time between two snapshots */
@@ -113,6 +114,14 @@
 bool ht_neighbours_can_supply_view(const struct ht_neighbours *nb, ht_ms now);
 /** Number of live instances of the own data centre, this one included. */
 size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now);
+/**
+ * Fills @out with the hashes of the names of up to @max neighbours of the own data centre, also of
+ * silent ones. Returns their number.
+ */
+size_t ht_neighbours_local_names(const struct ht_neighbours *nb, uint64_t *out, size_t max);
+/** True if this instance has run for long enough to know its data centre, and it to know this. */
+bool ht_neighbours_settled(const struct ht_neighbours *nb, ht_ms now);
+
 /**
  * Calls @visit for each neighbour of the own data centre that was heard or mentioned recently.
  * @fresh: within the last few seconds; otherwise it may be down.
--- a/core/placing.c
+++ b/core/placing.c
@@ -1,5 +1,7 @@
 #include "core/placing.h"
 
+#include <stdlib.h>
+
 /* Targets examined for one flow; of a larger service, a random run of this length. */
 #define SAMPLE_MAX 64
 
@@ -9,6 +11,9 @@
 /* The smoothed answer time changes the cost by at most this factor, up or down. */
 #define SPEED_FACTOR_MAX 2.0
 
+/* Stated rates of cold targets are in thousandths per second. */
+#define WARMUP_RATE_UNIT 1000
+
 /* splitmix64: random enough to choose between targets of equal cost. */
 static uint64_t next_random(struct ht_placing *pl)
 {
@@ -45,6 +50,38 @@
 	return ratio < 1 / SPEED_FACTOR_MAX ? 1 / SPEED_FACTOR_MAX : ratio;
 }
 
+static bool is_limited(const struct ht_target *t, ht_ms now)
+{
+	return t->service->warmup_rate && now < t->warmup_ends_at;
+}
+
+/* New flows per second that all instances together may send to a cold target of @s. */
+static uint32_t warmup_limit(const struct ht_placing *pl, const struct ht_service *s)
+{
+	double rate = (double)s->warmup_rate / WARMUP_RATE_UNIT;
+	double limit = rate * pl->bounds->warmup_overage + pl->bounds->warmup_slack;
+
+	return limit < HT_WARMUP_PERMITS_MAX ? (uint32_t)limit : HT_WARMUP_PERMITS_MAX;
+}
+
+bool ht_placing_allows(const struct ht_placing *pl, struct ht_target *t, ht_ms now)
+{
+	if (!is_limited(t, now))
+		return true;
+	if (!t->dc->local)
+		return false;
+	if (!t->flows_while_cold)
+		t->flows_while_cold = calloc(1, sizeof(*t->flows_while_cold));
+	return t->flows_while_cold && ht_warmup_allows(t->flows_while_cold, &pl->peers, t->id,
+						       warmup_limit(pl, t->service), now);
+}
+
+void ht_placing_count(struct ht_target *t, ht_ms now)
+{
+	if (is_limited(t, now) && t->flows_while_cold)
+		ht_warmup_use(t->flows_while_cold, now);
+}
+
 static double expected_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
 	double c = (t->open + 1.0) / t->slots * relative_answer_time(t) *
@@ -88,6 +125,8 @@
 		struct ht_target *t = s->targets[(start + i) % s->count];
 		double c = expected_cost(pl, t, now);
 
+		if (!ht_placing_allows(pl, t, now))
+			continue;
 		if (was_tried(t, tried, n) || (skip_suspected && is_suspected(t, now))) {
 			if (!fallback || c < fallback_cost) {
 				fallback = t;
--- a/core/steering.c
+++ b/core/steering.c
@@ -17,6 +17,10 @@
 /* On a good network, one request in a million is lost twice in a row. */
 #define DEAD_RETRANSMISSIONS 2
 
+/* A target of the own data centre that answers after so many misses may have restarted meanwhile.
+ * Those of other ones may just as well have been cut off. */
+#define RESTART_MISSES 2
+
 /* Callers send an opening packet three times; the copies are numbered from 0. */
 #define LAST_OPENING_COPY 2
 
@@ -62,8 +66,9 @@
 	if (!st)
 		return NULL;
 	st->params = *params;
-	st->placing = (struct ht_placing){.params = &st->params, .random = params->seed};
-	st->bounds = (struct ht_steering_bounds){HT_NEVER, HT_NEVER};
+	st->placing = (struct ht_placing){
+		.params = &st->params, .bounds = &st->bounds, .random = params->seed};
+	st->bounds = (struct ht_steering_bounds){.routes = HT_NEVER, .targets = HT_NEVER};
 	st->instance_count = 1;
 	if (ht_flow_table_init(&st->flows, params->flows_max))
 		return st;
@@ -76,6 +81,7 @@
 	if (!st)
 		return;
 	ht_flow_table_clear(&st->flows);
+	ht_warmup_clear_peers(&st->placing.peers);
 	free(st);
 }
 
@@ -100,6 +106,13 @@
 	st->instance_count = count;
 }
 
+bool ht_steering_set_peers(struct ht_steering *st, uint64_t own, const uint64_t *others,
+			   size_t count)
+{
+	st->placing.peers.own = own;
+	return ht_warmup_set_peers(&st->placing.peers, others, count);
+}
+
 static void notify_flow(const struct ht_steering *st, const struct ht_tracked_flow *f,
 			enum ht_flow_event event, ht_ms since, uint32_t bytes, ht_ms now)
 {
@@ -157,6 +170,8 @@
 {
 	ht_ms before = t->evidence.suspected_until, dc_before = t->dc->evidence.suspected_until;
 
+	if (t->dc->local && t->evidence.misses >= RESTART_MISSES)
+		ht_target_assume_cold(t, now);
 	ht_evidence_set_alive(&t->evidence, now);
 	ht_evidence_set_alive(&t->dc->evidence, now);
 	notify_health(st, t, false, before, HT_HEALTH_ALIVE, now);
@@ -260,8 +275,11 @@
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 	bool again = f;
 
+	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY)
+		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
 	if (!mark)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
+	ht_placing_count(t, now);
 	if (!f) {
 		f = ht_flow_table_add(&st->flows, pkt->src, pkt->dst);
 		if (f) {
@@ -310,8 +328,11 @@
 		d.known = true;
 		return d;
 	}
-	if (f && now - f->placed_at < RETRANSMIT_MIN_MS)
+	if (f && now - f->placed_at < RETRANSMIT_MIN_MS &&
+	    ht_placing_allows(&st->placing, f->target, now)) {
+		ht_placing_count(f->target, now);
 		return forward(f->target, f->mark, HT_STEER_MARKED);
+	}
 	service = ht_split_pick(route, pkt->src);
 	if (!service)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
@@ -582,6 +603,7 @@
 		[HT_STEER_REPLACED] = "replaced",
 		[HT_STEER_MARKED] = "marked",
 		[HT_STEER_DEFERRED] = "deferred",
+		[HT_STEER_ALL_COLD] = "all-cold",
 		[HT_STEER_NO_VIEW] = "no-view",
 		[HT_STEER_STALE_VIEW] = "stale-view",
 		[HT_STEER_NO_ROUTE] = "no-route",
--- a/core/steering.h
+++ b/core/steering.h
@@ -35,6 +35,7 @@
 	HT_STEER_REPLACED,   /**< retransmitted opening packet, placed at another target */
 	HT_STEER_MARKED,     /**< sent to the target that the flow already has */
 	HT_STEER_DEFERRED,   /**< all targets are busy; the caller's retransmission may be placed */
+	HT_STEER_ALL_COLD,   /**< all targets are cold and at their limit; likewise */
 	HT_STEER_NO_VIEW,    /**< routes and targets have not been read completely yet */
 	HT_STEER_STALE_VIEW, /**< routes or targets are older than their bound and may have changed
 			      */
@@ -153,9 +154,12 @@
 /** @complete: routes and targets have been read completely. Flows are reset only from then on. */
 void ht_steering_set_view_complete(struct ht_steering *st, bool complete);
 
-/** Maximum age of routes and targets on which a refusal may be based; HT_NEVER: no limit. */
+/** Limits that the operator sets. */
 struct ht_steering_bounds {
+	/** Maximum age of routes and targets on which a refusal may be based; HT_NEVER: none. */
 	ht_ms routes, targets;
+	/** A cold target gets its stated rate times the factor, plus the slack, per second. */
+	double warmup_overage, warmup_slack;
 };
 
 void ht_steering_set_bounds(struct ht_steering *st, const struct ht_steering_bounds *bounds);
@@ -165,6 +169,14 @@
 /** Sets the number of instances in the data centre that share its flows. */
 void ht_steering_set_instance_count(struct ht_steering *st, size_t count);
 
+/**
+ * Sets the hash of the own name and those of all other instances of the data centre, also of ones
+ * that are silent at the moment. Until then, targets whose service limits the flows of cold ones
+ * get none while they are cold. Returns false when out of memory.
+ */
+bool ht_steering_set_peers(struct ht_steering *st, uint64_t own, const uint64_t *others,
+			   size_t count);
+
 /** Decides what to do with one packet and updates the flow table. */
 struct ht_steering_decision ht_steering_packet(struct ht_steering *st, const struct ht_packet *pkt,
 					       ht_ms now);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -249,6 +249,8 @@
 	ht_steering_set_bounds(e->steering, &(struct ht_steering_bounds){
 						    .routes = (ht_ms)e->settings.config_bound,
 						    .targets = (ht_ms)e->settings.drain_bound,
+						    .warmup_overage = e->settings.warmup_overage,
+						    .warmup_slack = e->settings.warmup_slack,
 					    });
 }
 
--- a/entry/link.c
+++ b/entry/link.c
@@ -229,6 +229,21 @@
 				       ht_neighbours_local_count(link->neighbours, now));
 }
 
+/* Only services that limit the flows of cold targets need it. */
+static void share_warmup(struct ht_link *link, ht_ms now)
+{
+	uint64_t others[HT_LINK_RELAY_MAX];
+	size_t count;
+
+	if (!ht_catalog_limits_cold(link->params.catalog) ||
+	    !ht_neighbours_settled(link->neighbours, now))
+		return;
+	count = ht_neighbours_local_names(link->neighbours, others, HT_LINK_RELAY_MAX);
+	if (!ht_steering_set_peers(link->params.steering,
+				   ht_hash_str(link->params.settings->instance), others, count))
+		ht_logger_event(link->params.log, HT_EV_OUT_OF_MEMORY, "object=peers");
+}
+
 /* @read: the message names the instance that has read the store. Other greetings may come from
  * an instance whose view of the store is wrong, and do not prove an era. */
 static void check_sender_era(struct ht_link *link, const struct ht_view_state *theirs, bool read)
@@ -321,6 +336,7 @@
 			      unproven ? HT_GREETING_NEIGHBOURS_MAX : HT_GREETING_NEIGHBOURS_STEADY,
 			      unproven);
 	apply_neighbour_state(link, now);
+	share_warmup(link, now);
 	ht_link_refresh(link);
 }
 
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -25,6 +25,8 @@
 	double config_bound;	 /**< ms until an accepted configuration takes effect here */
 	double evacuation_bound; /**< ms until an accepted evacuation takes effect here; 0: not read
 				  */
+	double warmup_overage;	 /**< multiple of its stated rate that a cold target gets... */
+	double warmup_slack;	 /**< ...and requests per second besides */
 	double report_interval;	 /**< ms between two reports of a target to the store */
 	double stop_grace_s;	 /**< s from the stop signal until the process is killed */
 	double flow_max_s;	 /**< s; older flows may be dropped */
--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -10,9 +10,12 @@
 /* Version of the snapshot format, sent in requests and answers; any other is refused. */
 #define FORMAT 3
 
-/* Content of the messages of this build, see wire/entry.proto. Routes of an earlier one may lack
+/* Content of messages, see wire/entry.proto. Routes of a build before CONTENT_SHARES may lack
  * services, and it does not know evacuations. */
-#define CONTENT 1
+enum {
+	CONTENT_SHARES = 1,
+	CONTENT_WARMUP = 2,
+};
 
 /* Maximum length of a 64-bit number in hexadecimal. */
 #define HEX_DIGITS 16
@@ -24,6 +27,7 @@
 	size_t share_count;
 	Ht__EntryAddress *unreadable, **unreadable_list;
 	uint32_t *evacuated;
+	Ht__EntryService *services, **service_list;
 	Ht__EntryAddress *routes_gone, **routes_gone_list;
 	Ht__EntryTarget *targets, **target_list;
 	Ht__EntryGone *gone, **gone_list;
@@ -284,8 +288,45 @@
 	       snap->target_names && snap->gone && snap->gone_list && snap->gone_names;
 }
 
+static void count_limited(void *ctx, const struct ht_service *service)
+{
+	*(size_t *)ctx += service->warmup_rate != 0;
+}
+
+static void add_limited(void *ctx, const struct ht_service *service)
+{
+	struct ht_snapshot *snap = ctx;
+	Ht__EntryService *m = &snap->services[snap->msg.n_services];
+
+	if (!service->warmup_rate)
+		return;
+	ht__entry_service__init(m);
+	m->name = intern_text(snap, service->name);
+	m->warmup_rate = service->warmup_rate;
+	m->warmup_ms = (uint32_t)service->warmup;
+	snap->service_list[snap->msg.n_services++] = m;
+}
+
+static bool fill_services(struct ht_snapshot *snap, const struct ht_catalog *cat)
+{
+	size_t count = 0;
+
+	ht_catalog_each_service(cat, count_limited, &count);
+	if (!count)
+		return true;
+	snap->services = calloc(count, sizeof(*snap->services));
+	snap->service_list = calloc(count, sizeof(Ht__EntryService *));
+	if (!snap->services || !snap->service_list)
+		return false;
+	ht_catalog_each_service(cat, add_limited, snap);
+	snap->msg.services = snap->service_list;
+	return !snap->failed;
+}
+
 static bool fill_routes(struct ht_snapshot *snap, struct ht_catalog *cat)
 {
+	if (!fill_services(snap, cat))
+		return false;
 	ht_catalog_each_route(cat, add_route, snap);
 	if (snap->routes_base)
 		ht_catalog_each_route_gone(cat, snap->routes_base, add_route_gone, snap);
@@ -379,7 +420,7 @@
 		snap->msg.routes_base = have->routes.revision.number;
 	}
 	snap->msg.format = FORMAT;
-	snap->msg.content = CONTENT;
+	snap->msg.content = CONTENT_WARMUP;
 	if (fill(snap, cat, with_routes))
 		return snap;
 	ht_snapshot_free(snap);
@@ -400,6 +441,8 @@
 	free(snap->unreadable);
 	free(snap->unreadable_list);
 	free(snap->evacuated);
+	free(snap->services);
+	free(snap->service_list);
 	free(snap->routes_gone);
 	free(snap->routes_gone_list);
 	free(snap->targets);
@@ -480,6 +523,9 @@
 	for (size_t i = 0; i < msg->n_evacuated; i++)
 		if (msg->evacuated[i] >= msg->n_texts)
 			return false;
+	for (size_t i = 0; i < msg->n_services; i++)
+		if (msg->services[i]->name >= msg->n_texts)
+			return false;
 	for (size_t i = 0; i < msg->n_targets; i++) {
 		const Ht__EntryTarget *m = msg->targets[i];
 
@@ -535,6 +581,18 @@
 	}
 }
 
+static void decode_services(const Ht__EntrySnapshot *msg, struct ht_route_table *table)
+{
+	for (size_t i = 0; i < msg->n_services; i++) {
+		const Ht__EntryService *m = msg->services[i];
+		struct ht_service_entry *e = &table->services[table->service_count++];
+
+		snprintf(e->name, sizeof(e->name), "%s", msg->texts[m->name]);
+		e->warmup_rate = m->warmup_rate;
+		e->warmup = m->warmup_ms;
+	}
+}
+
 static size_t count_message_shares(const Ht__EntrySnapshot *msg)
 {
 	size_t count = 0;
@@ -552,17 +610,21 @@
 		.entries = calloc(msg->n_routes + msg->n_routes_unreadable + 1,
 				  sizeof(*table.entries)),
 		.shares = calloc(count_message_shares(msg) + 1, sizeof(*table.shares)),
+		.services = calloc(msg->n_services + 1, sizeof(*table.services)),
+		.services_unknown = msg->content < CONTENT_WARMUP,
 		.incomplete = msg->routes_incomplete,
 		.gone = calloc(msg->n_routes_gone + 1, sizeof(*table.gone)),
 	};
 	bool changed = false;
 
-	if (table.entries && table.shares && table.gone) {
+	if (table.entries && table.shares && table.services && table.gone) {
 		decode_routes(msg, &table);
+		decode_services(msg, &table);
 		changed = ht_catalog_set_routes(cat, &table) == HT_CATALOG_CHANGED;
 	}
 	free(table.entries);
 	free(table.shares);
+	free(table.services);
 	free(table.gone);
 	return changed;
 }
@@ -636,13 +698,13 @@
 					    ht_ms held_until)
 {
 	struct ht_routes_id routes = ht_snapshot_view(msg).routes;
-	bool has_routes = msg->has_routes && msg->content >= CONTENT;
+	bool has_routes = msg->has_routes && msg->content >= CONTENT_SHARES;
 	struct ht_snapshot_result result = {0};
 
 	result.malformed = !well_formed(msg);
 	if (result.malformed)
 		return result;
-	result.evacuations = msg->content >= CONTENT;
+	result.evacuations = msg->content >= CONTENT_SHARES;
 	if (result.evacuations)
 		result.changed += apply_evacuations(cat, msg, now);
 	if (has_routes && ht_routes_compare(routes, ht_catalog_routes(cat)) > 0)
--- a/tests/entry/test_snapshot.c
+++ b/tests/entry/test_snapshot.c
@@ -553,6 +553,52 @@
 }
 END_TEST
 
+static bool limited;
+
+static void note_limit(void *ctx, const struct ht_service *service)
+{
+	(void)ctx;
+	if (service->warmup_rate == 5000 && service->warmup == 2000)
+		limited = true;
+}
+
+static bool limits_cold(struct ht_catalog *cat)
+{
+	limited = false;
+	ht_catalog_each_service(cat, note_limit, NULL);
+	return limited;
+}
+
+static void put_limit(struct ht_catalog *cat, uint64_t version, size_t count)
+{
+	struct ht_service_entry service = {.name = "stock", .warmup_rate = 5000, .warmup = 2000};
+	struct ht_route_table table = {
+		.id = {version, rev(version)}, .service_count = count, .services = &service};
+
+	ht_catalog_set_routes(cat, &table);
+}
+
+START_TEST(snapshot_carries_limits_of_cold_targets)
+{
+	struct ht_snapshot *snap;
+
+	put_limit(from, 7, 1);
+	copy_all(6);
+	ck_assert(limits_cold(to));
+	put_limit(from, 8, 0);
+	/* An earlier build says nothing of them. */
+	snap = make_snapshot(0, 0, 6);
+	ht_snapshot_message(snap)->content = 1;
+	ht_snapshot_apply(to, ht_snapshot_message(snap), rev(0), 0, 0);
+	ht_snapshot_free(snap);
+	ck_assert_uint_eq(ht_catalog_routes(to).version, 8);
+	ck_assert(limits_cold(to));
+	put_limit(from, 9, 0);
+	copy_all(6);
+	ck_assert(!limits_cold(to));
+}
+END_TEST
+
 START_TEST(snapshot_carries_evacuations)
 {
 	put(from, 1, 5, false);
@@ -605,6 +651,7 @@
 	tcase_add_test(tc, snapshot_stays_in_old_era_while_next_is_listed);
 	tcase_add_test(tc, requests_carry_eras);
 	tcase_add_test(tc, snapshot_carries_shares_and_unreadable_routes);
+	tcase_add_test(tc, snapshot_carries_limits_of_cold_targets);
 	tcase_add_test(tc, earlier_builds_get_the_main_service);
 	tcase_add_test(tc, routes_of_earlier_builds_are_not_used);
 	tcase_add_test(tc, snapshot_carries_evacuations);
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -202,6 +202,49 @@
 }
 END_TEST
 
+static void decode_service(const char *service)
+{
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+		 "{\"items\":[{\"meta\":{\"name\":\"main\",\"rev\":8},\"spec\":{"
+		 "\"configVersion\":7,\"routes\":[],\"services\":[%s]}}],\"at\":9}",
+		 service);
+	ck_assert(decode(HT_STORE_ROUTES, text));
+}
+
+START_TEST(decodes_limits_of_cold_targets)
+{
+	decode_service("{\"name\":\"a\",\"warmupS\":2.5,\"warmupPerS\":0.25},"
+		       "{\"name\":\"b\",\"warmupS\":2,\"warmupPerS\":0.0},"
+		       "{\"name\":\"c\"}");
+	ck_assert_uint_eq(reply.routes.service_count, 1);
+	ck_assert_str_eq(reply.routes.services[0].name, "a");
+	ck_assert_uint_eq(reply.routes.services[0].warmup_rate, 250);
+	ck_assert_int_eq(reply.routes.services[0].warmup, 2500);
+	ck_assert(!reply.routes.services_unknown);
+}
+END_TEST
+
+START_TEST(limit_that_cannot_be_read_is_not_absent)
+{
+	static const char *const services[] = {
+		"{\"name\":\"a\",\"warmupS\":2,\"warmupPerS\":\"5\"}",
+		"{\"name\":\"a\",\"warmupS\":2,\"warmupPerS\":-1}",
+		"{\"name\":\"a\",\"warmupS\":[],\"warmupPerS\":5}",
+		"{\"name\":\"a\",\"warmupPerS\":5}",
+	};
+
+	for (size_t i = 0; i < sizeof(services) / sizeof(services[0]); i++) {
+		decode_service(services[i]);
+		ck_assert_uint_eq(reply.routes.service_count, 1);
+		ck_assert(reply.routes.services[0].unreadable);
+	}
+	decode_route(address, "\"service\":\"a\"");
+	ck_assert(reply.routes.services_unknown);
+}
+END_TEST
+
 /* One field mangled at a time: the route is never taken for absent. */
 START_TEST(mangled_route_is_unreadable_and_not_absent)
 {
@@ -324,6 +367,8 @@
 	tcase_add_test(tc, decodes_changes);
 	tcase_add_test(tc, decodes_routes);
 	tcase_add_test(tc, decodes_routes_with_shares);
+	tcase_add_test(tc, decodes_limits_of_cold_targets);
+	tcase_add_test(tc, limit_that_cannot_be_read_is_not_absent);
 	tcase_add_test(tc, mangled_route_is_unreadable_and_not_absent);
 	tcase_add_test(tc, decodes_evacuations);
 	tcase_add_test(tc, route_without_valid_priority_comes_last);
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &ht__entry_route__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ht__entry_service__init
+                     (Ht__EntryService         *message)
+{
+  static const Ht__EntryService init_value = HT__ENTRY_SERVICE__INIT;
+  *message = init_value;
+}
+size_t ht__entry_service__get_packed_size
+                     (const Ht__EntryService *message)
+{
+  assert(message->base.descriptor == &ht__entry_service__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_service__pack
+                     (const Ht__EntryService *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_service__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_service__pack_to_buffer
+                     (const Ht__EntryService *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_service__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryService *
+       ht__entry_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryService *)
+     protobuf_c_message_unpack (&ht__entry_service__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_service__free_unpacked
+                     (Ht__EntryService *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_service__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ht__entry_address__init
                      (Ht__EntryAddress         *message)
 {
@@ -1240,6 +1285,70 @@
   (ProtobufCMessageInit) ht__entry_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ht__entry_service__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryService, name),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warmup_rate",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryService, warmup_rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warmup_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryService, warmup_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_service__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  2,   /* field[2] = warmup_ms */
+  1,   /* field[1] = warmup_rate */
+};
+static const ProtobufCIntRange ht__entry_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ht__entry_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryService",
+  "EntryService",
+  "Ht__EntryService",
+  "ht",
+  sizeof(Ht__EntryService),
+  3,
+  ht__entry_service__field_descriptors,
+  ht__entry_service__field_indices_by_name,
+  1,  ht__entry_service__number_ranges,
+  (ProtobufCMessageInit) ht__entry_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ht__entry_address__field_descriptors[2] =
 {
   {
@@ -1589,7 +1698,7 @@
   (ProtobufCMessageInit) ht__entry_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[26] =
+static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[27] =
 {
   {
     "routes_version",
@@ -1903,6 +2012,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "services",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntrySnapshot, n_services),
+    offsetof(Ht__EntrySnapshot, services),
+    &ht__entry_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_snapshot__field_indices_by_name[] = {
   17,   /* field[17] = base_era */
@@ -1927,6 +2048,7 @@
   1,   /* field[1] = routes_revision */
   21,   /* field[21] = routes_unreadable */
   0,   /* field[0] = routes_version */
+  26,   /* field[26] = services */
   12,   /* field[12] = started_ms */
   13,   /* field[13] = targets */
   4,   /* field[4] = targets_revision */
@@ -1938,7 +2060,7 @@
   { 4, 2 },
   { 6, 3 },
   { 10, 5 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor ht__entry_snapshot__descriptor =
 {
@@ -1948,7 +2070,7 @@
   "Ht__EntrySnapshot",
   "ht",
   sizeof(Ht__EntrySnapshot),
-  26,
+  27,
   ht__entry_snapshot__field_descriptors,
   ht__entry_snapshot__field_indices_by_name,
   4,  ht__entry_snapshot__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Ht__EntrySnapshotRequest Ht__EntrySnapshotRequest;
 typedef struct Ht__EntryShare Ht__EntryShare;
 typedef struct Ht__EntryRoute Ht__EntryRoute;
+typedef struct Ht__EntryService Ht__EntryService;
 typedef struct Ht__EntryAddress Ht__EntryAddress;
 typedef struct Ht__EntryName Ht__EntryName;
 typedef struct Ht__EntryTarget Ht__EntryTarget;
@@ -207,6 +208,30 @@
     , 0, 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * A service that states how many flows its cold targets bear.
+ */
+struct  Ht__EntryService
+{
+  ProtobufCMessage base;
+  /*
+   * place in EntrySnapshot.texts
+   */
+  uint32_t name;
+  /*
+   * per second, in thousandths
+   */
+  uint32_t warmup_rate;
+  /*
+   * time for which a target is cold
+   */
+  uint32_t warmup_ms;
+};
+#define HT__ENTRY_SERVICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_service__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Ht__EntryAddress
 {
   ProtobufCMessage base;
@@ -348,7 +373,7 @@
   uint64_t routes_era;
   uint64_t routes_base_era;
   /*
-   * 1: of an instance that knows weights and evacuations
+   * 1: of an instance that knows weights and evacuations; 2: limits of cold targets, too.
    */
   uint32_t content;
   /*
@@ -370,10 +395,15 @@
    */
   size_t n_evacuated;
   uint32_t *evacuated;
+  /*
+   * all that have a limit, also in a difference of routes
+   */
+  size_t n_services;
+  Ht__EntryService **services;
 };
 #define HT__ENTRY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_snapshot__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /* Ht__EntryInstance methods */
@@ -490,6 +520,25 @@
 void   ht__entry_route__free_unpacked
                      (Ht__EntryRoute *message,
                       ProtobufCAllocator *allocator);
+/* Ht__EntryService methods */
+void   ht__entry_service__init
+                     (Ht__EntryService         *message);
+size_t ht__entry_service__get_packed_size
+                     (const Ht__EntryService   *message);
+size_t ht__entry_service__pack
+                     (const Ht__EntryService   *message,
+                      uint8_t             *out);
+size_t ht__entry_service__pack_to_buffer
+                     (const Ht__EntryService   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryService *
+       ht__entry_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_service__free_unpacked
+                     (Ht__EntryService *message,
+                      ProtobufCAllocator *allocator);
 /* Ht__EntryAddress methods */
 void   ht__entry_address__init
                      (Ht__EntryAddress         *message);
@@ -605,6 +654,9 @@
 typedef void (*Ht__EntryRoute_Closure)
                  (const Ht__EntryRoute *message,
                   void *closure_data);
+typedef void (*Ht__EntryService_Closure)
+                 (const Ht__EntryService *message,
+                  void *closure_data);
 typedef void (*Ht__EntryAddress_Closure)
                  (const Ht__EntryAddress *message,
                   void *closure_data);
@@ -632,6 +684,7 @@
 extern const ProtobufCMessageDescriptor ht__entry_snapshot_request__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_share__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_route__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_service__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_address__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_name__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_target__descriptor;
