core, entry: instances of an evacuated data centre leave the rotation

Cause: an evacuated data centre went on taking its callers' packets and sent them to other data centres. Its instances have no use there: the routers send the callers of a data centre without ready instances to the nearest ones.

If all instances elsewhere are dead, those of the evacuated data centre come back.

--- a/core/catalog.h
+++ b/core/catalog.h
@@ -306,6 +306,10 @@
 void ht_catalog_note_evacuations(struct ht_catalog *cat, struct ht_revision revision);
 /** Revision of the latest change of the evacuations; its number is 0 if there was none. */
 struct ht_revision ht_catalog_evacuations(const struct ht_catalog *cat);
+/** True if the own data centre is evacuated and another one has targets for new flows. */
+bool ht_catalog_is_evacuated(const struct ht_catalog *cat);
+/** True if data centre @dc has targets for new flows. */
+bool ht_catalog_dc_eligible(const struct ht_catalog *cat, const char *dc);
 /**
  * True if there are targets for new flows, but none in the own data centre, and no data centre that
  * has some has answered the last packets sent there.
--- a/core/catalog_evacuations.c
+++ b/core/catalog_evacuations.c
@@ -1,6 +1,8 @@
 /* Data centres that the operators have evacuated: their targets get no new flows. */
 #include "core/catalog_internal.h"
 
+#include <string.h>
+
 /* Packets without an answer in a row, so that a few dead targets do not count. */
 #define STRANDED_MISSES 4
 
@@ -142,6 +144,33 @@
 	cat->evacuations = ht_revision_max(cat->evacuations, revision);
 }
 
+bool ht_catalog_is_evacuated(const struct ht_catalog *cat)
+{
+	const struct ht_list *pos;
+
+	/* None of an evacuated data centre is eligible. */
+	ht_list_for_each (pos, &cat->dcs) {
+		const struct ht_dc *dc = ht_container_of(pos, const struct ht_dc, node);
+
+		if (dc->local)
+			return dc->evacuated && any_target_eligible(cat);
+	}
+	return false;
+}
+
+bool ht_catalog_dc_eligible(const struct ht_catalog *cat, const char *dc)
+{
+	const struct ht_list *pos;
+
+	ht_list_for_each (pos, &cat->dcs) {
+		const struct ht_dc *d = ht_container_of(pos, const struct ht_dc, node);
+
+		if (strcmp(d->name, dc) == 0)
+			return d->eligible;
+	}
+	return false;
+}
+
 bool ht_catalog_is_stranded(const struct ht_catalog *cat, ht_ms now)
 {
 	const struct ht_list *pos;
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -112,6 +112,12 @@
  * precedes this instance in the order of readers and its calls to the store do not fail.
  */
 bool ht_neighbours_can_supply_view(const struct ht_neighbours *nb, ht_ms now);
+/**
+ * True if a neighbour of another data centre for which @wanted returns true was heard within
+ * @limit, or may just not have been heard yet because this instance has started since.
+ */
+bool ht_neighbours_heard_elsewhere(const struct ht_neighbours *nb, ht_ms limit,
+				   bool (*wanted)(void *ctx, const char *dc), void *ctx, ht_ms now);
 /** Number of live instances of the own data centre, this one included. */
 size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now);
 /**
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -2,6 +2,7 @@
 
 #include "base/hash.h"
 #include "core/leaving.h"
+#include "core/rotation.h"
 #include "entry/decisions.h"
 #include "entry/feed.h"
 #include "entry/link.h"
@@ -59,7 +60,8 @@
 	ev_timer start_round;
 	ev_prepare before_wait;
 	ht_ms started_at;
-	bool usable, stopping, stranded;
+	bool usable, stopping;
+	enum ht_rotation rotation;
 	unsigned int ticks;
 	ht_ms stop_asked;
 };
@@ -86,26 +88,43 @@
 	ht_feed_view(e->feed, view);
 }
 
+static bool is_ready(const struct ht_entry *e)
+{
+	return e->usable && !e->stopping && e->rotation == HT_ROTATION_IN;
+}
+
 static void fill_metrics_state(void *ctx, struct ht_metrics_state *state)
 {
 	const struct ht_entry *e = ctx;
 
 	ht_feed_view(e->feed, &state->view);
-	state->ready = e->usable && !e->stopping && !e->stranded;
+	state->ready = is_ready(e);
 	state->neighbours = ht_link_neighbours(e->link);
 }
 
-/* A stranded instance leaves the rotation: when all of its data centre do, the routers use other
- * data centres for its callers. */
+static enum ht_rotation decide_rotation(struct ht_entry *e)
+{
+	struct ht_view_state view;
+
+	if (!e->link || !e->usable)
+		return HT_ROTATION_IN;
+	ht_feed_view(e->feed, &view);
+	return ht_rotation_decide(e->catalog, ht_link_others(e->link), view.targets_age, ht_now());
+}
+
 static void update_readiness(struct ht_entry *e)
 {
-	bool stranded = ht_catalog_is_stranded(e->catalog, ht_now());
+	static const enum ht_event_number events[] = {
+		[HT_ROTATION_IN] = HT_EV_ENTRY_REJOINED,
+		[HT_ROTATION_EVACUATED] = HT_EV_ENTRY_WITHDRAWN,
+		[HT_ROTATION_STRANDED] = HT_EV_ENTRY_STRANDED,
+	};
+	enum ht_rotation rotation = decide_rotation(e);
 
-	if (stranded != e->stranded)
-		ht_logger_event(e->log, stranded ? HT_EV_ENTRY_STRANDED : HT_EV_ENTRY_REJOINED,
-				"dc=%s", e->settings.data_centre);
-	e->stranded = stranded;
-	ht_readiness_set(e->readiness, e->usable && !e->stopping && !stranded);
+	if (rotation != e->rotation)
+		ht_logger_event(e->log, events[rotation], "dc=%s", e->settings.data_centre);
+	e->rotation = rotation;
+	ht_readiness_set(e->readiness, is_ready(e));
 }
 
 /* @listed: the view comes from a read of the store, so other instances may not have one yet. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -429,6 +429,11 @@
 	return link;
 }
 
+const struct ht_neighbours *ht_link_others(const struct ht_link *link)
+{
+	return link->neighbours;
+}
+
 size_t ht_link_neighbours(const struct ht_link *link)
 {
 	return ht_neighbours_count(link->neighbours);
--- a/entry/link.h
+++ b/entry/link.h
@@ -44,6 +44,8 @@
  */
 void ht_link_announce_view(struct ht_link *link, bool all_dcs);
 
+/** The other instances, borrowed. */
+const struct ht_neighbours *ht_link_others(const struct ht_link *link);
 /** Number of other instances known. */
 size_t ht_link_neighbours(const struct ht_link *link);
 
