--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -465,23 +465,21 @@
 	return count;
 }
 
-bool ht_neighbours_heard_elsewhere(const struct ht_neighbours *nb, ht_ms limit,
-				   bool (*wanted)(void *ctx, const char *dc), void *ctx, ht_ms now)
+ht_ms ht_neighbours_heard_elsewhere(const struct ht_neighbours *nb,
+				    bool (*wanted)(void *ctx, const char *dc), void *ctx)
 {
 	const struct ht_list *pos;
 
-	if (now - nb->started_at < limit)
-		return true;
 	/* The list is sorted by heard_at, newest first. */
 	ht_list_for_each (pos, &nb->list) {
 		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
 
-		if (!within(n->heard_at, limit, now))
-			return false;
+		if (n->heard_at == HT_NEVER)
+			break;
 		if (!n->local && wanted(ctx, n->dc))
-			return true;
+			return n->heard_at;
 	}
-	return false;
+	return nb->started_at;
 }
 
 size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now)
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -113,11 +113,11 @@
  */
 bool ht_neighbours_can_supply_view(const struct ht_neighbours *nb, ht_ms now);
 /**
- * True if a neighbour of another data centre for which @wanted returns true was heard within
- * @limit, or may just not have been heard yet because this instance has started since.
+ * Time of the last greeting from a neighbour of another data centre for which @wanted returns true,
+ * or of the start of this instance if there has been none.
  */
-bool ht_neighbours_heard_elsewhere(const struct ht_neighbours *nb, ht_ms limit,
-				   bool (*wanted)(void *ctx, const char *dc), void *ctx, ht_ms now);
+ht_ms ht_neighbours_heard_elsewhere(const struct ht_neighbours *nb,
+				    bool (*wanted)(void *ctx, const char *dc), void *ctx);
 /** Number of live instances of the own data centre, this one included. */
 size_t ht_neighbours_local_count(const struct ht_neighbours *nb, ht_ms now);
 /**
--- a/tests/core/test_rotation.c
+++ b/tests/core/test_rotation.c
@@ -122,6 +122,18 @@
 }
 END_TEST
 
+/* Here no greeting had come for a while before the cut. */
+START_TEST(silence_before_a_cut_does_not_count)
+{
+	hear("a", "there");
+	evacuate("here", true);
+	now += 7500;
+	ck_assert_int_eq(decide(3500), HT_ROTATION_EVACUATED);
+	now += 3000;
+	ck_assert_int_eq(decide(6500), HT_ROTATION_EVACUATED);
+}
+END_TEST
+
 /* Its entries are there on purpose. */
 START_TEST(data_centre_that_never_had_targets_stays)
 {
@@ -142,6 +154,7 @@
 	tcase_add_test(tc, it_comes_back_when_all_instances_elsewhere_are_dead);
 	tcase_add_test(tc, instances_without_targets_near_them_do_not_count);
 	tcase_add_test(tc, instance_that_has_just_started_waits_for_the_others);
+	tcase_add_test(tc, silence_before_a_cut_does_not_count);
 	tcase_add_test(tc, data_centre_that_never_had_targets_stays);
 	return run_case("rotation", tc);
 }
