entry: targets of the first listing are not logged one by one

Cause: an instance that starts wrote a line for each target until its budget of 40 lines was used up, on 0.028 core, before its first packet; ENTRY_READY sums them up anyway.

--- a/entry/decisions.c
+++ b/entry/decisions.c
@@ -275,7 +275,12 @@
 {
 	const struct ht_decisions *dec = ctx;
 	char text[HT_REVISION_TEXT];
+	struct ht_view_state view;
 
+	/* The first listing is summed up by ENTRY_READY; thousands of lines would delay it. */
+	dec->params.view(dec->params.ctx, &view);
+	if (!view.usable)
+		return;
 	ht_revision_text(text, t->revision);
 	if (t->gone_at != HT_NEVER)
 		ht_logger_event(dec->params.log, HT_EV_TARGET_GONE,
--- a/tests/entry/test_decisions.c
+++ b/tests/entry/test_decisions.c
@@ -30,10 +30,12 @@
 
 static const struct ht_clock fake_clock = {.now = fake_now};
 
+static bool view_whole = true;
+
 static void fill_view_state(void *ctx, struct ht_view_state *view)
 {
 	(void)ctx;
-	*view = (struct ht_view_state){.usable = true,
+	*view = (struct ht_view_state){.usable = view_whole,
 				       .routes = {1, rev(17)},
 				       .targets = rev(23),
 				       .routes_age = 150,
@@ -264,6 +266,19 @@
 }
 END_TEST
 
+/* Thousands of lines would delay the start on a small share of a core. */
+START_TEST(targets_of_the_first_listing_are_not_logged)
+{
+	view_whole = false;
+	put_target(0, "stock", "here");
+	view_whole = true;
+	put_target(1, "stock", "here");
+	read_log();
+	ck_assert_ptr_null(strstr(text, "target=i-1000 "));
+	ck_assert_ptr_nonnull(strstr(text, "target=i-1001 "));
+}
+END_TEST
+
 /* Changes are logged whether they come from the store or from a full listing of a neighbour that
  * lacks the target. */
 START_TEST(target_changes_are_logged)
@@ -341,6 +356,7 @@
 	tcase_add_test(tc, retransmission_is_logged_with_wait);
 	tcase_add_test(tc, deferral_is_logged_with_capacity);
 	tcase_add_test(tc, log_sample_depends_only_on_flow_hash);
+	tcase_add_test(tc, targets_of_the_first_listing_are_not_logged);
 	tcase_add_test(tc, target_changes_are_logged);
 	tcase_add_test(tc, malformed_packet_is_counted_and_logged);
 	tcase_add_test(tc, metrics_page_shows_counters);
