--- a/core/reading.c
+++ b/core/reading.c
@@ -44,7 +44,7 @@
 	if (r->first_page)
 		return later(r->due, r->started_at + (r->deferred ? r->params.neighbour_wait
 								  : r->params.start_delay));
-	return r->deferred ? later(r->due, r->first_page_at + r->params.neighbour_wait) : r->due;
+	return r->deferred ? later(r->due, r->first_page_at + r->params.pages_wait) : r->due;
 }
 
 /* After its listing, an instance on standby gives its neighbours time to prove it. */
--- a/core/reading.h
+++ b/core/reading.h
@@ -31,8 +31,9 @@
 			time */
 	ht_ms start_delay; /**< delay of the first listing after the start, for neighbours to answer
 			    */
-	ht_ms neighbour_wait; /**< time for neighbours to supply a view, also before and after the
-			   first page of a deferred listing */
+	ht_ms neighbour_wait; /**< time for neighbours to supply a view, also before the first page
+			   of a deferred listing */
+	ht_ms pages_wait;     /**< the same after its first page: a long listing costs more */
 };
 
 struct ht_reading_call {
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -37,6 +37,9 @@
 /* A neighbour that lists the store itself has its view within this time, and serves it within
  * the same time again. */
 #define DEFER_LISTING_MS 500
+/* If hundreds of instances start together, the last ones get a view within this time. On a small
+ * share of a core, listing thousands of targets takes as long, and serves nobody meanwhile. */
+#define DEFER_PAGES_MS 3000
 
 struct source {
 	struct ht_feed *feed;
@@ -350,6 +353,7 @@
 		.hold = SETTLE_MS,
 		.start_delay = FIRST_LISTING_DELAY_MS,
 		.neighbour_wait = DEFER_LISTING_MS,
+		.pages_wait = DEFER_PAGES_MS,
 	};
 
 	src->feed = feed;
--- a/tests/core/test_eras.c
+++ b/tests/core/test_eras.c
@@ -305,7 +305,8 @@
 							 .pause = 700,
 							 .wait = WAIT,
 							 .hold = 2500,
-							 .neighbour_wait = NEIGHBOUR_WAIT};
+							 .neighbour_wait = NEIGHBOUR_WAIT,
+							 .pages_wait = NEIGHBOUR_WAIT};
 
 	ht_reading_init(&r, &reading_params, now);
 	ck_assert(ht_reading_next(&r, now, &call, &due));
@@ -445,7 +446,8 @@
 								 .pause = 700,
 								 .wait = WAIT,
 								 .hold = 2500,
-								 .neighbour_wait = 500};
+								 .neighbour_wait = 500,
+								 .pages_wait = 500};
 		ht_ms delay = (ht_ms)i * 100 < 310 ? (ht_ms)i * 100 : 310;
 
 		ht_reading_init(&instances[i], &reading_params, now);
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -7,6 +7,7 @@
 #define STANDBY_AGE 1800
 #define HOLD 2500
 #define NEIGHBOUR_WAIT 300
+#define PAGES_WAIT 900
 
 static struct ht_reading r;
 static struct ht_reading_call call;
@@ -18,7 +19,8 @@
 						 .pause = 700,
 						 .wait = WAIT,
 						 .hold = HOLD,
-						 .neighbour_wait = NEIGHBOUR_WAIT};
+						 .neighbour_wait = NEIGHBOUR_WAIT,
+						 .pages_wait = PAGES_WAIT};
 
 	now = 1000;
 	ht_reading_init(&r, &params, now);
@@ -148,7 +150,7 @@
 	expect_call(false, true);
 	ck_assert_int_eq(ht_reading_page(&r, rev(40), true, "m", now), HT_READING_MORE);
 	ck_assert(!ht_reading_next(&r, now, &call, &due));
-	ck_assert_int_eq(due, now + NEIGHBOUR_WAIT);
+	ck_assert_int_eq(due, now + PAGES_WAIT);
 	/* No neighbour has supplied a view in time. */
 	now = due;
 	expect_call(false, true);
