core: a queued copy for a cold target at its limit is dropped, and no miss; docs and comments

Found by reading the diff: the copy fell through to the path of retransmissions, which records a miss of the target. Only services that state a rate are concerned. Test: queued_copy_beyond_the_limit_is_no_miss, failed first. ctl: comments reworded, no code.

--- a/core/steering.c
+++ b/core/steering.c
@@ -328,8 +328,9 @@
 		d.known = true;
 		return d;
 	}
-	if (f && now - f->placed_at < RETRANSMIT_MIN_MS &&
-	    ht_placing_allows(&st->placing, f->target, now)) {
+	if (f && now - f->placed_at < RETRANSMIT_MIN_MS) {
+		if (!ht_placing_allows(&st->placing, f->target, now))
+			return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
 		ht_placing_count(f->target, now);
 		return forward(f->target, f->mark, HT_STEER_MARKED);
 	}
--- a/ctl/change.c
+++ b/ctl/change.c
@@ -91,7 +91,7 @@
 	return status;
 }
 
-/* Reads what won and prints the difference to it. */
+/* Reads the change that was accepted first and prints the difference to it. */
 static int print_lost(struct ht_ctl *ctl, struct ht_ctl_change *c)
 {
 	struct ht_ctl_accepted won;
@@ -156,7 +156,7 @@
 	       ht_err_set(err, HT_ENOMEM, "out of memory");
 }
 
-/* Sends the change and prints what became of it. */
+/* Submits the change and prints its outcome. */
 static int submit(struct ht_ctl *ctl, struct ht_ctl_change *c, const struct ht_ctl_accepted *acc)
 {
 	struct ht_err err;
@@ -208,7 +208,7 @@
 	return status;
 }
 
-/* Brings the text into the form in which it is kept: the rules of each service together. */
+/* Rearranges the text as it is stored: the rules of each service together. */
 static bool normalise(struct ht_ctl_change *c, struct ht_err *err)
 {
 	char *joined;
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -39,7 +39,8 @@
 	int number;
 };
 
-/** Time limit of a platform call, in ms; an operator rather waits for a slow store than fails. */
+/** Time limit of a platform call, in ms; a slow store is waited for rather than reported as a
+ * failure. */
 #define HT_CTL_PLATFORM_TIMEOUT 10000
 
 /** Time limit of a call to one instance, in ms. */
@@ -81,7 +82,7 @@
 void ht_ctl_event(enum ht_event_number number, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
-/** Prints @root as JSON and drops it. */
+/** Prints @root as JSON and releases it. */
 void ht_ctl_print_json(struct ht_ctl *ctl, json_t *root);
 
 #endif
--- a/tests/core/test_warmup.c
+++ b/tests/core/test_warmup.c
@@ -114,6 +114,19 @@
 }
 END_TEST
 
+/* A copy that was queued with the one before says nothing about the target. */
+START_TEST(queued_copy_beyond_the_limit_is_no_miss)
+{
+	const struct ht_target *t = put_cold(1, "here");
+
+	for (int i = 0; i < LIMIT; i++)
+		open_flow(next_caller++, STOCK_PORT, 0);
+	now += 10;
+	ck_assert_int_eq(open_flow(1, STOCK_PORT, 1).reason, HT_STEER_ALL_COLD);
+	ck_assert_uint_eq(t->evidence.misses, 0);
+}
+END_TEST
+
 START_TEST(targets_of_other_data_centres_are_left_to_their_instances)
 {
 	put_cold(1, "there");
@@ -211,6 +224,7 @@
 	tcase_add_test(tc, other_targets_take_what_a_cold_one_must_not_get);
 	tcase_add_test(tc, limit_ends_with_the_warm_up);
 	tcase_add_test(tc, callers_of_cold_targets_wait_for_a_permit_and_are_refused_in_the_end);
+	tcase_add_test(tc, queued_copy_beyond_the_limit_is_no_miss);
 	tcase_add_test(tc, targets_of_other_data_centres_are_left_to_their_instances);
 	tcase_add_test(tc, instance_that_does_not_know_its_peers_yet_sends_nothing);
 	tcase_add_test(tc, data_centre_is_cold_when_its_evacuation_ends);
