--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -292,9 +292,9 @@
 	return status;
 }
 
-/* Repeats the edit if another change comes in between. */
+/* @argv has @names names. Repeats the edit if another change comes in between. */
 static int edit_rules(struct ht_ctl *ctl, const char *command, bool commented, edit_fn edit,
-		      char **argv)
+		      char **argv, int names)
 {
 	int status = HT_CTL_LOST;
 
@@ -305,9 +305,9 @@
 		return ht_ctl_fail(ctl, HT_CTL_USAGE,
 				   "%s needs --comment TEXT, one line that says who asked",
 				   command);
-	for (char **arg = argv; *arg; arg++)
-		if (strpbrk(*arg, " \t\n#") || !**arg)
-			return ht_ctl_fail(ctl, HT_CTL_USAGE, "'%s' is not a name", *arg);
+	for (int i = 0; i < names; i++)
+		if (strpbrk(argv[i], " \t\n#") || !*argv[i])
+			return ht_ctl_fail(ctl, HT_CTL_USAGE, "'%s' is not a name", argv[i]);
 	for (int i = 0; i < EDIT_TRIES && status == HT_CTL_LOST; i++)
 		status = edit_once(ctl, edit, argv, i == EDIT_TRIES - 1);
 	return status;
@@ -315,15 +315,15 @@
 
 int ht_ctl_drain(struct ht_ctl *ctl, char **argv)
 {
-	return edit_rules(ctl, "drain", true, with_drain, argv);
+	return edit_rules(ctl, "drain", true, with_drain, argv, 2);
 }
 
 int ht_ctl_evacuate(struct ht_ctl *ctl, char **argv)
 {
-	return edit_rules(ctl, "evacuate", true, with_evacuation, argv);
+	return edit_rules(ctl, "evacuate", true, with_evacuation, argv, 1);
 }
 
 int ht_ctl_end_evacuation(struct ht_ctl *ctl, char **argv)
 {
-	return edit_rules(ctl, "end-evacuation", false, without_evacuation, argv);
+	return edit_rules(ctl, "end-evacuation", false, without_evacuation, argv, 1);
 }
