--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import os
+import random
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -18,7 +19,12 @@
     rec = world.record
     zones = ["paysandu", "salto", "fray-bentos"]
     # Cheap reads are answered by one of two copies: a current one, and one that is 3 s behind.
-    world.store.staleness = lambda kind, after: BEHIND_S if after else 0
+    # COPIES=random: each call by either; otherwise the first page of a listing by the current one
+    # and later ones by the other, so that the case repeats.
+    if os.environ.get("COPIES") == "random":
+        world.store.staleness = lambda kind, after: random.choice((0, BEHIND_S))
+    else:
+        world.store.staleness = lambda kind, after: BEHIND_S if after else 0
     try:
         await world.start()
         for i in range(54):
