--- a/review/world.py
+++ b/review/world.py
@@ -249,12 +249,15 @@
         self.born = int(time.time() * 1000)
         self.running, self.waiting = 0, []
         self.forged = 0
-        self.cut_off = False
+        self.beats = None
 
-    async def start(self, ip):
+    async def listen(self, ip):
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=(ip, 0))
         self.address = "%s:%d" % self.transport.get_extra_info("sockname")[:2]
+
+    async def start(self, ip):
+        await self.listen(ip)
         self.report()
         self.beats = asyncio.ensure_future(self.beat())
 
@@ -650,7 +653,8 @@
             inst.log.close()
         for t in self.targets:
             if t.alive:
-                t.beats.cancel()
+                if t.beats:
+                    t.beats.cancel()
                 t.transport.close()
         if os.environ.get("KEEP_LOGS"):
             for inst in self.instances:
