--- a/review/world.py
+++ b/review/world.py
@@ -645,6 +645,8 @@
     def stop(self):
         for task in self.tasks:
             task.cancel()
+        for server in self.store.servers:
+            server.close()
         for inst in self.instances:
             if inst.process and inst.process.poll() is None:
                 inst.process.kill()
