--- a/review/world.py
+++ b/review/world.py
@@ -25,6 +25,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 import zlib
 
@@ -669,8 +670,8 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(play())
-    except OSError as err:
-        print("the case could not run: %s" % err)
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
         return 2
     if held is None:
         return 2
