reading: a listing counts as of its oldest page

Cause: the first listing consists of cheap calls, and each page may be of another age. The listing counted as of the revision of its first page. A later page that was older lacked changes that the following watch, which began after that revision, did not return either.

Change: the listing counts as of its oldest page, so that the watch returns every change that any page lacks. On the same path, a page that arrives after a neighbour's view was adopted, or that is older than the known view, is no longer applied: it could bring back a target that had left.

--- a/core/reading.c
+++ b/core/reading.c
@@ -187,6 +187,8 @@
 		r->first_page = false;
 		r->first_page_at = now;
 	}
+	if (ht_revision_before(revision, r->list_revision))
+		r->list_revision = revision;
 	if (ht_revision_before(revision, r->revision)) {
 		restart_listing(r, now);
 		return HT_READING_STALE;
@@ -198,7 +200,7 @@
 	r->listing = false;
 	r->listed = true;
 	r->revision = r->list_revision;
-	/* Only the next read returns the changes made between the pages of the listing. */
+	/* Only the next read returns the changes made since the oldest page. */
 	r->proven_at = r->exact_list ? r->list_call_at : HT_NEVER;
 	r->after[0] = '\0';
 	return HT_READING_COMPLETE;
--- a/core/reading.h
+++ b/core/reading.h
@@ -56,7 +56,7 @@
 	struct ht_reading_call call;
 	char after[HT_READING_NAME];
 	uint64_t era;			  /* the newest that a read has proven */
-	struct ht_revision list_revision; /* of the first page of the current listing */
+	struct ht_revision list_revision; /* of the oldest page of the current listing */
 	struct ht_revision revision;	  /* all changes up to here are known */
 	ht_ms call_at, list_call_at;	  /* start of the last call, and of the first page's */
 	ht_ms verify_at; /* a neighbour reported a newer era, not proven yet; HT_NEVER: none */
@@ -105,7 +105,17 @@
 	HT_READING_NO_PROGRESS, /**< the page does not advance the listing: a failed call */
 };
 
-/** Handles a page of the listing as of @revision; @last is the name of its last item. */
+/** True if the content of a page with this result may be used. */
+static inline bool ht_reading_usable(enum ht_reading_result result)
+{
+	return result == HT_READING_MORE || result == HT_READING_COMPLETE;
+}
+
+/**
+ * Handles a page of the listing as of @revision; @last is the name of its last item. Called before
+ * any of the page's content is used. Pages that need not be current may be of different ages: all
+ * changes since the oldest one are read again.
+ */
 enum ht_reading_result ht_reading_page(struct ht_reading *r, struct ht_revision revision, bool more,
 				       const char *last, ht_ms now);
 /** Handles the end of a watch as of @revision; @changed if it returned changes. */
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -207,19 +207,8 @@
 	src->feed->params.stats->routes_unreadable += reply->unreadable_count;
 }
 
-/* Returns true if an exact read has now proven what is known. */
-static bool apply_reply(struct source *src, const struct ht_store_reply *reply, ht_ms now)
+static void apply_objects(struct source *src, const struct ht_store_reply *reply, ht_ms now)
 {
-	struct ht_catalog *cat = src->feed->params.catalog;
-	bool listing_starts = !reply->watch && src->reading.first_page;
-	size_t missing;
-
-	ht_catalog_note_era_revision(cat, reply->revision);
-
-	if (listing_starts && src->kind == HT_STORE_TARGETS)
-		ht_catalog_begin_listing(cat, HT_CATALOG_STORE);
-	if (listing_starts && src->kind == HT_STORE_EVACUATIONS)
-		ht_catalog_begin_evacuations(cat);
 	for (size_t i = 0; i < reply->target_count; i++)
 		apply_target(src, &reply->targets[i], now);
 	for (size_t i = 0; i < reply->evacuation_count; i++)
@@ -230,25 +219,62 @@
 	if (reply->malformed)
 		ht_logger_event(src->feed->params.log, HT_EV_STORE_OBJECTS_SKIPPED, "count=%zu",
 				reply->malformed);
-	if (reply->watch) {
-		ht_reading_changes(
-			&src->reading, reply->revision,
-			reply->target_count || reply->has_routes || reply->evacuation_count, now);
-		return true;
-	}
-	if (ht_reading_page(&src->reading, reply->revision, reply->more, reply->last, now) !=
-	    HT_READING_COMPLETE)
-		return false;
-	if (src->kind == HT_STORE_TARGETS) {
-		missing = ht_catalog_end_listing(cat, HT_CATALOG_STORE, src->reading.list_revision,
-						 now, ht_reading_hold_until(&src->reading, now));
-		log_era_synced(src->feed, missing);
-	}
+}
+
+static void begin_listing(struct source *src)
+{
+	struct ht_catalog *cat = src->feed->params.catalog;
+
+	if (src->kind == HT_STORE_TARGETS)
+		ht_catalog_begin_listing(cat, HT_CATALOG_STORE);
 	if (src->kind == HT_STORE_EVACUATIONS)
-		ht_catalog_end_evacuations(cat, src->reading.list_revision, now);
+		ht_catalog_begin_evacuations(cat);
+}
+
+static void end_listing(struct source *src, ht_ms now)
+{
+	const struct ht_reading *reading = &src->reading;
+	struct ht_catalog *cat = src->feed->params.catalog;
+
+	if (src->kind == HT_STORE_TARGETS)
+		log_era_synced(src->feed,
+			       ht_catalog_end_listing(cat, HT_CATALOG_STORE, reading->list_revision,
+						      now, ht_reading_hold_until(reading, now)));
+	if (src->kind == HT_STORE_EVACUATIONS)
+		ht_catalog_end_evacuations(cat, reading->list_revision, now);
+}
+
+/* Returns true if the listing is complete and exact. */
+static bool apply_page(struct source *src, const struct ht_store_reply *reply, ht_ms now)
+{
+	bool first_page = src->reading.first_page;
+	enum ht_reading_result result =
+		ht_reading_page(&src->reading, reply->revision, reply->more, reply->last, now);
+
+	if (!ht_reading_usable(result))
+		return false;
+	if (first_page)
+		begin_listing(src);
+	apply_objects(src, reply, now);
+	if (result != HT_READING_COMPLETE)
+		return false;
+	end_listing(src, now);
 	return src->reading.exact_list;
 }
 
+/* Returns true if an exact read has now proven what is known. */
+static bool apply_reply(struct source *src, const struct ht_store_reply *reply, ht_ms now)
+{
+	ht_catalog_note_era_revision(src->feed->params.catalog, reply->revision);
+	if (!reply->watch)
+		return apply_page(src, reply, now);
+	apply_objects(src, reply, now);
+	ht_reading_changes(&src->reading, reply->revision,
+			   reply->target_count || reply->has_routes || reply->evacuation_count,
+			   now);
+	return true;
+}
+
 /* Logs the first failure, and the first success after it. */
 static void log_health_change(struct source *src, const struct ht_store_reply *reply)
 {
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -72,6 +72,43 @@
 }
 END_TEST
 
+/* Guards against targets that keep getting new flows while they drain: the second page comes from
+ * an older copy of the store than the first, so it lacks changes that the first page's revision
+ * covers (docs/incidents/pages-of-different-ages.md). */
+START_TEST(watch_starts_at_the_oldest_page)
+{
+	const uint64_t pages[] = {162, 161, 164, 158, 163};
+	const char *const last[] = {"a", "b", "c", "d", "e"};
+
+	for (size_t i = 0; i < 4; i++) {
+		expect_call(false, true);
+		ck_assert_int_eq(ht_reading_page(&r, rev(pages[i]), true, last[i], now),
+				 HT_READING_MORE);
+	}
+	expect_call(false, true);
+	ck_assert_int_eq(ht_reading_page(&r, rev(pages[4]), false, last[4], now),
+			 HT_READING_COMPLETE);
+	ck_assert_uint_eq(r.list_revision.number, 158);
+	expect_call(true, false);
+	ck_assert_uint_eq(call.since, 158);
+}
+END_TEST
+
+/* Guards against targets that had left and are used again: neither a page that arrives after a
+ * neighbour's view nor one that is older than the known view may be applied. */
+START_TEST(late_and_stale_pages_are_not_usable)
+{
+	expect_call(false, true);
+	ht_reading_adopt(&r, rev(50), now);
+	ck_assert(!ht_reading_usable(ht_reading_page(&r, rev(40), true, "m", now)));
+	ht_reading_history_gone(&r, now);
+	expect_call(false, false);
+	ck_assert(!ht_reading_usable(ht_reading_page(&r, rev(45), false, "z", now)));
+	expect_call(false, false);
+	ck_assert(ht_reading_usable(ht_reading_page(&r, rev(51), false, "z", now)));
+}
+END_TEST
+
 /* The listing must not request the same page forever. */
 START_TEST(page_without_progress_is_a_failure)
 {
@@ -272,6 +309,8 @@
 	tcase_add_checked_fixture(tc, start, NULL);
 	tcase_add_test(tc, cheap_listing_is_confirmed_by_an_exact_read);
 	tcase_add_test(tc, listing_continues_after_the_last_name);
+	tcase_add_test(tc, watch_starts_at_the_oldest_page);
+	tcase_add_test(tc, late_and_stale_pages_are_not_usable);
 	tcase_add_test(tc, page_without_progress_is_a_failure);
 	tcase_add_test(tc, proofs_come_at_regular_intervals);
 	tcase_add_test(tc, standby_reads_when_the_proof_is_old);
