entry: a view that an earlier build has read serves only at first

Cause: an instance that starts takes a neighbour's whole view with the revision up to which that claims to know everything. What an earlier build has missed is older than that, so no watch and no difference returns it.

An instance serves by a view of a lower level until it has listed the store itself, exactly and at once, and then takes nothing from such instances unless its own view is outdated. A verified configuration replaces the same one that was not; an entry of the store at the revision at which a neighbour told of its removal is used. Earlier builds get new fields only, which they skip, and their announcements are passed on unchanged.

Ruled out: ignoring views of earlier builds altogether (an instance that starts while the store is down would have none); watching from the oldest revision that such a view may be right at (it is not known).

A greeting grows by three bytes.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -287,6 +287,15 @@
 	return HT_CATALOG_CHANGED;
 }
 
+/* The entry was removed at the revision at which the store has it: an instance of an earlier build
+ * has found it unusable, and told so. A deletion has a revision of its own. */
+static bool was_misread(const struct ht_target *t, const struct ht_target_entry *e,
+			enum ht_catalog_source source)
+{
+	return source == HT_CATALOG_STORE && t->gone_at != HT_NEVER && !t->restored &&
+	       ht_revision_equal(e->revision, t->revision);
+}
+
 /* Applies an entry of a revision that is already known. Its sender may know from an earlier era
  * that the target has left or drains. */
 static enum ht_catalog_change reapply_entry(struct ht_catalog *cat, struct ht_target *t,
@@ -317,7 +326,7 @@
 	t->listing_sources |= 1U << source;
 	if (ht_revision_before(e->revision, t->revision))
 		return HT_CATALOG_OLDER;
-	if (known && ht_revision_equal(e->revision, t->revision))
+	if (known && ht_revision_equal(e->revision, t->revision) && !was_misread(t, e, source))
 		return reapply_entry(cat, t, e, now);
 	if ((e->restored && !cat->era.lapsed) || is_outdated_backup(cat, t, known, e)) {
 		if (!known) {
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -85,6 +85,7 @@
 struct ht_route_table {
 	struct ht_routes_id id;
 	struct ht_revision base; /**< that the difference applies to; number 0: complete */
+	bool verified;		 /**< read at HT_READING_LEVEL, see core/reading.h */
 	size_t count;
 	struct ht_route_entry *entries;
 	size_t share_count;
@@ -257,7 +258,10 @@
 
 void ht_catalog_observe(struct ht_catalog *cat, const struct ht_catalog_observer *observer);
 
-/** Applies a configuration. On HT_CATALOG_FAILED the previous one is still reported as in force. */
+/**
+ * Applies a configuration. A verified one replaces the same one if that was not verified. On
+ * HT_CATALOG_FAILED the previous one is still reported as in force.
+ */
 enum ht_catalog_change ht_catalog_set_routes(struct ht_catalog *cat,
 					     const struct ht_route_table *table);
 /**
--- a/core/catalog_internal.h
+++ b/core/catalog_internal.h
@@ -13,6 +13,7 @@
 	struct ht_hmap by_name, by_mark, routes;
 	struct ht_routes_id in_force;
 	bool incomplete; /* routes of the configuration in force could not be read */
+	bool verified;	 /* the configuration in force was read at HT_READING_LEVEL */
 	/*
 	 * Ring buffer of the revisions of the last configurations: number n is at index n - 1.
 	 * Differences to those before routes_first are not available.
--- a/core/catalog_routes.c
+++ b/core/catalog_routes.c
@@ -293,6 +293,7 @@
 
 	cat->in_force = table->id;
 	cat->incomplete = table->incomplete;
+	cat->verified = table->verified && (cat->verified || !table->base.number);
 	cat->routes_ring[cat->routes_number++ % HT_CATALOG_ROUTES_RING] = table->id.revision;
 	if (cat->routes_number - cat->routes_first >= HT_CATALOG_ROUTES_RING)
 		cat->routes_first = cat->routes_number + 1 - HT_CATALOG_ROUTES_RING;
@@ -305,6 +306,14 @@
 	}
 }
 
+/* The configuration in force is the same, and @table does not verify it. */
+static bool is_in_force(const struct ht_catalog *cat, const struct ht_route_table *table)
+{
+	bool verifies = table->verified && !table->base.number && !cat->verified;
+
+	return ht_revision_equal(table->id.revision, cat->in_force.revision) && !verifies;
+}
+
 /* Within an era, the revision must not fall either. */
 static bool is_older(const struct ht_catalog *cat, const struct ht_routes_id *id)
 {
@@ -319,7 +328,7 @@
 	uint64_t number = cat->routes_number + 1;
 	bool ok;
 
-	if (ht_revision_equal(table->id.revision, cat->in_force.revision))
+	if (is_in_force(cat, table))
 		return HT_CATALOG_SAME;
 	if (is_older(cat, &table->id))
 		return HT_CATALOG_OLDER;
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -36,6 +36,7 @@
 	struct ht_revision behind_targets; /* own view at behind_since */
 	struct ht_routes_id behind_routes;
 	struct ht_revision behind_evacuations;
+	uint32_t level;	 /* of the own view */
 	uint64_t epoch;	 /* selects the order of readers among instances of equal size */
 	uint64_t reader; /* hash of the name of the last announcement's reader... */
 	uint32_t reader_size;
@@ -342,6 +343,11 @@
 	return precedes(nb, size, name_hash, nb->params.size, ht_hash_str(nb->name));
 }
 
+void ht_neighbours_set_level(struct ht_neighbours *nb, uint32_t level)
+{
+	nb->level = level;
+}
+
 void ht_neighbours_rotate_readers(struct ht_neighbours *nb, struct ht_revision targets)
 {
 	nb->epoch = targets.number / READER_EPOCH_CHANGES;
@@ -366,7 +372,7 @@
 				    ht_ms now)
 {
 	return n->local && n->name[0] && heard_or_mentioned(n, LIVE_MS, now) &&
-	       (n->heard_at == HT_NEVER || n->view.usable) &&
+	       (n->heard_at == HT_NEVER || (n->view.usable && n->view.level >= nb->level)) &&
 	       reads_before_self(nb, n->size, ht_hash_str(n->name));
 }
 
@@ -528,9 +534,18 @@
 	}
 }
 
-static bool has_newer_view(const struct ht_neighbour *n, const struct ht_view_state *own)
+bool ht_neighbours_accepts(const struct ht_neighbours *nb, const struct ht_view_state *own,
+			   uint32_t level)
 {
-	return n->view.usable && (!own->usable || ht_view_later(&n->view, own));
+	return level >= own->level || is_old(nb, own->targets_age) || is_old(nb, own->routes_age);
+}
+
+static bool has_newer_view(const struct ht_neighbours *nb, const struct ht_neighbour *n,
+			   const struct ht_view_state *own)
+{
+	if (!n->view.usable || !ht_neighbours_accepts(nb, own, n->view.level))
+		return false;
+	return !own->usable || ht_view_later(&n->view, own);
 }
 
 static bool local_has_newer_view(const struct ht_neighbours *nb, const struct ht_view_state *own,
@@ -541,7 +556,7 @@
 	ht_list_for_each (pos, &nb->list) {
 		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
 
-		if (n->local && live(n, now) && has_newer_view(n, own))
+		if (n->local && live(n, now) && has_newer_view(nb, n, own))
 			return true;
 	}
 	return false;
@@ -576,9 +591,10 @@
 	return !own->usable || late || is_old(nb, own->targets_age) || is_old(nb, own->routes_age);
 }
 
-/* Prefers recently proven views, which lack little; then views not proven yet, of neighbours that
- * started at the same time as this one; then outdated views, the newest first. Of equal ones, those
- * of the own data centre are preferred, then a hash of both names decides. */
+/* Prefers recently proven views, which lack little, of the highest level; then views not proven
+ * yet, of neighbours that started at the same time as this one; then outdated views, the newest
+ * first. Of equal ones, those of the own data centre are preferred, then a hash of both names
+ * decides. */
 static bool is_better_source(const struct ht_neighbours *nb, const struct ht_neighbour *a,
 			     const struct ht_neighbour *b, ht_ms now)
 {
@@ -589,6 +605,8 @@
 		return !a_outdated;
 	if (a_outdated && !ht_revision_equal(a->view.targets, b->view.targets))
 		return ht_revision_before(b->view.targets, a->view.targets);
+	if (a->view.level != b->view.level)
+		return a->view.level > b->view.level;
 	if (unproven(a) != unproven(b))
 		return unproven(b);
 	if (a->local != b->local)
@@ -612,7 +630,7 @@
 	ht_list_for_each (pos, &nb->list) {
 		struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
 
-		if (!live(n, now) || !has_newer_view(n, own) ||
+		if (!live(n, now) || !has_newer_view(nb, n, own) ||
 		    (!own->usable && asked_recently(nb, n, now)))
 			continue;
 		if (!best || is_better_source(nb, n, best, now))
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -23,6 +23,7 @@
 	bool standby;		    /**< neighbours read the store for it */
 	bool failing;		    /**< the last call to the store failed */
 	uint64_t era;		    /**< newest era of the store that a read has proven */
+	uint32_t level;		    /**< at which the view was read, see HT_READING_LEVEL */
 	struct ht_routes_id routes; /**< the configuration in force */
 	/** All changes of routes and evacuations up to this revision are known. */
 	struct ht_revision read_to;
@@ -75,6 +76,13 @@
 
 struct ht_neighbours;
 
+/**
+ * True if a view read at @level may replace the view @own: it was read at the same level or a
+ * higher one, or @own is outdated.
+ */
+bool ht_neighbours_accepts(const struct ht_neighbours *nb, const struct ht_view_state *own,
+			   uint32_t level);
+
 struct ht_neighbours *ht_neighbours_new(const struct ht_neighbours_params *params, ht_ms now);
 void ht_neighbours_free(struct ht_neighbours *nb);
 
@@ -88,6 +96,9 @@
 			 struct ht_endpoint at, uint32_t size, const struct ht_view_state *view,
 			 ht_ms now);
 
+/** The own view was read at @level. Neighbours with views of lower levels do not read for it. */
+void ht_neighbours_set_level(struct ht_neighbours *nb, uint32_t level);
+
 /** Targets are known up to revision @targets. After many changes the order of readers changes. */
 void ht_neighbours_rotate_readers(struct ht_neighbours *nb, struct ht_revision targets);
 
@@ -161,9 +172,10 @@
 /**
  * Neighbour to request a snapshot from now, or NULL. A snapshot is needed if this instance has no
  * view or an outdated one, or if it is on standby and announcements are late, and a neighbour has a
- * newer view. Neighbours whose view was proven recently, or not yet, are selected by hash to spread
- * the load; otherwise the one with the newest view is. Without a view, the instance tries one
- * neighbour after the other, as each serves a limited number of snapshots at a time.
+ * newer view. Views of lower levels are not newer than one that is up to date. Neighbours whose
+ * view was proven recently, or not yet, are selected by hash to spread the load; otherwise the one
+ * with the newest view is. Without a view, the instance tries one neighbour after the other, as
+ * each serves a limited number of snapshots at a time.
  */
 const struct ht_neighbour *
 ht_neighbours_snapshot_source(struct ht_neighbours *nb, const struct ht_view_state *own, ht_ms now);
--- a/core/reading.c
+++ b/core/reading.c
@@ -199,6 +199,7 @@
 	}
 	r->listing = false;
 	r->listed = true;
+	r->verified = true;
 	r->revision = r->list_revision;
 	/* Only the next read returns the changes made since the oldest page. */
 	r->proven_at = r->exact_list ? r->list_call_at : HT_NEVER;
@@ -215,16 +216,28 @@
 	r->due = changed ? now + r->params.pause : now;
 }
 
-void ht_reading_adopt(struct ht_reading *r, struct ht_revision revision, ht_ms now)
+/* The view is not verified: a listing follows, or the one in progress goes on. */
+static void list_anyway(struct ht_reading *r, ht_ms now)
+{
+	if (!r->listing)
+		restart_listing(r, now);
+	else if (r->first_page && !r->busy)
+		r->exact_list = true; /* another answer is likely older than the view */
+}
+
+void ht_reading_adopt(struct ht_reading *r, struct ht_revision revision, bool verified, ht_ms now)
 {
 	if (revision.era < r->era || (r->listed && !ht_revision_before(r->revision, revision)))
 		return;
 	ht_reading_begin_era(r, revision.era, now);
-	if (!r->listed || r->revision.era < revision.era) {
+	r->verified = verified && (r->verified || !r->listed);
+	if (!r->verified) {
+		list_anyway(r, now);
+	} else if (!r->listed || r->revision.era < revision.era) {
 		r->listing = false;
-		r->listed = true;
 		r->due = now;
 	}
+	r->listed = true;
 	r->revision = revision;
 }
 
--- a/core/reading.h
+++ b/core/reading.h
@@ -20,6 +20,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/**
+ * Level of reading of this build, raised when a fix changes what is read from the store. A view
+ * read at a lower level, also one that was taken over from an instance of an earlier build, may
+ * lack changes for good: it serves until this instance has listed the store itself. 1: a listing
+ * counts as of its oldest page.
+ */
+#define HT_READING_LEVEL 1
+
 /** Size of the name after which a listing continues, with the terminating NUL. */
 #define HT_READING_NAME 256
 
@@ -50,6 +58,7 @@
 	bool listing;
 	bool first_page;
 	bool listed;	 /* a complete view exists, read here or by a neighbour */
+	bool verified;	 /* the view was read at HT_READING_LEVEL, here or by a neighbour */
 	bool exact_list; /* the next listing must be exact */
 	bool deferred;
 	bool busy;
@@ -125,8 +134,11 @@
 /** The call failed. */
 void ht_reading_failed(struct ht_reading *r, ht_ms now);
 
-/** A neighbour has supplied everything up to @revision, whose era a read has proven. */
-void ht_reading_adopt(struct ht_reading *r, struct ht_revision revision, ht_ms now);
+/**
+ * A neighbour has supplied everything up to @revision, whose era a read has proven. If what it has
+ * supplied is not @verified, that is, was read at a lower level, the objects are listed here, too.
+ */
+void ht_reading_adopt(struct ht_reading *r, struct ht_revision revision, bool verified, ht_ms now);
 /** A neighbour's exact read has proven this view too, at @proven_at by the local clock. */
 void ht_reading_proven_by_neighbour(struct ht_reading *r, ht_ms proven_at);
 
--- a/entry/announce.c
+++ b/entry/announce.c
@@ -122,8 +122,10 @@
 	size_t n;
 
 	ht_link_describe(link, msg, &self);
-	if (changes && ht_snapshot_message(changes)->base_revision)
+	if (changes && ht_snapshot_message(changes)->base_revision) {
 		msg->changes = ht_snapshot_message(changes);
+		msg->changes->reading_level = msg->reading_level;
+	}
 	n = ht_fanout_split(receivers->to, receivers->count,
 			    ht_fanout_copies(ht__entry_greeting__get_packed_size(msg)), groups);
 	for (size_t i = 0; i < n; i++)
@@ -331,6 +333,14 @@
 		announce_evidence(link, msg->n_evidence, msg->evidence, &receivers);
 		return;
 	}
+	if (!ht_link_accepts(link, theirs.level)) {
+		struct ht_link_receivers receivers;
+
+		/* Instances of earlier builds may depend on it. */
+		collect_receivers(link, msg, &receivers);
+		relay_unchanged(link, msg, &receivers);
+		return;
+	}
 	after.targets = ht_revision_max(after.targets, theirs.targets);
 	after.evacuations = ht_revision_max(after.evacuations, theirs.evacuations);
 	if (ht_routes_compare(theirs.routes, after.routes) > 0)
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -436,6 +436,16 @@
 		view->routes_age = age;
 }
 
+/* A view is of the level at which all of its parts were read. */
+static uint32_t reading_level(const struct ht_feed *feed)
+{
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
+		if (!feed->sources[kind].reading.verified &&
+		    (kind != HT_STORE_EVACUATIONS || feed->evacuations))
+			return 0;
+	return HT_READING_LEVEL;
+}
+
 void ht_feed_view(const struct ht_feed *feed, struct ht_view_state *view)
 {
 	const struct ht_reading *routes = &feed->sources[HT_STORE_ROUTES].reading;
@@ -448,6 +458,7 @@
 		.failing = feed->sources[HT_STORE_ROUTES].failing ||
 			   feed->sources[HT_STORE_TARGETS].failing,
 		.era = targets->era,
+		.level = reading_level(feed),
 		.routes = ht_catalog_routes(feed->params.catalog),
 		.read_to = routes->revision,
 		.targets = targets->revision,
@@ -511,25 +522,29 @@
 	return false;
 }
 
-void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to)
+static void adopt(struct source *src, struct ht_revision revision, uint32_t level)
 {
-	ht_reading_adopt(&feed->sources[HT_STORE_ROUTES].reading, read_to, ht_now());
-	start_due_call(&feed->sources[HT_STORE_ROUTES]);
+	ht_reading_adopt(&src->reading, revision, level >= HT_READING_LEVEL, ht_now());
+	start_due_call(src);
+}
+
+void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to, uint32_t level)
+{
+	adopt(&feed->sources[HT_STORE_ROUTES], read_to, level);
 }
 
-void ht_feed_adopt_evacuations(struct ht_feed *feed, struct ht_revision read_to)
+void ht_feed_adopt_evacuations(struct ht_feed *feed, struct ht_revision read_to, uint32_t level)
 {
 	if (!feed->evacuations)
 		return;
-	ht_reading_adopt(&feed->sources[HT_STORE_EVACUATIONS].reading, read_to, ht_now());
-	start_due_call(&feed->sources[HT_STORE_EVACUATIONS]);
+	adopt(&feed->sources[HT_STORE_EVACUATIONS], read_to, level);
 }
 
-void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, size_t missing)
+void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, uint32_t level,
+			   size_t missing)
 {
-	ht_reading_adopt(&feed->sources[HT_STORE_TARGETS].reading, revision, ht_now());
+	adopt(&feed->sources[HT_STORE_TARGETS], revision, level);
 	log_era_synced(feed, missing);
-	start_due_call(&feed->sources[HT_STORE_TARGETS]);
 }
 
 void ht_feed_adopt_proofs(struct ht_feed *feed, ht_ms routes_proven_at, ht_ms targets_proven_at)
--- a/entry/feed.h
+++ b/entry/feed.h
@@ -57,11 +57,12 @@
 /**
  * Marks routes or evacuations as known up to revision @read_to, or targets up to @revision, of the
  * current era after a neighbour's view has been applied. @missing is the number of targets that
- * were known here and that the view lacks.
+ * were known here and that the view lacks. The view was read at @level, see HT_READING_LEVEL.
  */
-void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to);
-void ht_feed_adopt_evacuations(struct ht_feed *feed, struct ht_revision read_to);
-void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, size_t missing);
+void ht_feed_adopt_routes(struct ht_feed *feed, struct ht_revision read_to, uint32_t level);
+void ht_feed_adopt_evacuations(struct ht_feed *feed, struct ht_revision read_to, uint32_t level);
+void ht_feed_adopt_targets(struct ht_feed *feed, struct ht_revision revision, uint32_t level,
+			   size_t missing);
 /**
  * Adopts the times at which neighbours have proven what is known here too; HT_NEVER for what they
  * have not proven. Evacuations are proven together with the routes.
--- a/entry/link.c
+++ b/entry/link.c
@@ -92,6 +92,7 @@
 		.usable = msg->view != VIEW_NONE,
 		.failing = msg->store_failing,
 		.era = msg->era,
+		.level = msg->reading_level,
 		.routes = {msg->routes_version,
 			   decode_revision(msg->era, msg->routes_era_behind, msg->routes_revision)},
 		.read_to = decode_revision(msg->era, msg->read_era_behind, msg->routes_read_to),
@@ -122,6 +123,7 @@
 	msg->view = view.usable ? VIEW_FULL : VIEW_NONE;
 	msg->store_failing = view.failing;
 	msg->era = view.era;
+	msg->reading_level = view.level;
 	msg->routes_version = view.routes.version;
 	msg->routes_era_behind = view.era - view.routes.revision.era;
 	msg->routes_revision = view.routes.revision.number;
@@ -209,8 +211,8 @@
 	    ht_routes_compare(view.routes, theirs->routes) >= 0 &&
 	    !ht_revision_before(view.evacuations, theirs->evacuations)) {
 		routes = heard - theirs->routes_age;
-		ht_feed_adopt_routes(ht_link_feed(link), theirs->read_to);
-		ht_feed_adopt_evacuations(ht_link_feed(link), theirs->read_to);
+		ht_feed_adopt_routes(ht_link_feed(link), theirs->read_to, theirs->level);
+		ht_feed_adopt_evacuations(ht_link_feed(link), theirs->read_to, theirs->level);
 	}
 	if (theirs->targets_age != HT_NEVER && theirs->targets.era == view.era &&
 	    !ht_revision_before(view.targets, theirs->targets))
@@ -220,7 +222,10 @@
 
 static void apply_neighbour_state(struct ht_link *link, ht_ms now)
 {
-	ht_neighbours_rotate_readers(link->neighbours, ht_link_view(link).targets);
+	struct ht_view_state view = ht_link_view(link);
+
+	ht_neighbours_rotate_readers(link->neighbours, view.targets);
+	ht_neighbours_set_level(link->neighbours, view.level);
 	ht_feed_defer_listing(ht_link_feed(link),
 			      ht_neighbours_can_supply_view(link->neighbours, now));
 	ht_feed_set_standby(ht_link_feed(link), ht_neighbours_on_standby(link->neighbours, now),
@@ -277,9 +282,11 @@
 				  m->size, now);
 	}
 	check_sender_era(link, &theirs, msg->reader);
-	if (msg->changes && own.usable)
-		ht_link_apply(link, msg->changes);
-	adopt_proofs(link, &theirs);
+	if (ht_link_accepts(link, theirs.level)) {
+		if (msg->changes && own.usable)
+			ht_link_apply(link, msg->changes);
+		adopt_proofs(link, &theirs);
+	}
 	for (size_t i = 0; i < msg->n_evidence && i < HT_REPORTS_MAX; i++) {
 		const struct ht_report report = {
 			.mark = msg->evidence[i]->mark,
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -88,6 +88,8 @@
 void ht_link_on_relay_timer(struct ev_loop *loop, ev_timer *timer, int revents);
 void ht_link_on_report_timer(struct ev_loop *loop, ev_timer *timer, int revents);
 
+/** True if a view read at @level may be used here, see ht_neighbours_accepts(). */
+bool ht_link_accepts(struct ht_link *link, uint32_t level);
 /** Applies the parts of @msg that are usable here; returns the number of objects that changed. */
 size_t ht_link_apply(struct ht_link *link, const Ht__EntrySnapshot *msg);
 /** Fetches from @source what it knows beyond the own view, unless a fetch is in progress. */
--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -1,5 +1,6 @@
 #include "entry/snapshot.h"
 
+#include "core/reading.h"
 #include "core/split.h"
 
 #include <ctype.h>
@@ -607,6 +608,7 @@
 	struct ht_route_table table = {
 		.id = ht_snapshot_view(msg).routes,
 		.base = ht_snapshot_base(msg).routes.revision,
+		.verified = msg->reading_level >= HT_READING_LEVEL,
 		.entries = calloc(msg->n_routes + msg->n_routes_unreadable + 1,
 				  sizeof(*table.entries)),
 		.shares = calloc(count_message_shares(msg) + 1, sizeof(*table.shares)),
--- a/entry/views.c
+++ b/entry/views.c
@@ -24,8 +24,10 @@
 	if (!view.usable || !ht_snapshot_readable(request))
 		return false;
 	snap = ht_snapshot_new(link->params.catalog, &have, view.targets, ht_now());
-	if (snap)
+	if (snap) {
+		ht_snapshot_message(snap)->reading_level = view.level;
 		ht_snapshot_message(snap)->clock = ht_logger_stamp(link->params.log);
+	}
 	ok = snap && ht_frame_put(out, &ht_snapshot_message(snap)->base, &err);
 	if (ok)
 		ht_message_count(
@@ -51,14 +53,24 @@
 	if (result.malformed)
 		ht_logger_event(link->params.log, HT_EV_SNAPSHOT_FAILED, "reason=malformed");
 	if (result.routes)
-		ht_feed_adopt_routes(feed, ht_snapshot_view(msg).routes.revision);
+		ht_feed_adopt_routes(feed, ht_snapshot_view(msg).routes.revision,
+				     msg->reading_level);
 	if (result.evacuations)
-		ht_feed_adopt_evacuations(feed, ht_snapshot_view(msg).evacuations);
+		ht_feed_adopt_evacuations(feed, ht_snapshot_view(msg).evacuations,
+					  msg->reading_level);
 	if (result.targets)
-		ht_feed_adopt_targets(feed, ht_snapshot_view(msg).targets, result.missing);
+		ht_feed_adopt_targets(feed, ht_snapshot_view(msg).targets, msg->reading_level,
+				      result.missing);
 	return result.changed;
 }
 
+bool ht_link_accepts(struct ht_link *link, uint32_t level)
+{
+	struct ht_view_state own = ht_link_view(link);
+
+	return ht_neighbours_accepts(link->neighbours, &own, level);
+}
+
 void ht_link_on_snapshot(void *ctx, struct ht_endpoint source, const Ht__EntrySnapshot *msg,
 			 size_t bytes, const char *error)
 {
@@ -74,6 +86,11 @@
 	}
 	ht_message_count(&link->params.stats->received[snapshot_kind(msg)], bytes);
 	ht_logger_merge_stamp(link->params.log, msg->clock);
+	if (!ht_link_accepts(link, msg->reading_level)) {
+		ht_logger_event(link->params.log, HT_EV_SNAPSHOT_FAILED,
+				"giver=%s reason=\"read by an earlier build\"", from);
+		return;
+	}
 	changed = ht_link_apply(link, msg);
 	ht_logger_event(link->params.log, HT_EV_SNAPSHOT_APPLIED,
 			"giver=%s bytes=%zu version=%llu targets_revision=%s base=%s "
--- a/tests/core/test_catalog.c
+++ b/tests/core/test_catalog.c
@@ -40,6 +40,23 @@
 }
 END_TEST
 
+/* Guards against a target that stays out of use because an instance of an earlier build, which
+ * could not read its entry, has told of its removal. */
+START_TEST(store_has_the_entry_that_was_told_to_be_gone)
+{
+	struct ht_target_entry e;
+
+	put_target(1, "stock", "here");
+	e = entry_of(1, "docs", "here");
+	ht_catalog_remove_target(cat, "i-1001", e.revision, now, now);
+	ck_assert_int_eq(ht_catalog_put_target(cat, &e, HT_CATALOG_NEIGHBOUR, now),
+			 HT_CATALOG_SAME);
+	ck_assert_int_eq(ht_catalog_put_target(cat, &e, HT_CATALOG_STORE, now), HT_CATALOG_CHANGED);
+	ck_assert(ht_catalog_by_name(cat, "i-1001")->eligible);
+	ck_assert_str_eq(ht_catalog_by_name(cat, "i-1001")->service->name, "docs");
+}
+END_TEST
+
 /* A newer object revision must not replace a configuration of a higher version. */
 START_TEST(lower_version_is_ignored)
 {
@@ -248,6 +265,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, older_revisions_are_ignored);
 	tcase_add_test(tc, second_deletion_raises_the_revision);
+	tcase_add_test(tc, store_has_the_entry_that_was_told_to_be_gone);
 	tcase_add_test(tc, lower_version_is_ignored);
 	tcase_add_test(tc, routes_missing_in_a_new_configuration_are_removed);
 	tcase_add_test(tc, listing_removes_only_older_targets_that_it_lacks);
--- a/tests/core/test_eras.c
+++ b/tests/core/test_eras.c
@@ -390,14 +390,14 @@
 	ck_assert(!ht_reading_next(&r, now, &call, &due));
 	ck_assert_int_eq(due, now + NEIGHBOUR_WAIT + STANDBY_MAX_AGE - WAIT);
 	now += 100;
-	ht_reading_adopt(&r, rev_of(5, 70), now);
+	ht_reading_adopt(&r, rev_of(5, 70), true, now);
 	ht_reading_proven_by_neighbour(&r, now - 20);
 	ck_assert(!ht_reading_next(&r, now, &call, &due));
 	ck_assert_int_eq(due, now - 20 + STANDBY_MAX_AGE);
 	ck_assert(ht_revision_equal(r.revision, rev_of(5, 70)));
 	/* Without a neighbour's view of the new era it lists itself. */
 	ht_reading_begin_era(&r, 6, now);
-	ht_reading_adopt(&r, rev_of(5, 99), now);
+	ht_reading_adopt(&r, rev_of(5, 99), true, now);
 	ck_assert(!ht_reading_next(&r, now, &call, &due));
 	now = due;
 	expect_listing();
@@ -451,7 +451,7 @@
 		ht_ms delay = (ht_ms)i * 100 < 310 ? (ht_ms)i * 100 : 310;
 
 		ht_reading_init(&instances[i], &reading_params, now);
-		ht_reading_adopt(&instances[i], rev_of(1, 90), now);
+		ht_reading_adopt(&instances[i], rev_of(1, 90), true, now);
 		ht_reading_proven_by_neighbour(&instances[i], now);
 		ht_reading_set_max_age(&instances[i], i ? STANDBY_MAX_AGE + delay : 0);
 		answer_due[i] = HT_NEVER;
@@ -502,7 +502,7 @@
 				continue;
 			if (ht_reading_begin_era(one, 2, now))
 				answer_due[i] = HT_NEVER;
-			ht_reading_adopt(one, rev_of(2, 60), now);
+			ht_reading_adopt(one, rev_of(2, 60), true, now);
 			ht_reading_proven_by_neighbour(one, read_at);
 		}
 	}
--- a/tests/core/test_neighbours.c
+++ b/tests/core/test_neighbours.c
@@ -88,6 +88,46 @@
 }
 END_TEST
 
+/* Guards against a view of an earlier build that undoes what this one has read: such an instance is
+ * neither the reader of the store nor a source while the own view is up to date. */
+START_TEST(instances_of_a_lower_level_are_not_relied_on)
+{
+	struct ht_view_state own = {.usable = true,
+				    .standby = true,
+				    .level = 2,
+				    .targets = rev(7),
+				    .routes = {0, rev(7)}};
+
+	heard(1, "here", 500, 9);
+	ck_assert(ht_neighbours_on_standby(nb, now));
+	ht_neighbours_set_level(nb, own.level);
+	ck_assert(!ht_neighbours_on_standby(nb, now));
+	ck_assert(!ht_neighbours_accepts(nb, &own, 1));
+	ck_assert(ht_neighbours_accepts(nb, &own, 2));
+	ck_assert(ht_neighbours_accepts(nb, &own, 3));
+	ck_assert_ptr_null(ht_neighbours_snapshot_source(nb, &own, now));
+	now += params.lag_max;
+	ck_assert_ptr_null(ht_neighbours_snapshot_source(nb, &own, now));
+	/* Better than none: the own view is outdated. */
+	own.targets_age = params.stale_after;
+	ck_assert(ht_neighbours_accepts(nb, &own, 0));
+	ck_assert_str_eq(ht_neighbours_snapshot_source(nb, &own, now)->name, "n1");
+}
+END_TEST
+
+START_TEST(first_view_is_taken_from_the_highest_level)
+{
+	struct ht_view_state view = {.usable = true, .targets = rev(9), .routes = {0, rev(9)}};
+	struct ht_view_state own = {0};
+
+	for (unsigned int i = 1; i < 9; i++)
+		heard(i, "here", 50, 9);
+	view.level = 1;
+	ht_neighbours_heard(nb, "n9", "there", at(9), 50, &view, now);
+	ck_assert_str_eq(ht_neighbours_snapshot_source(nb, &own, now)->name, "n9");
+}
+END_TEST
+
 START_TEST(new_instance_starts_on_standby)
 {
 	struct ht_neighbours *fresh = ht_neighbours_new(&params, now);
@@ -530,6 +570,8 @@
 
 	tcase_add_checked_fixture(tc, start, stop);
 	tcase_add_test(tc, larger_live_neighbour_reads_first);
+	tcase_add_test(tc, instances_of_a_lower_level_are_not_relied_on);
+	tcase_add_test(tc, first_view_is_taken_from_the_highest_level);
 	tcase_add_test(tc, new_instance_starts_on_standby);
 	tcase_add_test(tc, exactly_one_of_equal_instances_reads);
 	tcase_add_test(tc, outdated_views_are_fetched_by_highest_revision);
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -99,7 +99,7 @@
 START_TEST(late_and_stale_pages_are_not_usable)
 {
 	expect_call(false, true);
-	ht_reading_adopt(&r, rev(50), now);
+	ht_reading_adopt(&r, rev(50), true, now);
 	ck_assert(!ht_reading_usable(ht_reading_page(&r, rev(40), true, "m", now)));
 	ht_reading_history_gone(&r, now);
 	expect_call(false, false);
@@ -109,6 +109,48 @@
 }
 END_TEST
 
+/* Guards against a view of an earlier build that stays in force although it lacks changes: it is
+ * used, but the objects are listed at once, whoever proves the view meanwhile. */
+START_TEST(view_of_a_lower_level_is_listed_again)
+{
+	ht_reading_set_max_age(&r, STANDBY_AGE);
+	ht_reading_set_deferred(&r, true);
+	ht_reading_adopt(&r, rev(50), false, now);
+	ht_reading_proven_by_neighbour(&r, now);
+	ck_assert(r.listed && !r.verified);
+	expect_call(false, false);
+	/* Neither a difference nor a proof by a neighbour of the same build verifies the rest. */
+	ht_reading_adopt(&r, rev(51), true, now);
+	ck_assert(!r.verified);
+	ck_assert_int_eq(ht_reading_page(&r, rev(52), true, "m", now), HT_READING_MORE);
+	expect_call(false, false);
+	ck_assert_int_eq(ht_reading_page(&r, rev(53), false, "z", now), HT_READING_COMPLETE);
+	ck_assert(r.verified);
+	ck_assert_uint_eq(r.revision.number, 52);
+	ht_reading_adopt(&r, rev(60), true, now);
+	ck_assert(r.verified);
+	ck_assert(!ht_reading_next(&r, now, &call, &due));
+}
+END_TEST
+
+START_TEST(view_of_a_lower_level_does_not_interrupt_a_listing)
+{
+	expect_call(false, true);
+	ck_assert_int_eq(ht_reading_page(&r, rev(50), true, "m", now), HT_READING_MORE);
+	expect_call(false, true);
+	ht_reading_adopt(&r, rev(45), false, now);
+	ck_assert(r.listed && !r.verified);
+	ck_assert_int_eq(ht_reading_page(&r, rev(50), false, "z", now), HT_READING_COMPLETE);
+	ck_assert(r.verified);
+	/* It is older than the view that was taken over meanwhile. */
+	ht_reading_init(&r, &(struct ht_reading_params){.seed = 3, .wait = WAIT}, now);
+	expect_call(false, true);
+	ht_reading_adopt(&r, rev(60), false, now);
+	ck_assert_int_eq(ht_reading_page(&r, rev(50), false, "z", now), HT_READING_STALE);
+	expect_call(false, false);
+}
+END_TEST
+
 /* The listing must not request the same page forever. */
 START_TEST(page_without_progress_is_a_failure)
 {
@@ -166,12 +208,12 @@
 START_TEST(view_of_a_neighbour_replaces_the_listing)
 {
 	expect_call(false, true);
-	ht_reading_adopt(&r, rev(70), now);
+	ht_reading_adopt(&r, rev(70), true, now);
 	ck_assert_int_eq(ht_reading_page(&r, rev(60), false, "z", now), HT_READING_IGNORED);
 	ck_assert_uint_eq(r.revision.number, 70);
 	expect_call(true, false);
 	ck_assert_uint_eq(call.since, 70);
-	ht_reading_adopt(&r, rev(65), now);
+	ht_reading_adopt(&r, rev(65), true, now);
 	ck_assert_uint_eq(r.revision.number, 70);
 }
 END_TEST
@@ -204,7 +246,7 @@
 	r.params.start_delay = 30;
 	ck_assert(!ht_reading_next(&r, now, &call, &due));
 	ck_assert_int_eq(due, now + 30);
-	ht_reading_adopt(&r, rev(40), now);
+	ht_reading_adopt(&r, rev(40), true, now);
 	expect_call(true, false);
 	ck_assert_uint_eq(call.since, 40);
 }
@@ -219,7 +261,7 @@
 	ht_reading_set_deferred(&r, false);
 	expect_call(false, true);
 	ht_reading_set_deferred(&r, true);
-	ht_reading_adopt(&r, rev(44), now);
+	ht_reading_adopt(&r, rev(44), true, now);
 	ck_assert_int_eq(ht_reading_page(&r, rev(40), true, "q", now), HT_READING_IGNORED);
 	expect_call(true, false);
 	ck_assert_uint_eq(call.since, 44);
@@ -311,6 +353,8 @@
 	tcase_add_test(tc, listing_continues_after_the_last_name);
 	tcase_add_test(tc, watch_starts_at_the_oldest_page);
 	tcase_add_test(tc, late_and_stale_pages_are_not_usable);
+	tcase_add_test(tc, view_of_a_lower_level_is_listed_again);
+	tcase_add_test(tc, view_of_a_lower_level_does_not_interrupt_a_listing);
 	tcase_add_test(tc, page_without_progress_is_a_failure);
 	tcase_add_test(tc, proofs_come_at_regular_intervals);
 	tcase_add_test(tc, standby_reads_when_the_proof_is_old);
--- a/tests/entry/test_snapshot.c
+++ b/tests/entry/test_snapshot.c
@@ -578,6 +578,29 @@
 	ht_catalog_set_routes(cat, &table);
 }
 
+/* Guards against a configuration of which an earlier build has misread a route: once this instance
+ * has read the same one itself, that is in force, also after a difference. */
+START_TEST(configuration_of_a_lower_level_is_replaced)
+{
+	struct ht_route_entry e = {.at = {.ip = 1, .port = 443}, .service = "docs"};
+	struct ht_route_table table = {
+		.id = {8, rev(8)}, .count = 1, .entries = &e, .verified = true};
+
+	put_routes(from, 7, 443);
+	copy_all(5);
+	put_routes(from, 8, 443);
+	copy_changes(7, 5, 5);
+	ck_assert_uint_eq(ht_catalog_routes(to).version, 8);
+	ck_assert_str_eq(ht_catalog_route(to, e.at)->shares[0].service->name, "stock");
+	table.base = rev(7);
+	ck_assert_int_eq(ht_catalog_set_routes(to, &table), HT_CATALOG_SAME);
+	table.base = rev(0);
+	ck_assert_int_eq(ht_catalog_set_routes(to, &table), HT_CATALOG_CHANGED);
+	ck_assert_str_eq(ht_catalog_route(to, e.at)->shares[0].service->name, "docs");
+	ck_assert_int_eq(ht_catalog_set_routes(to, &table), HT_CATALOG_SAME);
+}
+END_TEST
+
 START_TEST(snapshot_carries_limits_of_cold_targets)
 {
 	struct ht_snapshot *snap;
@@ -651,6 +674,7 @@
 	tcase_add_test(tc, snapshot_stays_in_old_era_while_next_is_listed);
 	tcase_add_test(tc, requests_carry_eras);
 	tcase_add_test(tc, snapshot_carries_shares_and_unreadable_routes);
+	tcase_add_test(tc, configuration_of_a_lower_level_is_replaced);
 	tcase_add_test(tc, snapshot_carries_limits_of_cold_targets);
 	tcase_add_test(tc, earlier_builds_get_the_main_service);
 	tcase_add_test(tc, routes_of_earlier_builds_are_not_used);
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -701,7 +701,7 @@
   (ProtobufCMessageInit) ht__entry_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[23] =
+static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[24] =
 {
   {
     "self",
@@ -979,6 +979,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reading_level",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryGreeting, reading_level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_greeting__field_indices_by_name[] = {
   6,   /* field[6] = answer_wanted */
@@ -992,6 +1004,7 @@
   11,   /* field[11] = pass_on */
   19,   /* field[19] = read_era_behind */
   14,   /* field[14] = reader */
+  23,   /* field[23] = reading_level */
   4,   /* field[4] = routes_age_ms */
   18,   /* field[18] = routes_era_behind */
   8,   /* field[8] = routes_read_to */
@@ -1009,7 +1022,7 @@
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor ht__entry_greeting__descriptor =
 {
@@ -1019,7 +1032,7 @@
   "Ht__EntryGreeting",
   "ht",
   sizeof(Ht__EntryGreeting),
-  23,
+  24,
   ht__entry_greeting__field_descriptors,
   ht__entry_greeting__field_indices_by_name,
   2,  ht__entry_greeting__number_ranges,
@@ -1698,7 +1711,7 @@
   (ProtobufCMessageInit) ht__entry_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[27] =
+static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[28] =
 {
   {
     "routes_version",
@@ -2024,6 +2037,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reading_level",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntrySnapshot, reading_level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_snapshot__field_indices_by_name[] = {
   17,   /* field[17] = base_era */
@@ -2039,6 +2064,7 @@
   14,   /* field[14] = gone */
   2,   /* field[2] = has_routes */
   11,   /* field[11] = newest_revision */
+  27,   /* field[27] = reading_level */
   9,   /* field[9] = routes */
   8,   /* field[8] = routes_base */
   19,   /* field[19] = routes_base_era */
@@ -2060,7 +2086,7 @@
   { 4, 2 },
   { 6, 3 },
   { 10, 5 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor ht__entry_snapshot__descriptor =
 {
@@ -2070,7 +2096,7 @@
   "Ht__EntrySnapshot",
   "ht",
   sizeof(Ht__EntrySnapshot),
-  27,
+  28,
   ht__entry_snapshot__field_descriptors,
   ht__entry_snapshot__field_indices_by_name,
   4,  ht__entry_snapshot__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -141,10 +141,15 @@
    */
   uint64_t evacuations_revision;
   uint64_t evacuations_era_behind;
+  /*
+   * At which the sender's view was read, see HT_READING_LEVEL in core/reading.h; 0: by a build
+   * before level 1.
+   */
+  uint32_t reading_level;
 };
 #define HT__ENTRY_GREETING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_greeting__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -400,10 +405,14 @@
    */
   size_t n_services;
   Ht__EntryService **services;
+  /*
+   * as in a greeting
+   */
+  uint32_t reading_level;
 };
 #define HT__ENTRY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_snapshot__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Ht__EntryInstance methods */
