catalog: names of services, data centres and targets are of any length

Cause: names were kept in fields of 64 bytes, and the decoder took a longer one for none: the route was unreadable and kept its former meaning, and targets of such a service were left out. On the same path, a listing never got past an object with a name of 256 bytes or more at the end of a page.

Change: decoded entries borrow names from the answer, the catalogue copies them. The level of reading is raised, so that a configuration that such a build has read is read again.

--- a/bench/flowsim.c
+++ b/bench/flowsim.c
@@ -22,6 +22,7 @@
 #define DATA_AGAIN_MS 200
 #define OPEN_LIMIT_MS 1400
 #define WAITS_MAX 2000 /* ms of the table of waits */
+#define TARGET_NAME 32 /* size of a name */
 
 enum state {
 	OPENING,
@@ -117,7 +118,9 @@
 
 static void put_target(struct flowsim *sim, struct instance *in, const struct target *t)
 {
+	char name[TARGET_NAME];
 	struct ht_target_entry e = {
+		.name = name,
 		.id = 0x1000 + t->index,
 		.at = {.ip = 0x0a000001U + (uint32_t)t->index, .port = 8080},
 		.service = "stock",
@@ -128,13 +131,13 @@
 		.warmup = t->cold_until > sim->now ? t->cold_until - sim->now : 0,
 	};
 
-	snprintf(e.name, sizeof(e.name), "i-%zx", 0x1000 + t->index);
+	snprintf(name, sizeof(name), "i-%zx", 0x1000 + t->index);
 	ht_catalog_put_target(in->catalog, &e, HT_CATALOG_STORE, sim->now);
 }
 
 static struct ht_target *known(const struct instance *in, const struct target *t)
 {
-	char name[HT_CATALOG_NAME];
+	char name[TARGET_NAME];
 
 	snprintf(name, sizeof(name), "i-%zx", 0x1000 + t->index);
 	return ht_catalog_by_name(in->catalog, name);
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -4,14 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static void copy_name(char out[HT_CATALOG_NAME], const char *name)
-{
-	size_t len = strnlen(name, HT_CATALOG_NAME - 1);
-
-	memcpy(out, name, len);
-	out[len] = '\0';
-}
-
 struct ht_service *ht_catalog_service(struct ht_catalog *cat, const char *name)
 {
 	struct ht_service *s;
@@ -25,7 +17,11 @@
 	s = calloc(1, sizeof(*s));
 	if (!s)
 		return NULL;
-	copy_name(s->name, name);
+	s->name = strdup(name);
+	if (!s->name) {
+		free(s);
+		return NULL;
+	}
 	s->top_priority = UINT32_MAX;
 	s->answer_time = ht_histogram_of(&ht_histogram_calls);
 	ht_list_add_tail(&cat->services, &s->node);
@@ -45,7 +41,11 @@
 	dc = calloc(1, sizeof(*dc));
 	if (!dc)
 		return NULL;
-	copy_name(dc->name, name);
+	dc->name = strdup(name);
+	if (!dc->name) {
+		free(dc);
+		return NULL;
+	}
 	ht_list_add_tail(&cat->dcs, &dc->node);
 	return dc;
 }
@@ -142,6 +142,7 @@
 	ht_list_del(&t->node);
 	cat->target_count--;
 	free(t->flows_while_cold);
+	free(t->name);
 	free(t);
 }
 
@@ -157,10 +158,15 @@
 		struct ht_service *s = ht_container_of(pos, struct ht_service, node);
 
 		free(s->targets);
+		free(s->name);
 		free(s);
 	}
-	ht_list_for_each_safe (pos, tmp, &cat->dcs)
-		free(ht_container_of(pos, struct ht_dc, node));
+	ht_list_for_each_safe (pos, tmp, &cat->dcs) {
+		struct ht_dc *dc = ht_container_of(pos, struct ht_dc, node);
+
+		free(dc->name);
+		free(dc);
+	}
 	ht_catalog_clear_routes(cat);
 	ht_hmap_clear(&cat->by_mark);
 	ht_hmap_clear(&cat->by_name);
@@ -205,7 +211,11 @@
 
 	if (!t)
 		return NULL;
-	copy_name(t->name, e->name);
+	t->name = strdup(e->name);
+	if (!t->name) {
+		free(t);
+		return NULL;
+	}
 	t->id = e->id;
 	t->started = e->started;
 	t->gone_at = HT_NEVER;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -20,9 +20,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Size of the name of a service, data centre or target, with the terminating NUL. */
-#define HT_CATALOG_NAME 64
-
 /** Marks per target: a flow uses the second if the first collides with another target's mark. */
 #define HT_TARGET_MARKS 2
 
@@ -37,15 +34,20 @@
 	return a.ip == b.ip && a.port == b.port;
 }
 
+/*
+ * Names of services, data centres and targets are of any length. The entries below borrow them from
+ * the message that they were decoded from; the catalogue copies what it keeps.
+ */
+
 /** A service of a route that splits its new flows. */
 struct ht_share_entry {
-	char service[HT_CATALOG_NAME];
+	const char *service;
 	uint32_t weight; /**< relative to the other services of the route; 0: no new flows */
 };
 
 /** What the configuration says of a service; services without such a limit are not listed. */
 struct ht_service_entry {
-	char name[HT_CATALOG_NAME];
+	const char *name;
 	uint32_t warmup_rate; /**< requests that a cold target bears, in thousandths per second */
 	ht_ms warmup;	      /**< time for which a target is cold */
 	bool unreadable;      /**< only the name is known; the service keeps its former limit */
@@ -54,8 +56,8 @@
 /** Address that callers use, and the services that it maps to. */
 struct ht_route_entry {
 	struct ht_endpoint at;
-	char service[HT_CATALOG_NAME]; /**< gets all new flows, unless share_count is set */
-	size_t first_share;	       /**< index in ht_route_table.shares */
+	const char *service; /**< gets all new flows, unless share_count is set */
+	size_t first_share;  /**< index in ht_route_table.shares */
 	size_t share_count;
 	uint32_t priority; /**< 0 is the highest */
 	bool idempotent;   /**< requests may be executed more than once */
@@ -102,11 +104,11 @@
 
 /** Decoded entry of a target in the store. */
 struct ht_target_entry {
-	char name[HT_CATALOG_NAME];
+	const char *name;
 	uint64_t id; /**< identifies the target in packets; not 0 */
 	struct ht_endpoint at;
-	char service[HT_CATALOG_NAME];
-	char dc[HT_CATALOG_NAME];
+	const char *service;
+	const char *dc;
 	uint32_t slots; /**< requests that it can run concurrently */
 	bool draining;
 	ht_ms warmup;	 /**< remaining time of its slow phase after the start */
@@ -125,7 +127,7 @@
 
 struct ht_service {
 	struct ht_list node;
-	char name[HT_CATALOG_NAME];
+	char *name;
 	struct ht_target **targets; /**< that the platform allows to get new flows */
 	size_t count, capacity;
 	uint64_t open;	       /**< sum of the open flows of @targets */
@@ -139,7 +141,7 @@
 
 struct ht_dc {
 	struct ht_list node;
-	char name[HT_CATALOG_NAME];
+	char *name;
 	bool local;
 	bool evacuated;		  /**< its targets get no new flows */
 	bool evacuation_listed;	  /* by the current listing */
@@ -158,7 +160,7 @@
 struct ht_target {
 	struct ht_hnode by_name;
 	struct ht_list node;
-	char name[HT_CATALOG_NAME];
+	char *name;
 	uint64_t id;
 	struct ht_endpoint at;
 	struct ht_service *service;
--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -28,7 +28,7 @@
 
 struct ht_neighbours {
 	struct ht_neighbours_params params;
-	char name[HT_CATALOG_NAME], dc[HT_CATALOG_NAME];
+	char name[HT_NEIGHBOUR_NAME], dc[HT_NEIGHBOUR_NAME];
 	struct ht_list list;
 	size_t count;
 	ht_ms started_at, snapshot_at;
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -14,6 +14,10 @@
 /** Maximum number of greetings in one round. */
 #define HT_GREETING_FANOUT 4
 
+/** Size of the name of an instance or of its data centre, with the NUL; longer ones are cut short.
+ */
+#define HT_NEIGHBOUR_NAME 64
+
 /** Maximum number of other data centres to which an announcement is sent directly. */
 #define HT_REPRESENTATIVES_MAX 32
 
@@ -45,8 +49,8 @@
 
 struct ht_neighbour {
 	struct ht_list node; /**< sorted by heard_at, newest first */
-	char name[HT_CATALOG_NAME];
-	char dc[HT_CATALOG_NAME];
+	char name[HT_NEIGHBOUR_NAME];
+	char dc[HT_NEIGHBOUR_NAME];
 	struct ht_endpoint at;
 	bool local;
 	uint32_t size; /**< configured share of a CPU core, in thousandths */
--- a/core/reading.c
+++ b/core/reading.c
@@ -2,7 +2,7 @@
 
 #include "base/hash.h"
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Retry delays after failed calls. Retries load the platform, but changes must be applied within
@@ -28,6 +28,12 @@
 	};
 }
 
+void ht_reading_clear(struct ht_reading *r)
+{
+	free(r->after);
+	r->after = NULL;
+}
+
 void ht_reading_set_max_age(struct ht_reading *r, ht_ms max_age)
 {
 	r->max_age = max_age;
@@ -98,10 +104,11 @@
 		*due = next_due(r);
 		return false;
 	}
-	*call = (struct ht_reading_call){.watch = !r->listing};
+	*call = (struct ht_reading_call){.watch = !r->listing, .after = ""};
 	if (r->listing) {
 		call->stale_ok = !r->exact_list;
-		snprintf(call->after, sizeof(call->after), "%s", r->after);
+		if (r->after)
+			call->after = r->after;
 	} else {
 		call->since = r->revision.number;
 		call->wait = watch_wait(r, now);
@@ -118,7 +125,7 @@
 	r->listing = true;
 	r->first_page = true;
 	r->exact_list = true;
-	r->after[0] = '\0';
+	ht_reading_clear(r);
 	r->due = due;
 }
 
@@ -170,10 +177,25 @@
 		r->verify_at = now;
 }
 
+/* Remembers the name after which the listing continues. False if it is the same as before. */
+static bool advance(struct ht_reading *r, const char *last)
+{
+	char *after;
+
+	if (!last[0] || (r->after && strcmp(last, r->after) == 0))
+		return false;
+	after = strdup(last);
+	if (!after)
+		return false;
+	free(r->after);
+	r->after = after;
+	return true;
+}
+
 enum ht_reading_result ht_reading_page(struct ht_reading *r, struct ht_revision revision, bool more,
 				       const char *last, ht_ms now)
 {
-	if (r->listing && more && (!last[0] || strcmp(last, r->after) == 0)) {
+	if (r->listing && more && !advance(r, last)) {
 		ht_reading_failed(r, now);
 		return HT_READING_NO_PROGRESS;
 	}
@@ -193,17 +215,15 @@
 		restart_listing(r, now);
 		return HT_READING_STALE;
 	}
-	if (more) {
-		snprintf(r->after, sizeof(r->after), "%s", last);
+	if (more)
 		return HT_READING_MORE;
-	}
 	r->listing = false;
 	r->listed = true;
 	r->verified = true;
 	r->revision = r->list_revision;
 	/* Only the next read returns the changes made since the oldest page. */
 	r->proven_at = r->exact_list ? r->list_call_at : HT_NEVER;
-	r->after[0] = '\0';
+	ht_reading_clear(r);
 	return HT_READING_COMPLETE;
 }
 
--- a/core/reading.h
+++ b/core/reading.h
@@ -24,12 +24,9 @@
  * Level of reading of this build, raised when a fix changes what is read from the store. A view
  * read at a lower level, also one that was taken over from an instance of an earlier build, may
  * lack changes for good: it serves until this instance has listed the store itself. 1: a listing
- * counts as of its oldest page.
+ * counts as of its oldest page. 2: names are of any length.
  */
-#define HT_READING_LEVEL 1
-
-/** Size of the name after which a listing continues, with the terminating NUL. */
-#define HT_READING_NAME 256
+#define HT_READING_LEVEL 2
 
 struct ht_reading_params {
 	uint64_t seed;
@@ -45,9 +42,10 @@
 };
 
 struct ht_reading_call {
-	bool watch;		     /**< else a listing */
-	bool stale_ok;		     /**< an answer that is seconds old is acceptable */
-	char after[HT_READING_NAME]; /**< a listing continues after this name; "" for its start */
+	bool watch;    /**< else a listing */
+	bool stale_ok; /**< an answer that is seconds old is acceptable */
+	/** A listing continues after this name, "" for its start; valid until the next call. */
+	const char *after;
 	uint64_t since; /**< a watch returns the changes after this revision of the era */
 	ht_ms wait;
 };
@@ -63,8 +61,8 @@
 	bool deferred;
 	bool busy;
 	struct ht_reading_call call;
-	char after[HT_READING_NAME];
-	uint64_t era;			  /* the newest that a read has proven */
+	char *after;  /* the listing continues after this name; NULL: at its start */
+	uint64_t era; /* the newest that a read has proven */
 	struct ht_revision list_revision; /* of the oldest page of the current listing */
 	struct ht_revision revision;	  /* all changes up to here are known */
 	ht_ms call_at, list_call_at;	  /* start of the last call, and of the first page's */
@@ -77,6 +75,8 @@
 };
 
 void ht_reading_init(struct ht_reading *r, const struct ht_reading_params *params, ht_ms now);
+/** Frees what @r holds. */
+void ht_reading_clear(struct ht_reading *r);
 
 /** Reads only when the proof is @max_age old; 0 keeps a watch open at the platform. */
 void ht_reading_set_max_age(struct ht_reading *r, ht_ms max_age);
@@ -107,11 +107,12 @@
 void ht_reading_verify_era(struct ht_reading *r, ht_ms now);
 
 enum ht_reading_result {
-	HT_READING_MORE,	/**< page accepted, the listing continues */
-	HT_READING_COMPLETE,	/**< the listing is complete as of list_revision */
-	HT_READING_STALE,	/**< older than the known revision; the listing restarts, exact */
-	HT_READING_IGNORED,	/**< a neighbour's view was adopted during the call */
-	HT_READING_NO_PROGRESS, /**< the page does not advance the listing: a failed call */
+	HT_READING_MORE,     /**< page accepted, the listing continues */
+	HT_READING_COMPLETE, /**< the listing is complete as of list_revision */
+	HT_READING_STALE,    /**< older than the known revision; the listing restarts, exact */
+	HT_READING_IGNORED,  /**< a neighbour's view was adopted during the call */
+	/** The page does not advance the listing, or out of memory: a failed call. */
+	HT_READING_NO_PROGRESS,
 };
 
 /** True if the content of a page with this result may be used. */
--- a/entry/feed.c
+++ b/entry/feed.c
@@ -201,7 +201,7 @@
 	for (size_t i = 0; i < reply->unreadable_count && i < HT_STORE_UNREADABLE_MAX; i++)
 		ht_logger_event(src->feed->params.log, HT_EV_ROUTE_UNREADABLE,
 				"route=%s version=%llu reason=\"%s\" count=%zu",
-				reply->unreadable[i].name[0] ? reply->unreadable[i].name : "-",
+				reply->unreadable[i].name ? reply->unreadable[i].name : "-",
 				(unsigned long long)reply->routes.id.version,
 				reply->unreadable[i].reason, reply->unreadable_count);
 	src->feed->params.stats->routes_unreadable += reply->unreadable_count;
@@ -579,8 +579,10 @@
 {
 	if (!feed)
 		return;
-	for (int kind = 0; kind < HT_STORE_KINDS; kind++)
+	for (int kind = 0; kind < HT_STORE_KINDS; kind++) {
 		ev_timer_stop(feed->params.loop, &feed->sources[kind].timer);
+		ht_reading_clear(&feed->sources[kind].reading);
+	}
 	ht_store_free(feed->store);
 	free(feed);
 }
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -10,7 +10,7 @@
 #include <ev.h>
 
 /**
- * Largest greeting datagram: names of up to HT_CATALOG_NAME and a few numbers for each known
+ * Largest greeting datagram: names of up to HT_NEIGHBOUR_NAME and a few numbers for each known
  * neighbour.
  */
 #define HT_LINK_GREETING_MAX 2048
@@ -27,7 +27,7 @@
 
 /* The instance that has read the store; the name is empty if the announcement names none. */
 struct ht_link_reader {
-	char name[HT_CATALOG_NAME];
+	char name[HT_NEIGHBOUR_NAME];
 	uint32_t size;
 };
 
--- a/tests/core/test_reading.c
+++ b/tests/core/test_reading.c
@@ -3,6 +3,8 @@
 #include "tests/revision.h"
 #include "tests/suite.h"
 
+#include <string.h>
+
 #define WAIT 1500
 #define STANDBY_AGE 1800
 #define HOLD 2500
@@ -109,6 +111,24 @@
 }
 END_TEST
 
+/* Guards against a listing that never gets past an object with a long name. */
+START_TEST(listing_continues_after_a_long_name)
+{
+	char name[1001];
+
+	memset(name, 'n', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	expect_call(false, true);
+	ck_assert_int_eq(ht_reading_page(&r, rev(40), true, name, now), HT_READING_MORE);
+	expect_call(false, true);
+	ck_assert_str_eq(call.after, name);
+	ck_assert_int_eq(ht_reading_page(&r, rev(40), true, name, now), HT_READING_NO_PROGRESS);
+	ht_reading_history_gone(&r, now);
+	expect_call(false, false);
+	ck_assert_str_eq(call.after, "");
+}
+END_TEST
+
 /* Guards against a view of an earlier build that stays in force although it lacks changes: it is
  * used, but the objects are listed at once, whoever proves the view meanwhile. */
 START_TEST(view_of_a_lower_level_is_listed_again)
@@ -351,6 +371,7 @@
 	tcase_add_checked_fixture(tc, start, NULL);
 	tcase_add_test(tc, cheap_listing_is_confirmed_by_an_exact_read);
 	tcase_add_test(tc, listing_continues_after_the_last_name);
+	tcase_add_test(tc, listing_continues_after_a_long_name);
 	tcase_add_test(tc, watch_starts_at_the_oldest_page);
 	tcase_add_test(tc, late_and_stale_pages_are_not_usable);
 	tcase_add_test(tc, view_of_a_lower_level_is_listed_again);
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -1711,7 +1711,7 @@
   (ProtobufCMessageInit) ht__entry_gone__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[28] =
+static const ProtobufCFieldDescriptor ht__entry_snapshot__field_descriptors[29] =
 {
   {
     "routes_version",
@@ -2049,6 +2049,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "long_names",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntrySnapshot, long_names),
+    &ht__entry_snapshot__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_snapshot__field_indices_by_name[] = {
   17,   /* field[17] = base_era */
@@ -2063,6 +2075,7 @@
   6,   /* field[6] = format */
   14,   /* field[14] = gone */
   2,   /* field[2] = has_routes */
+  28,   /* field[28] = long_names */
   11,   /* field[11] = newest_revision */
   27,   /* field[27] = reading_level */
   9,   /* field[9] = routes */
@@ -2086,7 +2099,7 @@
   { 4, 2 },
   { 6, 3 },
   { 10, 5 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor ht__entry_snapshot__descriptor =
 {
@@ -2096,7 +2109,7 @@
   "Ht__EntrySnapshot",
   "ht",
   sizeof(Ht__EntrySnapshot),
-  28,
+  29,
   ht__entry_snapshot__field_descriptors,
   ht__entry_snapshot__field_indices_by_name,
   4,  ht__entry_snapshot__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -382,7 +382,7 @@
    */
   uint32_t content;
   /*
-   * without a former meaning
+   * without a meaning to the receiver
    */
   size_t n_routes_unreadable;
   Ht__EntryAddress **routes_unreadable;
@@ -409,10 +409,16 @@
    * as in a greeting
    */
   uint32_t reading_level;
+  /*
+   * Routes, services, evacuations and targets with names of more than 63 bytes, which builds below
+   * reading level 2 refuse. It has texts, started_ms and newest_revision of its own. Such routes
+   * are in routes_unreadable, too, and such targets in `gone` of a difference.
+   */
+  Ht__EntrySnapshot *long_names;
 };
 #define HT__ENTRY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_snapshot__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
 
 
 /* Ht__EntryInstance methods */
