platform: a value that cannot be read costs its field only

Cause: an answer of the store was parsed as a whole, and the parser refuses all of it for one such value. Each listing and watch of the kind failed.

Evidence: with the former decoder, unreadable_value_costs_its_entry_only, unreadable_value_in_a_watch_costs_its_event_only and unreadable_value_in_the_configuration fail.

Change: an answer that the parser refuses is parsed again with such values replaced by null, which is a field of another type. The parser is asked for each string and number whether it can be read. An answer that is cut off or no JSON still fails (broken_answers_are_failures). 6023 STORE_VALUES_UNREADABLE names the first object and field. Answers without such values are parsed once, as before.

--- a/entry/feed.c
+++ b/entry/feed.c
@@ -196,6 +196,16 @@
 	return answer == HT_READING_CURRENT_ERA;
 }
 
+static void log_repair(struct source *src, const struct ht_store_reply *reply)
+{
+	if (reply->repair.count)
+		ht_logger_event(
+			src->feed->params.log, HT_EV_STORE_VALUES_UNREADABLE,
+			"kind=%s object=%s field=%s count=%zu", ht_store_kind_name(src->kind),
+			reply->repaired_object ? reply->repaired_object : "-",
+			reply->repair.field[0] ? reply->repair.field : "-", reply->repair.count);
+}
+
 static void log_unreadable(struct source *src, const struct ht_store_reply *reply)
 {
 	for (size_t i = 0; i < reply->unreadable_count && i < HT_STORE_UNREADABLE_MAX; i++)
@@ -213,6 +223,7 @@
 		apply_target(src, &reply->targets[i], now);
 	for (size_t i = 0; i < reply->evacuation_count; i++)
 		apply_evacuation(src, &reply->evacuations[i], now);
+	log_repair(src, reply);
 	log_unreadable(src, reply);
 	if (reply->has_routes)
 		apply_routes(src, &reply->routes);
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -1,9 +1,11 @@
-/* What the platform sends: the first byte chooses packets, listings, changes, eras or settings. */
+/* What the platform sends: the first byte chooses packets, listings, changes, eras, settings or an
+ * entry among sound ones. */
 #include "entry/settings.h"
 #include "platform/era.h"
 #include "platform/packet.h"
 #include "platform/store.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -69,6 +71,43 @@
 	free(field);
 }
 
+#define SOUND_ENTRY                                                                                \
+	"{\"meta\":{\"name\":\"i-%d\",\"rev\":%d},\"spec\":{\"service\":\"a\",\"zone\":\"z\","     \
+	"\"address\":\"10.0.0.1:80\",\"configVersion\":\"v\",\"concurrency\":3,\"state\":"         \
+	"\"ready\","                                                                               \
+	"\"warmupLeftMs\":0,\"sequence\":1,\"born\":5}}"
+
+/* A text with any bytes in one entry: those around it must be read. */
+static void odd_entry(const uint8_t *data, size_t len)
+{
+	struct ht_store_reply reply = {0};
+	char *text = NULL;
+	size_t size;
+	FILE *out = open_memstream(&text, &size);
+
+	if (!out)
+		return;
+	fprintf(out,
+		"{\"items\":[" SOUND_ENTRY
+		",{\"meta\":{\"name\":\"i-2\",\"rev\":2},\"spec\":{\"x\":\"",
+		1, 1);
+	for (size_t i = 0; i < len; i++) {
+		if (data[i] == '\\' && i + 1 < len)
+			fputc(data[i++], out);
+		if (data[i] != '"' && data[i] != '\\')
+			fputc(data[i], out);
+		else
+			fputc('n', out);
+	}
+	fprintf(out, "\"}}," SOUND_ENTRY "],\"at\":9}", 3, 3);
+	fclose(out);
+	if (!ht_store_decode(HT_STORE_TARGETS, text, size, &reply) || reply.target_count != 3 ||
+	    !reply.targets[0].usable || reply.targets[1].usable || !reply.targets[2].usable)
+		__builtin_trap();
+	ht_store_reply_clear(&reply);
+	free(text);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	struct ht_entry_settings set;
@@ -76,7 +115,7 @@
 
 	if (!size)
 		return 0;
-	switch (data[0] % 8) {
+	switch (data[0] % 9) {
 	case 0:
 		packet(data + 1, size - 1);
 		break;
@@ -95,6 +134,9 @@
 	case 6:
 		answer(HT_STORE_EVACUATIONS, false, (const char *)data + 1, size - 1);
 		break;
+	case 8:
+		odd_entry(data + 1, size - 1);
+		break;
 	case 7:
 		answer(HT_STORE_EVACUATIONS, true, (const char *)data + 1, size - 1);
 		break;
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -286,6 +286,117 @@
 }
 END_TEST
 
+/* What the parser refuses, at the end of a nested value. */
+static const char *const refused[] = {
+	"\"a\\u0000b\"",
+	"18446744073709551615",
+	"-9223372036854775809",
+	"1e999",
+	"\"\\ud800\"",
+	"\"\\udc00x\"",
+	"\"\xff\xfe\"",
+	"\"\x01\"",
+	"\"\\x\"",
+	"{\"k\\u0000\":[1,{}]}",
+	"NaN",
+	"01",
+};
+
+static void check_sound_neighbours(const char *bad)
+{
+	char text[8192];
+
+	snprintf(text, sizeof(text),
+		 "{\"items\":[{\"meta\":{\"name\":\"i-1\",\"rev\":1},\"spec\":{\"service\":\"a\","
+		 "\"zone\":\"z\",\"address\":\"10.0.0.1:80\",\"concurrency\":3,\"state\":\"ready\","
+		 "\"configVersion\":\"v1\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":5}},"
+		 "{\"meta\":{\"name\":\"i-2\",\"rev\":2},\"spec\":{\"service\":[{\"x\":%s}]}},"
+		 "{\"meta\":{\"name\":\"i-3\",\"rev\":3},\"spec\":{\"service\":\"c\","
+		 "\"zone\":\"z\",\"address\":\"10.0.0.3:80\",\"concurrency\":3,\"state\":\"ready\","
+		 "\"configVersion\":\"v1\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":5}}],\"at\":"
+		 "9}",
+		 bad);
+	ck_assert_msg(decode(HT_STORE_TARGETS, text), "%s", bad);
+	ck_assert_uint_eq(reply.target_count, 3);
+	ck_assert(reply.targets[0].usable && reply.targets[2].usable);
+	ck_assert(!reply.targets[1].usable);
+	ck_assert_str_eq(reply.targets[1].entry.name, "i-2");
+	ck_assert_str_eq(reply.targets[2].entry.service, "c");
+	ck_assert_str_eq(reply.repaired_object, "i-2");
+}
+
+/* Guards against one entry of another writer that costs the whole listing, so that no instance has
+ * a view (docs/incidents/unreadable-entries.md). */
+START_TEST(unreadable_value_costs_its_entry_only)
+{
+	char deep[6002];
+
+	for (size_t i = 0; i < sizeof(refused) / sizeof(refused[0]); i++)
+		check_sound_neighbours(refused[i]);
+	memset(deep, '[', 3000);
+	memset(deep + 3000, ']', 3000);
+	deep[6000] = '\0';
+	check_sound_neighbours(deep);
+}
+END_TEST
+
+START_TEST(unreadable_value_in_a_watch_costs_its_event_only)
+{
+	reply.watch = true;
+	ck_assert(decode(HT_STORE_TARGETS,
+			 "{\"events\":[{\"deleted\":false,\"object\":{\"meta\":{\"name\":"
+			 "\"i-1\",\"rev\":1},\"spec\":{\"zone\":\"\\u0000\"}}},"
+			 "{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"i-2\",\"rev\":2},"
+			 "\"spec\":7}}],\"at\":9}"));
+	ck_assert_uint_eq(reply.target_count, 2);
+	ck_assert(!reply.targets[0].usable && !reply.targets[0].deleted);
+	ck_assert(reply.targets[1].deleted);
+	ck_assert_str_eq(reply.repaired_object, "i-1");
+	ck_assert_str_eq(reply.repair.field, "zone");
+	ck_assert_uint_eq(reply.repair.count, 1);
+}
+END_TEST
+
+/* A value that is not read changes nothing, and one that is costs its route only. */
+START_TEST(unreadable_value_in_the_configuration)
+{
+	for (size_t i = 0; i < sizeof(refused) / sizeof(refused[0]); i++) {
+		char text[1024];
+
+		snprintf(text, sizeof(text),
+			 "{\"items\":[{\"meta\":{\"name\":\"main\",\"rev\":4},\"spec\":{"
+			 "\"configVersion\":7,\"limits\":{\"maxBodyBytes\":%s},\"services\":[],"
+			 "\"routes\":[{\"name\":\"r-1\",\"hostname\":\"198.18.0.1\","
+			 "\"pathPrefix\":\"/80/\",\"service\":%s},{\"name\":\"r-2\","
+			 "\"hostname\":\"198.18.0.1\",\"pathPrefix\":\"/81/\","
+			 "\"service\":\"b\"}]}}],\"at\":9}",
+			 refused[i], refused[i]);
+		ck_assert_msg(decode(HT_STORE_ROUTES, text), "%s", refused[i]);
+		ck_assert_uint_eq(reply.routes.count, 2);
+		ck_assert(reply.routes.entries[0].unreadable);
+		ck_assert_str_eq(reply.routes.entries[1].service, "b");
+		ck_assert_str_eq(reply.repair.field, "maxBodyBytes");
+		ck_assert_str_eq(reply.repaired_object, "main");
+	}
+}
+END_TEST
+
+START_TEST(broken_answers_are_failures)
+{
+	static const char *const texts[] = {
+		"",
+		"<html>\"no\"</html>",
+		"{\"items\":[],\"at\":9",
+		"{\"items\":[\"\\u0000",
+		"{\"items\":[{}]]",
+		"{\"items\":[]} {}",
+	};
+
+	for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++)
+		ck_assert_msg(!decode(HT_STORE_TARGETS, texts[i]), "%s", texts[i]);
+}
+END_TEST
+
 #define LONG "cooperativa-plumeros-del-litoral.almacen.existencias-y-envios.version-2"
 
 /* Guards against a route that keeps its former service, and targets that are left out, because a
@@ -398,6 +509,10 @@
 	tcase_add_test(tc, decodes_limits_of_cold_targets);
 	tcase_add_test(tc, limit_that_cannot_be_read_is_not_absent);
 	tcase_add_test(tc, mangled_route_is_unreadable_and_not_absent);
+	tcase_add_test(tc, unreadable_value_costs_its_entry_only);
+	tcase_add_test(tc, unreadable_value_in_a_watch_costs_its_event_only);
+	tcase_add_test(tc, unreadable_value_in_the_configuration);
+	tcase_add_test(tc, broken_answers_are_failures);
 	tcase_add_test(tc, names_of_any_length_are_read);
 	tcase_add_test(tc, decodes_evacuations);
 	tcase_add_test(tc, route_without_valid_priority_comes_last);
