entry: views of lower levels are accepted by the bounds, not after 3 s

Cause, found by reading: an instance of this build beside earlier ones took a view of a lower level once its own proof was older than stale_after (3 s). Where the bounds are 6 s it reads the store itself only every 3.6 s, so it would have taken such a view, and listed the store again, at every read.

Change: it accepts one when its own proof is as old as the larger bound. The test long_bounds_do_not_make_lower_levels_acceptable needs the new parameter.

--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -71,6 +71,7 @@
 		.startup_standby = 1500,
 		.settle_after = 10000,
 		.stale_after = 3000,
+		.accept_after = 3000,
 		.lag_max = 500,
 		.snapshot_pause = 1000,
 		.retry_pause = 50,
@@ -537,7 +538,10 @@
 bool ht_neighbours_accepts(const struct ht_neighbours *nb, const struct ht_view_state *own,
 			   uint32_t level)
 {
-	return level >= own->level || is_old(nb, own->targets_age) || is_old(nb, own->routes_age);
+	ht_ms limit = nb->params.accept_after;
+
+	return level >= own->level || own->targets_age == HT_NEVER || own->routes_age == HT_NEVER ||
+	       own->targets_age >= limit || own->routes_age >= limit;
 }
 
 static bool has_newer_view(const struct ht_neighbours *nb, const struct ht_neighbour *n,
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -70,9 +70,11 @@
 	ht_ms startup_standby; /**< an instance is on standby for this long after its start */
 	ht_ms settle_after;    /**< then it knows its data centre, and is known there */
 	ht_ms stale_after;     /**< fetches a snapshot when the view was proven this long ago */
-	ht_ms lag_max;	       /**< fetches a snapshot after being behind for this long */
-	ht_ms snapshot_pause;  /**< minimum time between two snapshots */
-	ht_ms retry_pause;     /**< the same for an instance without a view... */
+	ht_ms accept_after; /**< accepts views of lower levels when its own was proven this long ago
+			     */
+	ht_ms lag_max;	    /**< fetches a snapshot after being behind for this long */
+	ht_ms snapshot_pause;	 /**< minimum time between two snapshots */
+	ht_ms retry_pause;	 /**< the same for an instance without a view... */
 	ht_ms same_source_pause; /**< ...and between its requests to one neighbour */
 };
 
@@ -82,7 +84,7 @@
 
 /**
  * True if a view read at @level may replace the view @own: it was read at the same level or a
- * higher one, or @own is outdated.
+ * higher one, or @own was proven params.accept_after ago, or never.
  */
 bool ht_neighbours_accepts(const struct ht_neighbours *nb, const struct ht_view_state *own,
 			   uint32_t level);
--- a/entry/link.c
+++ b/entry/link.c
@@ -391,6 +391,13 @@
 	}
 }
 
+/* An own view in which a change may be missing for longer than allowed is not better than one of an
+ * earlier build. */
+static ht_ms accept_after(const struct ht_entry_settings *set)
+{
+	return (ht_ms)(set->drain_bound > set->config_bound ? set->drain_bound : set->config_bound);
+}
+
 struct ht_link *ht_link_new(const struct ht_link_params *params, struct ht_err *err)
 {
 	const struct ht_entry_settings *set = params->settings;
@@ -413,6 +420,7 @@
 	nb.name = set->instance;
 	nb.dc = set->data_centre;
 	nb.size = (uint32_t)(set->core_share * SIZE_UNIT);
+	nb.accept_after = accept_after(set);
 	link->neighbours = ht_neighbours_new(&nb, ht_now());
 	if (!link->neighbours)
 		ht_err_set(err, HT_ENOMEM, "out of memory");
--- a/tests/core/test_neighbours.c
+++ b/tests/core/test_neighbours.c
@@ -109,12 +109,36 @@
 	now += params.lag_max;
 	ck_assert_ptr_null(ht_neighbours_snapshot_source(nb, &own, now));
 	/* Better than none: the own view is outdated. */
-	own.targets_age = params.stale_after;
+	own.targets_age = params.accept_after;
 	ck_assert(ht_neighbours_accepts(nb, &own, 0));
 	ck_assert_str_eq(ht_neighbours_snapshot_source(nb, &own, now)->name, "n1");
 }
 END_TEST
 
+/* Guards against listings without end beside instances of an earlier build: where changes may take
+ * long to be applied, the own view is read less often than every params.stale_after. */
+START_TEST(long_bounds_do_not_make_lower_levels_acceptable)
+{
+	struct ht_view_state own = {.usable = true,
+				    .standby = true,
+				    .level = 2,
+				    .targets = rev(7),
+				    .routes = {0, rev(7)},
+				    .targets_age = 5999,
+				    .routes_age = 5999};
+	struct ht_neighbours *slow;
+
+	params.accept_after = 6000;
+	slow = ht_neighbours_new(&params, now);
+	ck_assert(!ht_neighbours_accepts(slow, &own, 1));
+	own.routes_age = 6000;
+	ck_assert(ht_neighbours_accepts(slow, &own, 1));
+	own.routes_age = HT_NEVER;
+	ck_assert(ht_neighbours_accepts(slow, &own, 1));
+	ht_neighbours_free(slow);
+}
+END_TEST
+
 START_TEST(first_view_is_taken_from_the_highest_level)
 {
 	struct ht_view_state view = {.usable = true, .targets = rev(9), .routes = {0, rev(9)}};
@@ -571,6 +595,7 @@
 	tcase_add_checked_fixture(tc, start, stop);
 	tcase_add_test(tc, larger_live_neighbour_reads_first);
 	tcase_add_test(tc, instances_of_a_lower_level_are_not_relied_on);
+	tcase_add_test(tc, long_bounds_do_not_make_lower_levels_acceptable);
 	tcase_add_test(tc, first_view_is_taken_from_the_highest_level);
 	tcase_add_test(tc, new_instance_starts_on_standby);
 	tcase_add_test(tc, exactly_one_of_equal_instances_reads);
