--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -14,8 +14,7 @@
 /** Maximum number of greetings in one round. */
 #define HT_GREETING_FANOUT 4
 
-/** Size of the name of an instance or of its data centre, with the NUL; longer ones are cut short.
- */
+/** Size of the name of an instance or data centre, with the NUL; longer ones are cut short. */
 #define HT_NEIGHBOUR_NAME 64
 
 /** Maximum number of other data centres to which an announcement is sent directly. */
@@ -70,11 +69,10 @@
 	ht_ms startup_standby; /**< an instance is on standby for this long after its start */
 	ht_ms settle_after;    /**< then it knows its data centre, and is known there */
 	ht_ms stale_after;     /**< fetches a snapshot when the view was proven this long ago */
-	ht_ms accept_after; /**< accepts views of lower levels when its own was proven this long ago
-			     */
-	ht_ms lag_max;	    /**< fetches a snapshot after being behind for this long */
-	ht_ms snapshot_pause;	 /**< minimum time between two snapshots */
-	ht_ms retry_pause;	 /**< the same for an instance without a view... */
+	ht_ms accept_after;    /**< takes views of lower levels when its own is this old */
+	ht_ms lag_max;	       /**< fetches a snapshot after being behind for this long */
+	ht_ms snapshot_pause;  /**< minimum time between two snapshots */
+	ht_ms retry_pause;     /**< the same for an instance without a view... */
 	ht_ms same_source_pause; /**< ...and between its requests to one neighbour */
 };
 
