--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -34,7 +34,8 @@
 
 struct ht_snapshot {
 	struct part plain;
-	struct part *long_names; /* part of the plain message for long names, or NULL */
+	struct part *long_names; /* sent encoded in the plain message, or NULL */
+	uint8_t *encoded;
 	struct part_size size;
 	struct ht_view_id view;	 /* view that the message describes */
 	struct ht_revision base; /* base of the targets; 0: all targets are included */
@@ -125,7 +126,6 @@
 	p = calloc(1, sizeof(*p));
 	if (p && part_init(p, &snap->size)) {
 		snap->long_names = p;
-		snap->plain.msg.long_names = &p->msg;
 		return p;
 	}
 	if (p)
@@ -444,6 +444,22 @@
 	ht_catalog_each_service(cat, count_limited, &n->services);
 }
 
+static bool encode_long_names(struct ht_snapshot *snap)
+{
+	ProtobufCBinaryData *field = &snap->plain.msg.long_names;
+
+	if (!snap->long_names)
+		return true;
+	encode_deltas(&snap->long_names->msg);
+	field->len = ht__entry_snapshot__get_packed_size(&snap->long_names->msg);
+	snap->encoded = malloc(field->len);
+	if (!snap->encoded)
+		return false;
+	field->data = snap->encoded;
+	ht__entry_snapshot__pack(&snap->long_names->msg, field->data);
+	return true;
+}
+
 static bool fill(struct ht_snapshot *snap, struct ht_catalog *cat, bool with_routes)
 {
 	Ht__EntrySnapshot *msg = &snap->plain.msg;
@@ -465,9 +481,7 @@
 	msg->base_era = snap->base.era;
 	msg->base_revision = snap->base.number;
 	encode_deltas(msg);
-	if (msg->long_names)
-		encode_deltas(msg->long_names);
-	return !snap->failed;
+	return !snap->failed && encode_long_names(snap);
 }
 
 struct ht_snapshot *ht_snapshot_new(struct ht_catalog *cat, const struct ht_view_id *have,
@@ -504,6 +518,7 @@
 	if (snap->long_names)
 		part_clear(snap->long_names);
 	free(snap->long_names);
+	free(snap->encoded);
 	free(snap);
 }
 
--- a/entry/snapshot_apply.c
+++ b/entry/snapshot_apply.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const Ht__EntrySnapshot nothing = HT__ENTRY_SNAPSHOT__INIT;
+
 static bool route_well_formed(const Ht__EntrySnapshot *msg, const Ht__EntryRoute *m)
 {
 	for (size_t i = 0; i < m->n_shares; i++)
@@ -131,22 +133,20 @@
 
 /* The later of two entries for a route counts: one that is unreadable to builds below reading level
  * 2 may follow as a route with a long name. */
-static void decode_table(const Ht__EntrySnapshot *msg, struct ht_route_table *table)
+static void decode_table(const Ht__EntrySnapshot *msg, const Ht__EntrySnapshot *more,
+			 struct ht_route_table *table)
 {
 	decode_unreadable(msg, table);
 	decode_routes(msg, table);
 	decode_routes_gone(msg, table);
 	decode_services(msg, table);
-	if (!msg->long_names)
-		return;
-	decode_routes(msg->long_names, table);
-	decode_services(msg->long_names, table);
+	decode_routes(more, table);
+	decode_services(more, table);
 }
 
-static bool apply_routes(struct ht_catalog *cat, const Ht__EntrySnapshot *msg)
+static bool apply_routes(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
+			 const Ht__EntrySnapshot *more)
 {
-	const Ht__EntrySnapshot none = HT__ENTRY_SNAPSHOT__INIT;
-	const Ht__EntrySnapshot *more = msg->long_names ? msg->long_names : &none;
 	struct ht_route_table table = {
 		.id = ht_snapshot_view(msg).routes,
 		.base = ht_snapshot_base(msg).routes.revision,
@@ -163,7 +163,7 @@
 	bool changed = false;
 
 	if (table.entries && table.shares && table.services && table.gone) {
-		decode_table(msg, &table);
+		decode_table(msg, more, &table);
 		changed = ht_catalog_set_routes(cat, &table) == HT_CATALOG_CHANGED;
 	}
 	free(table.entries);
@@ -238,7 +238,7 @@
 		result->targets = false;
 }
 
-/* Applies the targets of @msg, which is of era @era; @more is its part with long names, or NULL. */
+/* Applies the targets of @msg, which is of era @era, but for those that are gone and in @more. */
 static void apply_part(struct ht_catalog *cat, const Ht__EntrySnapshot *msg, uint64_t era,
 		       const Ht__EntrySnapshot *more, ht_ms now, ht_ms held_until,
 		       struct ht_snapshot_result *result)
@@ -246,21 +246,21 @@
 	for (size_t i = 0; i < msg->n_targets; i++)
 		count_change(result, apply_target(cat, msg, era, msg->targets[i], now));
 	for (size_t i = 0; i < msg->n_gone; i++)
-		if (!more || !has_target(msg, more, msg->gone[i]->name))
+		if (!has_target(msg, more, msg->gone[i]->name))
 			count_change(result,
 				     apply_gone(cat, msg, era, msg->gone[i], now, held_until));
 }
 
-static void apply_targets(struct ht_catalog *cat, const Ht__EntrySnapshot *msg, ht_ms now,
-			  ht_ms held_until, struct ht_snapshot_result *result)
+static void apply_targets(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
+			  const Ht__EntrySnapshot *more, ht_ms now, ht_ms held_until,
+			  struct ht_snapshot_result *result)
 {
 	if (msg->era_begun)
 		ht_catalog_note_era_revision(cat, (struct ht_revision){msg->era, msg->era_begun});
 	if (!msg->base_revision)
 		ht_catalog_begin_listing(cat, HT_CATALOG_NEIGHBOUR);
-	apply_part(cat, msg, msg->era, msg->long_names, now, held_until, result);
-	if (msg->long_names)
-		apply_part(cat, msg->long_names, msg->era, NULL, now, held_until, result);
+	apply_part(cat, msg, msg->era, more, now, held_until, result);
+	apply_part(cat, more, msg->era, &nothing, now, held_until, result);
 	if (msg->base_revision || !result->targets)
 		return;
 	result->missing = ht_catalog_end_listing(cat, HT_CATALOG_NEIGHBOUR,
@@ -279,7 +279,8 @@
 	return changed;
 }
 
-static size_t apply_evacuations(struct ht_catalog *cat, const Ht__EntrySnapshot *msg, ht_ms now)
+static size_t apply_evacuations(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
+				const Ht__EntrySnapshot *more, ht_ms now)
 {
 	struct ht_revision revision = ht_snapshot_view(msg).evacuations;
 	size_t changed;
@@ -288,34 +289,49 @@
 		return 0;
 	ht_catalog_begin_evacuations(cat);
 	changed = put_evacuated(cat, msg, revision, now);
-	if (msg->long_names)
-		changed += put_evacuated(cat, msg->long_names, revision, now);
+	changed += put_evacuated(cat, more, revision, now);
 	ht_catalog_end_evacuations(cat, revision, now);
 	ht_catalog_note_evacuations(cat, revision);
 	return changed;
 }
 
-struct ht_snapshot_result ht_snapshot_apply(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
-					    struct ht_revision have_targets, ht_ms now,
-					    ht_ms held_until)
+static struct ht_snapshot_result apply(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
+				       const Ht__EntrySnapshot *more,
+				       struct ht_revision have_targets, ht_ms now, ht_ms held_until)
 {
 	struct ht_routes_id routes = ht_snapshot_view(msg).routes;
 	bool has_routes = msg->has_routes && msg->content >= HT_CONTENT_SHARES;
-	struct ht_snapshot_result result = {0};
+	struct ht_snapshot_result result = {.evacuations = msg->content >= HT_CONTENT_SHARES};
 
-	result.malformed = !well_formed(msg) || (msg->long_names && !well_formed(msg->long_names));
-	if (result.malformed)
-		return result;
-	result.evacuations = msg->content >= HT_CONTENT_SHARES;
 	if (result.evacuations)
-		result.changed += apply_evacuations(cat, msg, now);
+		result.changed += apply_evacuations(cat, msg, more, now);
 	if (has_routes && ht_routes_compare(routes, ht_catalog_routes(cat)) > 0)
-		result.changed += apply_routes(cat, msg);
+		result.changed += apply_routes(cat, msg, more);
 	result.routes = has_routes && ht_routes_compare(ht_catalog_routes(cat), routes) >= 0;
 	if (msg->era < ht_catalog_era(cat) ||
 	    ht_revision_before(have_targets, ht_snapshot_base(msg).targets))
 		return result;
 	result.targets = true;
-	apply_targets(cat, msg, now, held_until, &result);
+	apply_targets(cat, msg, more, now, held_until, &result);
+	return result;
+}
+
+struct ht_snapshot_result ht_snapshot_apply(struct ht_catalog *cat, const Ht__EntrySnapshot *msg,
+					    struct ht_revision have_targets, ht_ms now,
+					    ht_ms held_until)
+{
+	struct ht_snapshot_result result = {.malformed = true};
+	Ht__EntrySnapshot *long_names = NULL;
+
+	if (!well_formed(msg))
+		return result;
+	if (!msg->long_names.len)
+		return apply(cat, msg, &nothing, have_targets, now, held_until);
+	long_names = ht__entry_snapshot__unpack(NULL, msg->long_names.len, msg->long_names.data);
+	if (!long_names)
+		return result;
+	if (well_formed(long_names))
+		result = apply(cat, msg, long_names, have_targets, now, held_until);
+	ht__entry_snapshot__free_unpacked(long_names, NULL);
 	return result;
 }
--- a/tests/entry/test_snapshot.c
+++ b/tests/entry/test_snapshot.c
@@ -381,7 +381,8 @@
 	msg->targets[0]->name->digits = 99;
 	ck_assert(ht_snapshot_apply(to, msg, rev(0), 0, 0).malformed);
 	msg->targets[0]->name->digits = 4;
-	msg->long_names->targets[0]->service = 99;
+	ck_assert_uint_gt(msg->long_names.len, 0);
+	msg->long_names.len--;
 	ck_assert(ht_snapshot_apply(to, msg, rev(0), 0, 0).malformed);
 	ck_assert_uint_eq(ht_catalog_routes(to).version, 0);
 	ck_assert(ht_catalog_by_name(to, "i-1002")->eligible);
@@ -629,6 +630,17 @@
 }
 END_TEST
 
+/* Guards against messages that overflow the stack of their receiver: no message holds itself. */
+START_TEST(snapshots_cannot_be_nested)
+{
+	const ProtobufCMessageDescriptor *d = &ht__entry_snapshot__descriptor;
+
+	for (unsigned int i = 0; i < d->n_fields; i++)
+		ck_assert(d->fields[i].type != PROTOBUF_C_TYPE_MESSAGE ||
+			  d->fields[i].descriptor != d);
+}
+END_TEST
+
 /* What build 2897683 requires of a snapshot; it skips long_names. */
 static bool taken_by_earlier_builds(const Ht__EntrySnapshot *msg)
 {
@@ -795,6 +807,7 @@
 	tcase_add_test(tc, requests_carry_eras);
 	tcase_add_test(tc, snapshot_carries_shares_and_unreadable_routes);
 	tcase_add_test(tc, configuration_of_a_lower_level_is_replaced);
+	tcase_add_test(tc, snapshots_cannot_be_nested);
 	tcase_add_test(tc, long_names_do_not_harm_earlier_builds);
 	tcase_add_test(tc, changes_to_long_names_do_not_harm_earlier_builds);
 	tcase_add_test(tc, snapshot_carries_limits_of_cold_targets);
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -2053,10 +2053,10 @@
     "long_names",
     33,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
     offsetof(Ht__EntrySnapshot, long_names),
-    &ht__entry_snapshot__descriptor,
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -413,12 +413,13 @@
    * Routes, services, evacuations and targets with names of more than 63 bytes, which builds below
    * reading level 2 refuse. It has texts, started_ms and newest_revision of its own. Such routes
    * are in routes_unreadable, too, and such targets in `gone` of a difference.
+   * An encoded EntrySnapshot: a message that may hold itself can be nested without end.
    */
-  Ht__EntrySnapshot *long_names;
+  ProtobufCBinaryData long_names;
 };
 #define HT__ENTRY_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_snapshot__descriptor) \
-    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, NULL }
+    , 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, {0,NULL} }
 
 
 /* Ht__EntryInstance methods */
