core: interfaces of load and admission; EntryLoad in greetings

Instances are to share how loaded services are. The headers fix the interfaces that the parts are built against; the message travels in a greeting without self, which earlier builds ignore.

--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -142,6 +142,231 @@
   assert(message->base.descriptor == &ht__entry_greeting__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ht__entry_load_demand__init
+                     (Ht__EntryLoadDemand         *message)
+{
+  static const Ht__EntryLoadDemand init_value = HT__ENTRY_LOAD_DEMAND__INIT;
+  *message = init_value;
+}
+size_t ht__entry_load_demand__get_packed_size
+                     (const Ht__EntryLoadDemand *message)
+{
+  assert(message->base.descriptor == &ht__entry_load_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_load_demand__pack
+                     (const Ht__EntryLoadDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_load_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_load_demand__pack_to_buffer
+                     (const Ht__EntryLoadDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_load_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryLoadDemand *
+       ht__entry_load_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryLoadDemand *)
+     protobuf_c_message_unpack (&ht__entry_load_demand__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_load_demand__free_unpacked
+                     (Ht__EntryLoadDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_load_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ht__entry_load_place__init
+                     (Ht__EntryLoadPlace         *message)
+{
+  static const Ht__EntryLoadPlace init_value = HT__ENTRY_LOAD_PLACE__INIT;
+  *message = init_value;
+}
+size_t ht__entry_load_place__get_packed_size
+                     (const Ht__EntryLoadPlace *message)
+{
+  assert(message->base.descriptor == &ht__entry_load_place__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_load_place__pack
+                     (const Ht__EntryLoadPlace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_load_place__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_load_place__pack_to_buffer
+                     (const Ht__EntryLoadPlace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_load_place__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryLoadPlace *
+       ht__entry_load_place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryLoadPlace *)
+     protobuf_c_message_unpack (&ht__entry_load_place__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_load_place__free_unpacked
+                     (Ht__EntryLoadPlace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_load_place__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ht__entry_load_service__init
+                     (Ht__EntryLoadService         *message)
+{
+  static const Ht__EntryLoadService init_value = HT__ENTRY_LOAD_SERVICE__INIT;
+  *message = init_value;
+}
+size_t ht__entry_load_service__get_packed_size
+                     (const Ht__EntryLoadService *message)
+{
+  assert(message->base.descriptor == &ht__entry_load_service__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_load_service__pack
+                     (const Ht__EntryLoadService *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_load_service__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_load_service__pack_to_buffer
+                     (const Ht__EntryLoadService *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_load_service__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryLoadService *
+       ht__entry_load_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryLoadService *)
+     protobuf_c_message_unpack (&ht__entry_load_service__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_load_service__free_unpacked
+                     (Ht__EntryLoadService *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_load_service__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ht__entry_load_sum__init
+                     (Ht__EntryLoadSum         *message)
+{
+  static const Ht__EntryLoadSum init_value = HT__ENTRY_LOAD_SUM__INIT;
+  *message = init_value;
+}
+size_t ht__entry_load_sum__get_packed_size
+                     (const Ht__EntryLoadSum *message)
+{
+  assert(message->base.descriptor == &ht__entry_load_sum__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_load_sum__pack
+                     (const Ht__EntryLoadSum *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_load_sum__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_load_sum__pack_to_buffer
+                     (const Ht__EntryLoadSum *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_load_sum__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryLoadSum *
+       ht__entry_load_sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryLoadSum *)
+     protobuf_c_message_unpack (&ht__entry_load_sum__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_load_sum__free_unpacked
+                     (Ht__EntryLoadSum *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_load_sum__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ht__entry_load__init
+                     (Ht__EntryLoad         *message)
+{
+  static const Ht__EntryLoad init_value = HT__ENTRY_LOAD__INIT;
+  *message = init_value;
+}
+size_t ht__entry_load__get_packed_size
+                     (const Ht__EntryLoad *message)
+{
+  assert(message->base.descriptor == &ht__entry_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ht__entry_load__pack
+                     (const Ht__EntryLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ht__entry_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ht__entry_load__pack_to_buffer
+                     (const Ht__EntryLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ht__entry_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ht__EntryLoad *
+       ht__entry_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ht__EntryLoad *)
+     protobuf_c_message_unpack (&ht__entry_load__descriptor,
+                                allocator, len, data);
+}
+void   ht__entry_load__free_unpacked
+                     (Ht__EntryLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ht__entry_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ht__entry_snapshot_request__init
                      (Ht__EntrySnapshotRequest         *message)
 {
@@ -701,7 +926,7 @@
   (ProtobufCMessageInit) ht__entry_evidence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[24] =
+static const ProtobufCFieldDescriptor ht__entry_greeting__field_descriptors[25] =
 {
   {
     "self",
@@ -991,6 +1216,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryGreeting, load),
+    &ht__entry_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_greeting__field_indices_by_name[] = {
   6,   /* field[6] = answer_wanted */
@@ -1001,6 +1238,7 @@
   21,   /* field[21] = evacuations_revision */
   9,   /* field[9] = evidence */
   7,   /* field[7] = known */
+  24,   /* field[24] = load */
   11,   /* field[11] = pass_on */
   19,   /* field[19] = read_era_behind */
   14,   /* field[14] = reader */
@@ -1022,7 +1260,7 @@
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor ht__entry_greeting__descriptor =
 {
@@ -1032,13 +1270,476 @@
   "Ht__EntryGreeting",
   "ht",
   sizeof(Ht__EntryGreeting),
-  24,
+  25,
   ht__entry_greeting__field_descriptors,
   ht__entry_greeting__field_indices_by_name,
   2,  ht__entry_greeting__number_ranges,
   (ProtobufCMessageInit) ht__entry_greeting__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ht__entry_load_demand__field_descriptors[6] =
+{
+  {
+    "priority",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadDemand, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "aim_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadDemand, aim_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadDemand, limit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "opening",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadDemand, opening),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadDemand, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadDemand, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_load_demand__field_indices_by_name[] = {
+  1,   /* field[1] = aim_ms */
+  2,   /* field[2] = limit_ms */
+  3,   /* field[3] = opening */
+  0,   /* field[0] = priority */
+  4,   /* field[4] = refused */
+  5,   /* field[5] = work_ms */
+};
+static const ProtobufCIntRange ht__entry_load_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor ht__entry_load_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryLoadDemand",
+  "EntryLoadDemand",
+  "Ht__EntryLoadDemand",
+  "ht",
+  sizeof(Ht__EntryLoadDemand),
+  6,
+  ht__entry_load_demand__field_descriptors,
+  ht__entry_load_demand__field_indices_by_name,
+  1,  ht__entry_load_demand__number_ranges,
+  (ProtobufCMessageInit) ht__entry_load_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ht__entry_load_place__field_descriptors[5] =
+{
+  {
+    "dc",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadPlace, dc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "open",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadPlace, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadPlace, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadPlace, shed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "continued",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadPlace, continued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_load_place__field_indices_by_name[] = {
+  2,   /* field[2] = answered */
+  4,   /* field[4] = continued */
+  0,   /* field[0] = dc */
+  1,   /* field[1] = open */
+  3,   /* field[3] = shed */
+};
+static const ProtobufCIntRange ht__entry_load_place__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ht__entry_load_place__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryLoadPlace",
+  "EntryLoadPlace",
+  "Ht__EntryLoadPlace",
+  "ht",
+  sizeof(Ht__EntryLoadPlace),
+  5,
+  ht__entry_load_place__field_descriptors,
+  ht__entry_load_place__field_indices_by_name,
+  1,  ht__entry_load_place__number_ranges,
+  (ProtobufCMessageInit) ht__entry_load_place__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ht__entry_load_service__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadService, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "classes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntryLoadService, n_classes),
+    offsetof(Ht__EntryLoadService, classes),
+    &ht__entry_load_demand__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "places",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntryLoadService, n_places),
+    offsetof(Ht__EntryLoadService, places),
+    &ht__entry_load_place__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_load_service__field_indices_by_name[] = {
+  1,   /* field[1] = classes */
+  2,   /* field[2] = places */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange ht__entry_load_service__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ht__entry_load_service__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryLoadService",
+  "EntryLoadService",
+  "Ht__EntryLoadService",
+  "ht",
+  sizeof(Ht__EntryLoadService),
+  3,
+  ht__entry_load_service__field_descriptors,
+  ht__entry_load_service__field_indices_by_name,
+  1,  ht__entry_load_service__number_ranges,
+  (ProtobufCMessageInit) ht__entry_load_service__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ht__entry_load_sum__field_descriptors[7] =
+{
+  {
+    "dc",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadSum, dc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadSum, instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoadSum, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "services",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntryLoadSum, n_services),
+    offsetof(Ht__EntryLoadSum, services),
+    &ht__entry_load_service__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_marks",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Ht__EntryLoadSum, n_target_marks),
+    offsetof(Ht__EntryLoadSum, target_marks),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_open",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ht__EntryLoadSum, n_target_open),
+    offsetof(Ht__EntryLoadSum, target_open),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_flows",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Ht__EntryLoadSum, n_target_flows),
+    offsetof(Ht__EntryLoadSum, target_flows),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_load_sum__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = dc */
+  1,   /* field[1] = instances */
+  3,   /* field[3] = services */
+  6,   /* field[6] = target_flows */
+  4,   /* field[4] = target_marks */
+  5,   /* field[5] = target_open */
+};
+static const ProtobufCIntRange ht__entry_load_sum__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ht__entry_load_sum__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryLoadSum",
+  "EntryLoadSum",
+  "Ht__EntryLoadSum",
+  "ht",
+  sizeof(Ht__EntryLoadSum),
+  7,
+  ht__entry_load_sum__field_descriptors,
+  ht__entry_load_sum__field_indices_by_name,
+  1,  ht__entry_load_sum__number_ranges,
+  (ProtobufCMessageInit) ht__entry_load_sum__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ht__entry_load__field_descriptors[5] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoad, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoad, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sums",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ht__EntryLoad, n_sums),
+    offsetof(Ht__EntryLoad, sums),
+    &ht__entry_load_sum__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pass_on",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ht__EntryLoad, n_pass_on),
+    offsetof(Ht__EntryLoad, pass_on),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dc",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryLoad, dc),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ht__entry_load__field_indices_by_name[] = {
+  4,   /* field[4] = dc */
+  0,   /* field[0] = instance */
+  1,   /* field[1] = kind */
+  3,   /* field[3] = pass_on */
+  2,   /* field[2] = sums */
+};
+static const ProtobufCIntRange ht__entry_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ht__entry_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ht.EntryLoad",
+  "EntryLoad",
+  "Ht__EntryLoad",
+  "ht",
+  sizeof(Ht__EntryLoad),
+  5,
+  ht__entry_load__field_descriptors,
+  ht__entry_load__field_indices_by_name,
+  1,  ht__entry_load__number_ranges,
+  (ProtobufCMessageInit) ht__entry_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ht__entry_snapshot_request__field_descriptors[6] =
 {
   {
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -18,6 +18,11 @@
 typedef struct Ht__EntryInstance Ht__EntryInstance;
 typedef struct Ht__EntryEvidence Ht__EntryEvidence;
 typedef struct Ht__EntryGreeting Ht__EntryGreeting;
+typedef struct Ht__EntryLoadDemand Ht__EntryLoadDemand;
+typedef struct Ht__EntryLoadPlace Ht__EntryLoadPlace;
+typedef struct Ht__EntryLoadService Ht__EntryLoadService;
+typedef struct Ht__EntryLoadSum Ht__EntryLoadSum;
+typedef struct Ht__EntryLoad Ht__EntryLoad;
 typedef struct Ht__EntrySnapshotRequest Ht__EntrySnapshotRequest;
 typedef struct Ht__EntryShare Ht__EntryShare;
 typedef struct Ht__EntryRoute Ht__EntryRoute;
@@ -146,10 +151,154 @@
    * before level 1.
    */
   uint32_t reading_level;
+  /*
+   * alone, without self, which builds before it ignore
+   */
+  Ht__EntryLoad *load;
 };
 #define HT__ENTRY_GREETING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_greeting__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0,NULL, NULL, 0,NULL, 0, 0, 0,NULL, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+
+
+/*
+ * Demand for a class of a service: routes of equal priority, aim and limit. Rates are in tenths per
+ * second.
+ */
+struct  Ht__EntryLoadDemand
+{
+  ProtobufCMessage base;
+  uint32_t priority;
+  /*
+   * 0: not specified
+   */
+  uint32_t aim_ms;
+  /*
+   * 0: not specified
+   */
+  uint32_t limit_ms;
+  /*
+   * new flows requested
+   */
+  uint32_t opening;
+  /*
+   * of these, refused
+   */
+  uint32_t refused;
+  /*
+   * lowest response time observed recently; 0: unknown
+   */
+  uint32_t work_ms;
+};
+#define HT__ENTRY_LOAD_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_load_demand__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Targets of a service in one data centre.
+ */
+struct  Ht__EntryLoadPlace
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the name
+   */
+  uint32_t dc;
+  /*
+   * requests in flight, in tenths
+   */
+  uint32_t open;
+  uint32_t answered;
+  /*
+   * responses that look like errors
+   */
+  uint32_t shed;
+  /*
+   * requests on flows that were already open
+   */
+  uint32_t continued;
+};
+#define HT__ENTRY_LOAD_PLACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_load_place__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Ht__EntryLoadService
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the name
+   */
+  uint32_t service;
+  size_t n_classes;
+  Ht__EntryLoadDemand **classes;
+  size_t n_places;
+  Ht__EntryLoadPlace **places;
+};
+#define HT__ENTRY_LOAD_SERVICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_load_service__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
+/*
+ * What the instances of one data centre see, or a single one of them.
+ */
+struct  Ht__EntryLoadSum
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the name
+   */
+  uint32_t dc;
+  uint32_t instances;
+  /*
+   * of the oldest part
+   */
+  uint32_t age_ms;
+  size_t n_services;
+  Ht__EntryLoadService **services;
+  /*
+   * The most loaded targets: first mark, requests in flight, flows.
+   */
+  size_t n_target_marks;
+  uint32_t *target_marks;
+  size_t n_target_open;
+  uint32_t *target_open;
+  size_t n_target_flows;
+  uint32_t *target_flows;
+};
+#define HT__ENTRY_LOAD_SUM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_load_sum__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+struct  Ht__EntryLoad
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the sender's name
+   */
+  uint64_t instance;
+  /*
+   * 1: report of a member; 2: sum of a data centre; 3: view
+   */
+  uint32_t kind;
+  size_t n_sums;
+  Ht__EntryLoadSum **sums;
+  /*
+   * as in a greeting
+   */
+  size_t n_pass_on;
+  uint64_t *pass_on;
+  /*
+   * hash of the name of the sender's data centre
+   */
+  uint32_t dc;
+};
+#define HT__ENTRY_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ht__entry_load__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -479,6 +628,101 @@
 void   ht__entry_greeting__free_unpacked
                      (Ht__EntryGreeting *message,
                       ProtobufCAllocator *allocator);
+/* Ht__EntryLoadDemand methods */
+void   ht__entry_load_demand__init
+                     (Ht__EntryLoadDemand         *message);
+size_t ht__entry_load_demand__get_packed_size
+                     (const Ht__EntryLoadDemand   *message);
+size_t ht__entry_load_demand__pack
+                     (const Ht__EntryLoadDemand   *message,
+                      uint8_t             *out);
+size_t ht__entry_load_demand__pack_to_buffer
+                     (const Ht__EntryLoadDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryLoadDemand *
+       ht__entry_load_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_load_demand__free_unpacked
+                     (Ht__EntryLoadDemand *message,
+                      ProtobufCAllocator *allocator);
+/* Ht__EntryLoadPlace methods */
+void   ht__entry_load_place__init
+                     (Ht__EntryLoadPlace         *message);
+size_t ht__entry_load_place__get_packed_size
+                     (const Ht__EntryLoadPlace   *message);
+size_t ht__entry_load_place__pack
+                     (const Ht__EntryLoadPlace   *message,
+                      uint8_t             *out);
+size_t ht__entry_load_place__pack_to_buffer
+                     (const Ht__EntryLoadPlace   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryLoadPlace *
+       ht__entry_load_place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_load_place__free_unpacked
+                     (Ht__EntryLoadPlace *message,
+                      ProtobufCAllocator *allocator);
+/* Ht__EntryLoadService methods */
+void   ht__entry_load_service__init
+                     (Ht__EntryLoadService         *message);
+size_t ht__entry_load_service__get_packed_size
+                     (const Ht__EntryLoadService   *message);
+size_t ht__entry_load_service__pack
+                     (const Ht__EntryLoadService   *message,
+                      uint8_t             *out);
+size_t ht__entry_load_service__pack_to_buffer
+                     (const Ht__EntryLoadService   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryLoadService *
+       ht__entry_load_service__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_load_service__free_unpacked
+                     (Ht__EntryLoadService *message,
+                      ProtobufCAllocator *allocator);
+/* Ht__EntryLoadSum methods */
+void   ht__entry_load_sum__init
+                     (Ht__EntryLoadSum         *message);
+size_t ht__entry_load_sum__get_packed_size
+                     (const Ht__EntryLoadSum   *message);
+size_t ht__entry_load_sum__pack
+                     (const Ht__EntryLoadSum   *message,
+                      uint8_t             *out);
+size_t ht__entry_load_sum__pack_to_buffer
+                     (const Ht__EntryLoadSum   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryLoadSum *
+       ht__entry_load_sum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_load_sum__free_unpacked
+                     (Ht__EntryLoadSum *message,
+                      ProtobufCAllocator *allocator);
+/* Ht__EntryLoad methods */
+void   ht__entry_load__init
+                     (Ht__EntryLoad         *message);
+size_t ht__entry_load__get_packed_size
+                     (const Ht__EntryLoad   *message);
+size_t ht__entry_load__pack
+                     (const Ht__EntryLoad   *message,
+                      uint8_t             *out);
+size_t ht__entry_load__pack_to_buffer
+                     (const Ht__EntryLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Ht__EntryLoad *
+       ht__entry_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ht__entry_load__free_unpacked
+                     (Ht__EntryLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Ht__EntrySnapshotRequest methods */
 void   ht__entry_snapshot_request__init
                      (Ht__EntrySnapshotRequest         *message);
@@ -661,6 +905,21 @@
 typedef void (*Ht__EntryGreeting_Closure)
                  (const Ht__EntryGreeting *message,
                   void *closure_data);
+typedef void (*Ht__EntryLoadDemand_Closure)
+                 (const Ht__EntryLoadDemand *message,
+                  void *closure_data);
+typedef void (*Ht__EntryLoadPlace_Closure)
+                 (const Ht__EntryLoadPlace *message,
+                  void *closure_data);
+typedef void (*Ht__EntryLoadService_Closure)
+                 (const Ht__EntryLoadService *message,
+                  void *closure_data);
+typedef void (*Ht__EntryLoadSum_Closure)
+                 (const Ht__EntryLoadSum *message,
+                  void *closure_data);
+typedef void (*Ht__EntryLoad_Closure)
+                 (const Ht__EntryLoad *message,
+                  void *closure_data);
 typedef void (*Ht__EntrySnapshotRequest_Closure)
                  (const Ht__EntrySnapshotRequest *message,
                   void *closure_data);
@@ -697,6 +956,11 @@
 extern const ProtobufCMessageDescriptor ht__entry_instance__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_evidence__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_greeting__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_load_demand__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_load_place__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_load_service__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_load_sum__descriptor;
+extern const ProtobufCMessageDescriptor ht__entry_load__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_snapshot_request__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_share__descriptor;
 extern const ProtobufCMessageDescriptor ht__entry_route__descriptor;
