core: new flows are placed by an admission plan while a service is short of capacity

Cause: an instance sees one flow in many, so its own count of open flows says nothing of how full targets are; they shed, and urgent requests fare worst. Change: the steering asks the plan of the service, which overload.c updates by the shared load, for admission and data centre; routes carry aim and limit, services the limit of flows of a target.

--- a/core/answers.c
+++ b/core/answers.c
@@ -13,6 +13,12 @@
  * answer below this share of the mean size looks like one. */
 #define VERY_SHORT_SHARE 0.3
 
+/* Normal answers are hardly ever this short a share of the mean; refusals are. */
+#define REFUSAL_SHARE 0.22
+
+/* Data of a full packet. A first packet with less is the whole answer. */
+#define PACKET_BYTES 1200
+
 /* The least delay rises by this share of its distance to the mean with each answer, so that it
  * follows a network that has become slower. */
 #define LEAST_RISE 0.002
@@ -41,6 +47,11 @@
 	       took - a->least_ms < FAST_SHARE * (a->took_ms - a->least_ms);
 }
 
+bool ht_answer_is_refusal(const struct ht_answer_stats *a, uint32_t bytes)
+{
+	return a->seen >= MIN_SAMPLES && bytes < PACKET_BYTES && bytes < REFUSAL_SHARE * a->bytes;
+}
+
 bool ht_answer_is_error(struct ht_answer_stats *a, uint32_t bytes, ht_ms took)
 {
 	double weight = a->seen < MIN_SAMPLES ? 1.0 / (a->seen + 1) : MEAN_WEIGHT;
--- a/core/answers.h
+++ b/core/answers.h
@@ -24,4 +24,10 @@
  */
 bool ht_answer_is_error(struct ht_answer_stats *answers, uint32_t bytes, ht_ms took);
 
+/**
+ * Returns true if the first @bytes of an answer are all of it and look like the refusal of a full
+ * target. Such a target may refuse a request after it has queued it, so the delay says nothing.
+ */
+bool ht_answer_is_refusal(const struct ht_answer_stats *answers, uint32_t bytes);
+
 #endif
--- a/core/catalog.c
+++ b/core/catalog.c
@@ -22,6 +22,7 @@
 		free(s);
 		return NULL;
 	}
+	s->key = ht_load_key(name);
 	s->top_priority = UINT32_MAX;
 	s->answer_time = ht_histogram_of(&ht_histogram_calls);
 	ht_list_add_tail(&cat->services, &s->node);
@@ -46,6 +47,7 @@
 		free(dc);
 		return NULL;
 	}
+	dc->key = ht_load_key(name);
 	ht_list_add_tail(&cat->dcs, &dc->node);
 	return dc;
 }
@@ -562,6 +564,20 @@
 		visit(ctx, ht_container_of(pos, struct ht_target, node));
 }
 
+void ht_catalog_each_classed_service(struct ht_catalog *cat,
+				     void (*visit)(void *ctx, struct ht_service *service),
+				     void *ctx)
+{
+	struct ht_list *pos;
+
+	ht_list_for_each (pos, &cat->services) {
+		struct ht_service *s = ht_container_of(pos, struct ht_service, node);
+
+		if (s->has_classes)
+			visit(ctx, s);
+	}
+}
+
 void ht_catalog_each_service(const struct ht_catalog *cat,
 			     void (*visit)(void *ctx, const struct ht_service *service), void *ctx)
 {
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -13,6 +13,7 @@
 #include "base/hmap.h"
 #include "base/list.h"
 #include "base/revision.h"
+#include "core/admission.h"
 #include "core/answers.h"
 #include "core/evidence.h"
 #include "core/warmup.h"
@@ -50,7 +51,8 @@
 	const char *name;
 	uint32_t warmup_rate; /**< requests that a cold target bears, in thousandths per second */
 	ht_ms warmup;	      /**< time for which a target is cold */
-	bool unreadable;      /**< only the name is known; the service keeps its former limit */
+	uint32_t flows_max;   /**< that a target holds, idle ones included; 0: not stated */
+	bool unreadable;      /**< the limit of cold targets is not known; it stays as it was */
 };
 
 /** Address that callers use, and the services that it maps to. */
@@ -60,6 +62,8 @@
 	size_t first_share;  /**< index in ht_route_table.shares */
 	size_t share_count;
 	uint32_t priority; /**< 0 is the highest */
+	uint32_t aim_ms;   /**< response time that callers should see; 0: not stated */
+	uint32_t limit_ms; /**< after which callers give up; 0: not stated */
 	bool idempotent;   /**< requests may be executed more than once */
 	bool unreadable;   /**< only the address is known; the route keeps its former meaning */
 };
@@ -128,20 +132,27 @@
 struct ht_service {
 	struct ht_list node;
 	char *name;
+	uint32_t key;		    /**< ht_load_key() of the name */
 	struct ht_target **targets; /**< that the platform allows to get new flows */
 	size_t count, capacity;
 	uint64_t open;	       /**< sum of the open flows of @targets */
 	uint64_t local_slots;  /**< sum of the slots of @targets in the own data centre */
 	double answer_ms;      /**< smoothed time to an answer over all targets; 0: no answer yet */
 	uint32_t top_priority; /**< lowest priority number (served first) of its routes */
-	uint32_t warmup_rate;  /**< that a cold target bears, see ht_service_entry; 0: no limit */
-	ht_ms warmup;	       /**< time for which its targets are cold */
+	size_t route_count;    /**< routes that send it new flows */
+	struct ht_load_terms terms;    /**< of one of them */
+	bool has_classes;	       /**< others differ from it in priority, aim or limit */
+	struct ht_admission_plan plan; /**< of the steering */
+	uint32_t flows_max;	       /**< that a target holds; 0: not stated */
+	uint32_t warmup_rate; /**< that a cold target bears, see ht_service_entry; 0: no limit */
+	ht_ms warmup;	      /**< time for which its targets are cold */
 	struct ht_histogram answer_time; /**< from a request to its first answer */
 };
 
 struct ht_dc {
 	struct ht_list node;
 	char *name;
+	uint32_t key; /**< ht_load_key() of the name */
 	bool local;
 	bool evacuated;		  /**< its targets get no new flows */
 	bool evacuation_listed;	  /* by the current listing */
@@ -177,8 +188,9 @@
 	int64_t started;
 	struct ht_revision revision;
 	struct ht_mark marks[HT_TARGET_MARKS];
-	uint32_t open;	/**< recently active flows seen by this instance */
-	uint32_t flows; /**< flows that refer to the target, which is not freed before they end */
+	uint32_t open;	  /**< recently active flows seen by this instance */
+	uint32_t waiting; /**< of these, waiting for the target */
+	uint32_t flows;	  /**< flows that refer to the target, which is not freed before they end */
 	struct ht_evidence evidence;
 	uint64_t answers;		    /**< seen by this instance... */
 	ht_ms answers_ms;		    /**< ...and the sum of their times */
@@ -219,7 +231,7 @@
 	struct ht_share *shares;
 	size_t share_count;   /**< of the configuration in force */
 	size_t service_count; /**< former ones included */
-	uint32_t priority;
+	struct ht_load_terms terms;
 	bool idempotent;
 	/* Configurations are numbered in the order in which this instance applied them. */
 	uint64_t last_config;	 /**< last configuration that set the route */
@@ -380,5 +392,9 @@
 bool ht_catalog_routes_incomplete(const struct ht_catalog *cat);
 void ht_catalog_each_service(const struct ht_catalog *cat,
 			     void (*visit)(void *ctx, const struct ht_service *service), void *ctx);
+/** Calls @visit, which may change the plan, for each service whose routes differ in their terms. */
+void ht_catalog_each_classed_service(struct ht_catalog *cat,
+				     void (*visit)(void *ctx, struct ht_service *service),
+				     void *ctx);
 
 #endif
--- a/core/catalog_routes.c
+++ b/core/catalog_routes.c
@@ -153,6 +153,8 @@
 static bool set_route(struct ht_catalog *cat, const struct ht_route_table *table,
 		      const struct ht_route_entry *e, uint64_t number)
 {
+	const struct ht_load_terms terms = {
+		.priority = e->priority, .aim = e->aim_ms, .limit = e->limit_ms};
 	struct ht_route *r = ht_catalog_route(cat, e->at);
 
 	if (!r)
@@ -162,9 +164,9 @@
 	r->last_config = number;
 	if (e->unreadable)
 		return true;
-	if (r->priority != e->priority || r->idempotent != e->idempotent)
+	if (!ht_load_terms_equal(&r->terms, &terms) || r->idempotent != e->idempotent)
 		r->changed_config = number;
-	r->priority = e->priority;
+	r->terms = terms;
 	r->idempotent = e->idempotent;
 	return set_shares(cat, table, e, r, number);
 }
@@ -228,20 +230,35 @@
 	return ok;
 }
 
-static void update_top_priorities(struct ht_catalog *cat)
+/* Updates what the terms of @r say of the service @s. */
+static void note_terms(struct ht_service *s, const struct ht_route *r)
+{
+	if (!s->route_count++)
+		s->terms = r->terms;
+	if (!ht_load_terms_equal(&s->terms, &r->terms))
+		s->has_classes = true;
+	if (r->terms.priority < s->top_priority)
+		s->top_priority = r->terms.priority;
+}
+
+static void update_terms(struct ht_catalog *cat)
 {
 	struct ht_list *pos;
 
-	ht_list_for_each (pos, &cat->services)
-		ht_container_of(pos, struct ht_service, node)->top_priority = UINT32_MAX;
+	ht_list_for_each (pos, &cat->services) {
+		struct ht_service *s = ht_container_of(pos, struct ht_service, node);
+
+		s->top_priority = UINT32_MAX;
+		s->has_classes = false;
+		s->route_count = 0;
+	}
 	for (size_t i = 0; i <= cat->routes.mask; i++) {
 		for (struct ht_hnode *h = cat->routes.buckets[i]; h; h = h->next) {
 			const struct ht_route *r = ht_container_of(h, struct ht_route, hnode);
 
 			for (size_t k = 0; k < r->share_count; k++)
-				if (r->shares[k].weight &&
-				    r->priority < r->shares[k].service->top_priority)
-					r->shares[k].service->top_priority = r->priority;
+				if (r->shares[k].weight)
+					note_terms(r->shares[k].service, r);
 		}
 	}
 }
@@ -268,6 +285,7 @@
 		struct ht_service *s = ht_container_of(pos, struct ht_service, node);
 		const struct ht_service_entry *e = find_service(table, s->name);
 
+		s->flows_max = e ? e->flows_max : 0;
 		if (e && e->unreadable)
 			continue;
 		s->warmup_rate = e ? e->warmup_rate : 0;
@@ -337,7 +355,7 @@
 	ok = table->base.number ? apply_difference(cat, table, number)
 				: apply_complete(cat, table, number);
 	ok = apply_services(cat, table) && ok;
-	update_top_priorities(cat);
+	update_terms(cat);
 	if (!ok) {
 		/* It was applied in part: no differences can be computed. */
 		cat->routes_first = ++cat->routes_number + 1;
--- a/core/flow_table.c
+++ b/core/flow_table.c
@@ -24,7 +24,10 @@
 {
 	if (f->counted)
 		ht_target_count_open(f->target, -1);
+	if (f->waiting)
+		f->target->waiting--;
 	f->counted = false;
+	f->waiting = false;
 }
 
 void ht_flow_table_end(struct ht_flow_table *table, struct ht_tracked_flow *f)
@@ -118,6 +121,9 @@
 	if (!f->counted)
 		ht_target_count_open(f->target, 1);
 	f->counted = true;
+	if (f->waiting != (f->phase != HT_PHASE_ANSWERED))
+		f->target->waiting += f->waiting ? -1U : 1U;
+	f->waiting = f->phase != HT_PHASE_ANSWERED;
 }
 
 static void uncount_list(struct ht_flow_table *table, struct ht_list *list, ht_ms timeout,
--- a/core/flow_table.h
+++ b/core/flow_table.h
@@ -27,7 +27,8 @@
 	struct ht_target *target;
 	uint32_t mark;		   /**< identifies the target in the flow's packets */
 	uint32_t placements;	   /**< opening packets forwarded to a target */
-	bool counted;		   /**< included in the target's count of open flows */
+	bool counted;		   /**< included in the target's count of open flows... */
+	bool waiting;		   /**< ...and of those that wait for it */
 	ht_ms opened_at;	   /**< first opening packet */
 	bool opened_here;	   /**< false if opened through another instance */
 	uint32_t opening_sequence; /**< of the opening packet, if opened here */
--- a/core/load.h
+++ b/core/load.h
@@ -24,6 +24,11 @@
 	ht_ms limit;	   /**< time after which callers give up; 0: not specified */
 };
 
+static inline bool ht_load_terms_equal(const struct ht_load_terms *a, const struct ht_load_terms *b)
+{
+	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
+}
+
 /** Demand for a class of a service at the instances of one data centre. */
 struct ht_load_demand {
 	struct ht_load_terms terms;
--- a/core/placing.c
+++ b/core/placing.c
@@ -111,6 +111,81 @@
 	return (double)n <= pl->params->suspected_share_max * (double)sampled;
 }
 
+/* Requests in flight and flows at @t from all instances, as far as known here. */
+static struct ht_load_target load_of(const struct ht_placing *pl, const struct ht_target *t,
+				     ht_ms now)
+{
+	struct ht_load_target load = {.open = t->waiting, .flows = t->flows}, shared;
+
+	if (!pl->params->overload.load ||
+	    !ht_load_target(pl->params->overload.load, t->marks[0].value, &shared, now))
+		return load;
+	if (shared.open > load.open)
+		load.open = shared.open;
+	if (shared.flows > load.flows)
+		load.flows = shared.flows;
+	return load;
+}
+
+bool ht_placing_holds_more(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
+{
+	return !t->service->flows_max || load_of(pl, t, now).flows < t->service->flows_max;
+}
+
+static double planned_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
+{
+	double c = (load_of(pl, t, now).open + 1.0) / t->slots *
+		   (1 + ERROR_COST * t->evidence.error_rate);
+
+	return now < t->warmup_ends_at ? c * pl->params->cold_factor : c;
+}
+
+static double random_unit(struct ht_placing *pl)
+{
+	return (double)(next_random(pl) >> 11) / (double)(1ULL << 53);
+}
+
+/* Key of a data centre of the plan, drawn by the shares. */
+static uint32_t draw_dc(struct ht_placing *pl, const struct ht_admission_plan *plan)
+{
+	double x = random_unit(pl);
+	size_t i = 0;
+
+	while (i + 1 < plan->dc_count && x >= plan->share[i])
+		x -= plan->share[i++];
+	return plan->dcs[i];
+}
+
+struct ht_target *ht_placing_choose_by_plan(struct ht_placing *pl, const struct ht_service *s,
+					    struct ht_target *const *tried, size_t n, ht_ms now)
+{
+	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
+	size_t start = s->count ? next_random(pl) % s->count : 0, seen = 0;
+	struct ht_target *drawn[2] = {NULL, NULL};
+	uint32_t dc;
+
+	if (!s->plan.dc_count)
+		return NULL;
+	dc = draw_dc(pl, &s->plan);
+	/* Draws two of the candidates with equal chances. */
+	for (size_t i = 0; i < sampled; i++) {
+		struct ht_target *t = s->targets[(start + i) % s->count];
+		size_t at = seen;
+
+		if (t->dc->key != dc || is_suspected(t, now) || was_tried(t, tried, n) ||
+		    !ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
+			continue;
+		if (seen++ >= 2)
+			at = next_random(pl) % seen;
+		if (at < 2)
+			drawn[at] = t;
+	}
+	if (!drawn[1])
+		return drawn[0];
+	return planned_cost(pl, drawn[1], now) < planned_cost(pl, drawn[0], now) ? drawn[1]
+										 : drawn[0];
+}
+
 struct ht_target *ht_placing_choose(struct ht_placing *pl, struct ht_service *s,
 				    struct ht_target *const *tried, size_t n, ht_ms now)
 {
@@ -125,7 +200,7 @@
 		struct ht_target *t = s->targets[(start + i) % s->count];
 		double c = expected_cost(pl, t, now);
 
-		if (!ht_placing_allows(pl, t, now))
+		if (!ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
 			continue;
 		if (was_tried(t, tried, n) || (skip_suspected && is_suspected(t, now))) {
 			if (!fallback || c < fallback_cost) {
--- a/core/placing.h
+++ b/core/placing.h
@@ -19,6 +19,18 @@
 /** Counts a flow that is sent to @target. */
 void ht_placing_count(struct ht_target *target, ht_ms now);
 
+/** False if @target holds as many flows as its service states. */
+bool ht_placing_holds_more(const struct ht_placing *pl, const struct ht_target *target, ht_ms now);
+
+/**
+ * While capacity is short: returns a target in one of the data centres of the service's plan,
+ * chosen by their shares, or NULL if those take no new flow. Of two targets drawn at random the
+ * less loaded is taken, because all instances share the same view of load and would otherwise
+ * choose the same target until the next one. The @n targets in @tried are left out.
+ */
+struct ht_target *ht_placing_choose_by_plan(struct ht_placing *pl, const struct ht_service *service,
+					    struct ht_target *const *tried, size_t n, ht_ms now);
+
 /**
  * Returns the target of @service with the lowest expected cost for a new flow, or NULL if none
  * takes new flows, or all are cold and at their limit. The @n targets in @tried are chosen only if
--- a/core/steering.c
+++ b/core/steering.c
@@ -66,6 +66,9 @@
 	if (!st)
 		return NULL;
 	st->params = *params;
+	st->params.overload.catalog = params->catalog;
+	st->params.overload.changed = params->observer.capacity_changed;
+	st->params.overload.ctx = params->observer.ctx;
 	st->placing = (struct ht_placing){
 		.params = &st->params, .bounds = &st->bounds, .random = params->seed};
 	st->bounds = (struct ht_steering_bounds){.routes = HT_NEVER, .targets = HT_NEVER};
@@ -235,7 +238,7 @@
 	if (pkt->acknowledged >= LAST_OPENING_COPY)
 		return false;
 	room /= (double)st->instance_count;
-	if (route->priority > s->top_priority)
+	if (route->terms.priority > s->top_priority)
 		room *= 1 - st->params.urgent_reserve;
 	if (room <= 0 || open < room + 1)
 		return false;
@@ -245,6 +248,31 @@
 	return true;
 }
 
+/*
+ * True if the opening packet @pkt is not forwarded because others go first: by the plan of the
+ * service while capacity is short, otherwise by the flows of this instance alone.
+ */
+static bool turn_away(const struct ht_steering *st, const struct ht_route *route,
+		      const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
+		      struct ht_steering_decision *d)
+{
+	enum ht_admission verdict = HT_ADMIT;
+
+	if (s->plan.short_of_room)
+		verdict = ht_overload_admit(&st->params.overload, route, s, pkt->src,
+					    pkt->acknowledged, now);
+	if (st->params.overload.load && !pkt->acknowledged)
+		ht_load_count_opening(st->params.overload.load, s->key, &route->terms,
+				      verdict == HT_REFUSE);
+	if (!s->plan.short_of_room)
+		return should_defer(st, route, s, pkt, d);
+	if (verdict == HT_DELAY)
+		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
+	if (verdict == HT_REFUSE)
+		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
+	return verdict != HT_ADMIT;
+}
+
 /* True if the opening packet @pkt belongs to @f and not to a later flow from the same port. */
 static bool is_opening_of(const struct ht_tracked_flow *f, const struct ht_packet *pkt)
 {
@@ -266,12 +294,23 @@
 	ht_flow_table_touch(&st->flows, f, now);
 }
 
+static struct ht_target *choose(struct ht_steering *st, struct ht_service *s,
+				struct ht_tracked_flow *f, ht_ms now)
+{
+	struct ht_target *const *tried = f ? f->tried : NULL;
+	size_t n = f ? f->tried_count : 0;
+	struct ht_target *t = NULL;
+
+	if (s->plan.short_of_room)
+		t = ht_placing_choose_by_plan(&st->placing, s, tried, n, now);
+	return t ? t : ht_placing_choose(&st->placing, s, tried, n, now);
+}
+
 static struct ht_steering_decision place(struct ht_steering *st, struct ht_service *service,
 					 const struct ht_packet *pkt, struct ht_tracked_flow *f,
 					 ht_ms now)
 {
-	struct ht_target *t = ht_placing_choose(&st->placing, service, f ? f->tried : NULL,
-						f ? f->tried_count : 0, now);
+	struct ht_target *t = choose(st, service, f, now);
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 	bool again = f;
 
@@ -340,16 +379,22 @@
 	if (f) {
 		notify_flow(st, f, HT_FLOW_UNANSWERED, f->placed_at, 0, now);
 		record_miss(st, f->target, f->placed_at, now);
-	} else if (should_defer(st, route, service, pkt, &d)) {
+	} else if (turn_away(st, route, service, pkt, now, &d)) {
 		return d;
 	}
 	return place(st, service, pkt, f, now);
 }
 
 static void record_answer(const struct ht_steering *st, struct ht_tracked_flow *f,
-			  struct ht_target *t, ht_ms now)
+			  const struct ht_route *route, struct ht_target *t,
+			  const struct ht_packet *pkt, ht_ms now)
 {
 	ht_ms took = now - f->requested_at;
+	bool refusal = ht_answer_is_refusal(&route->answers, pkt->acknowledged - f->acknowledged);
+
+	if (st->params.overload.load)
+		ht_load_count_answer(st->params.overload.load, t->service->key, t->dc->key,
+				     &route->terms, took, refusal);
 
 	f->phase = HT_PHASE_ANSWERED;
 	f->answer_delay = took;
@@ -400,6 +445,11 @@
 static void start_request(const struct ht_steering *st, struct ht_tracked_flow *f,
 			  const struct ht_packet *pkt, ht_ms since, ht_ms now)
 {
+	const struct ht_target *t = f->target;
+
+	if (st->params.overload.load)
+		ht_load_count_request(st->params.overload.load, t->service->key, t->dc->key,
+				      f->phase == HT_PHASE_ANSWERED || !f->opened_here);
 	f->phase = HT_PHASE_REQUESTED;
 	f->requested_at = now;
 	f->request_sequence = pkt->sequence;
@@ -407,7 +457,7 @@
 	f->acknowledged = pkt->acknowledged;
 	f->overdue = false;
 	f->retransmissions = 0;
-	f->misses_at_request = f->target->evidence.misses;
+	f->misses_at_request = t->evidence.misses;
 	notify_flow(st, f, HT_FLOW_REQUESTED, since, 0, now);
 }
 
@@ -446,7 +496,7 @@
 	} else if (f->phase == HT_PHASE_OPEN && pkt->length) {
 		start_request(st, f, pkt, f->placed_at, now);
 	} else if (f->phase == HT_PHASE_REQUESTED && pkt->acknowledged != f->acknowledged) {
-		record_answer(st, f, t, now);
+		record_answer(st, f, route, t, pkt, now);
 		record_alive(st, t, now);
 	} else if (f->phase == HT_PHASE_REQUESTED && pkt->length &&
 		   pkt->sequence == f->request_sequence &&
@@ -592,6 +642,16 @@
 	}
 }
 
+void ht_steering_update_load(struct ht_steering *st, ht_ms now)
+{
+	ht_overload_update(&st->params.overload, st->instance_count, now);
+}
+
+double ht_steering_occupancy(const struct ht_steering *st, ht_ms now)
+{
+	return ht_overload_occupancy(&st->params.overload, st->instance_count, now);
+}
+
 size_t ht_steering_flow_count(const struct ht_steering *st)
 {
 	return st->flows.map.count;
@@ -604,6 +664,7 @@
 		[HT_STEER_REPLACED] = "replaced",
 		[HT_STEER_MARKED] = "marked",
 		[HT_STEER_DEFERRED] = "deferred",
+		[HT_STEER_NO_ROOM] = "no-room",
 		[HT_STEER_ALL_COLD] = "all-cold",
 		[HT_STEER_NO_VIEW] = "no-view",
 		[HT_STEER_STALE_VIEW] = "stale-view",
--- a/core/steering.h
+++ b/core/steering.h
@@ -8,6 +8,7 @@
 #define HT_CORE_STEERING_H
 
 #include "core/catalog.h"
+#include "core/overload.h"
 #include "core/reports.h"
 
 /** Decoded header of a packet from a caller. */
@@ -31,12 +32,14 @@
 };
 
 enum ht_steering_reason {
-	HT_STEER_PLACED,     /**< new flow */
-	HT_STEER_REPLACED,   /**< retransmitted opening packet, placed at another target */
-	HT_STEER_MARKED,     /**< sent to the target that the flow already has */
-	HT_STEER_DEFERRED,   /**< all targets are busy; the caller's retransmission may be placed */
-	HT_STEER_ALL_COLD,   /**< all targets are cold and at their limit; likewise */
-	HT_STEER_NO_VIEW,    /**< routes and targets have not been read completely yet */
+	HT_STEER_PLACED,   /**< new flow */
+	HT_STEER_REPLACED, /**< retransmitted opening packet, placed at another target */
+	HT_STEER_MARKED,   /**< sent to the target that the flow already has */
+	HT_STEER_DEFERRED, /**< all targets are busy; the caller's retransmission may be placed */
+	HT_STEER_NO_ROOM,  /**< capacity is short; others of its class or more urgent ones go first
+			    */
+	HT_STEER_ALL_COLD, /**< all targets are cold and at their limit; likewise */
+	HT_STEER_NO_VIEW,  /**< routes and targets have not been read completely yet */
 	HT_STEER_STALE_VIEW, /**< routes or targets are older than their bound and may have changed
 			      */
 	HT_STEER_NO_ROUTE,   /**< the configuration has no such address */
@@ -98,6 +101,9 @@
 	 */
 	void (*health_changed)(void *ctx, const struct ht_target *target, bool whole_dc,
 			       enum ht_health_cause cause, ht_ms now);
+	/** @service has become short of capacity, or is not any more: see its plan. */
+	void (*capacity_changed)(void *ctx, const struct ht_service *service,
+				 const struct ht_admission_input *load, ht_ms now);
 	void *ctx;
 };
 
@@ -111,6 +117,7 @@
 	struct ht_catalog *catalog; /**< borrowed */
 	struct ht_reports *reports; /**< borrowed; collects misses and errors for other instances */
 	struct ht_steering_observer observer;
+	struct ht_overload overload; /**< its catalogue and callback are set here */
 	uint64_t seed;
 	/** Size of the flow table; the least recently used flows are evicted. */
 	size_t flows_max;
@@ -184,6 +191,11 @@
 /** Applies the misses and errors that another instance has reported. */
 void ht_steering_apply_report(struct ht_steering *st, const struct ht_report *report, ht_ms now);
 
+/** Updates the plans of overload control; to be called when the shared load has changed. */
+void ht_steering_update_load(struct ht_steering *st, ht_ms now);
+/** Highest number of requests in flight per slot in the own data centre, see core/overload.h. */
+double ht_steering_occupancy(const struct ht_steering *st, ht_ms now);
+
 /** Detects overdue answers and removes inactive flows; call it several times a second. */
 void ht_steering_expire(struct ht_steering *st, ht_ms now);
 
--- a/entry/decisions.c
+++ b/entry/decisions.c
@@ -164,7 +164,7 @@
 		append(&f, " copy=%u", pkt->acknowledged);
 	else
 		append(&f, " mark=%08x", pkt->mark);
-	if (d->reason == HT_STEER_DEFERRED)
+	if (d->reason == HT_STEER_DEFERRED && d->capacity > 0)
 		append(&f, " open=%.0f room=%.1f", d->open, d->capacity);
 	if (service)
 		append_service(&f, service, now);
@@ -260,6 +260,51 @@
 	ht_logger_write(dec->params.log, number, "%s", f.text);
 }
 
+/* Name of the data centre with @key among those of the service's targets. */
+static const char *dc_name(const struct ht_service *s, uint32_t key)
+{
+	for (size_t i = 0; i < s->count; i++)
+		if (s->targets[i]->dc->key == key)
+			return s->targets[i]->dc->name;
+	return "unknown";
+}
+
+static void append_plan(struct fields *f, const struct ht_service *s)
+{
+	const struct ht_admission_plan *plan = &s->plan;
+
+	append(f, " rate=%.1f", plan->rate);
+	for (size_t i = 0; i < plan->class_count; i++)
+		append(f, "%s%u:%.2f", i ? "," : " admit=", plan->classes[i].priority,
+		       plan->admit[i]);
+	for (size_t i = 0; i < plan->dc_count; i++)
+		append(f, "%s%s:%.2f", i ? "," : " to=", dc_name(s, plan->dcs[i]), plan->share[i]);
+}
+
+static void on_capacity_changed(void *ctx, const struct ht_service *s,
+				const struct ht_admission_input *load, ht_ms now)
+{
+	enum ht_event_number number =
+		s->plan.short_of_room ? HT_EV_CAPACITY_SHORT : HT_EV_CAPACITY_ENOUGH;
+	struct ht_decisions *dec = ctx;
+	struct fields f = {.len = 0};
+
+	(void)now;
+	if (!ht_logger_admit(dec->params.log, number))
+		return;
+	append(&f, "service=%s source=%s", s->name,
+	       load->source == HT_LOAD_SHARED ? "shared" : "own");
+	for (size_t i = 0; i < load->dc_count; i++) {
+		const struct ht_admission_dc *dc = &load->dcs[i];
+
+		if (dc->local)
+			append(&f, " dc=%s open=%.0f slots=%.0f shed=%.0f", dc_name(s, dc->dc),
+			       dc->open, dc->slots, dc->shed);
+	}
+	append_plan(&f, s);
+	ht_logger_write(dec->params.log, number, "%s", f.text);
+}
+
 static void on_routes(void *ctx, const struct ht_route_table *table)
 {
 	const struct ht_decisions *dec = ctx;
@@ -333,6 +378,8 @@
 
 struct ht_steering_observer ht_decisions_observer(struct ht_decisions *dec)
 {
-	return (struct ht_steering_observer){
-		.flow = on_flow, .health_changed = on_health_changed, .ctx = dec};
+	return (struct ht_steering_observer){.flow = on_flow,
+					     .health_changed = on_health_changed,
+					     .capacity_changed = on_capacity_changed,
+					     .ctx = dec};
 }
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -236,6 +236,36 @@
 	      (double)page.suspected);
 }
 
+static void write_plan(void *ctx, const struct ht_service *s)
+{
+	const struct ht_admission_plan *plan = &s->plan;
+	FILE *out = ctx;
+
+	for (size_t i = 0; i < plan->class_count; i++) {
+		char priority[16];
+		const struct ht_label labels[] = {
+			{"service", s->name}, {"priority", priority}, {0}};
+
+		snprintf(priority, sizeof(priority), "%u", plan->classes[i].priority);
+		ht_exposition_sample(out, METRIC("admitted_share"), "", labels, plan->admit[i]);
+	}
+}
+
+static void write_short(void *ctx, const struct ht_service *s)
+{
+	labelled_sample(ctx, METRIC("capacity_short"), "service", s->name, s->plan.short_of_room);
+}
+
+static void write_overload(const struct ht_catalog *cat, FILE *out)
+{
+	ht_exposition_begin(out, METRIC("capacity_short"), "gauge",
+			    "1 while new flows of the service are admitted by a plan.");
+	ht_catalog_each_service(cat, write_short, out);
+	ht_exposition_begin(out, METRIC("admitted_share"), "gauge",
+			    "Share of new flows admitted, by priority of the route.");
+	ht_catalog_each_service(cat, write_plan, out);
+}
+
 static double age_seconds(ht_ms age)
 {
 	return age == HT_NEVER ? -1 : (double)age / 1000;
@@ -292,6 +322,7 @@
 			    "From a flow's opening packet to the caller's first data.");
 	ht_exposition_histogram(out, METRIC("open_to_data_seconds"), NULL, &p->stats->open_to_data);
 	write_targets(p->catalog, out);
+	write_overload(p->catalog, out);
 	write_ages(p->stats, out);
 	write_store(p->stats, out);
 	counter(out, METRIC("store_returns_total"),
--- a/entry/snapshot.c
+++ b/entry/snapshot.c
@@ -256,7 +256,9 @@
 				 main_service ? main_service->name : r->shares[0].service->name);
 	if (r->share_count > 1 || !main_service)
 		encode_shares(snap, p, m, r);
-	m->priority = r->priority;
+	m->priority = r->terms.priority;
+	m->aim_ms = (uint32_t)r->terms.aim;
+	m->limit_ms = (uint32_t)r->terms.limit;
 	m->idempotent = r->idempotent;
 	p->route_list[p->msg.n_routes++] = m;
 }
@@ -368,9 +370,14 @@
 	*(size_t *)ctx += r->share_count;
 }
 
+static bool has_limit(const struct ht_service *service)
+{
+	return service->warmup_rate || service->flows_max;
+}
+
 static void count_limited(void *ctx, const struct ht_service *service)
 {
-	*(size_t *)ctx += service->warmup_rate != 0;
+	*(size_t *)ctx += has_limit(service);
 }
 
 static void add_limited(void *ctx, const struct ht_service *service)
@@ -379,7 +386,7 @@
 	struct part *p;
 	Ht__EntryService *m;
 
-	if (!service->warmup_rate)
+	if (!has_limit(service))
 		return;
 	p = part_for(snap, is_long(service->name));
 	m = &p->services[p->msg.n_services];
@@ -387,6 +394,7 @@
 	m->name = intern_text(snap, p, service->name);
 	m->warmup_rate = service->warmup_rate;
 	m->warmup_ms = (uint32_t)service->warmup;
+	m->flows_max = service->flows_max;
 	p->service_list[p->msg.n_services++] = m;
 }
 
--- a/entry/snapshot_apply.c
+++ b/entry/snapshot_apply.c
@@ -94,6 +94,8 @@
 
 		e->at = (struct ht_endpoint){.ip = m->ip, .port = (uint16_t)m->port};
 		e->priority = m->priority;
+		e->aim_ms = m->aim_ms;
+		e->limit_ms = m->limit_ms;
 		e->idempotent = m->idempotent;
 		e->service = msg->texts[m->service];
 		decode_shares(msg, m, table, e);
@@ -119,6 +121,7 @@
 		e->name = msg->texts[m->name];
 		e->warmup_rate = m->warmup_rate;
 		e->warmup = m->warmup_ms;
+		e->flows_max = m->flows_max;
 	}
 }
 
--- a/wire/entry.pb-c.c
+++ b/wire/entry.pb-c.c
@@ -1894,7 +1894,7 @@
   (ProtobufCMessageInit) ht__entry_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ht__entry_route__field_descriptors[8] =
 {
   {
     "ip",
@@ -1968,10 +1968,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "aim_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryRoute, aim_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryRoute, limit_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_route__field_indices_by_name[] = {
+  6,   /* field[6] = aim_ms */
   4,   /* field[4] = idempotent */
   0,   /* field[0] = ip */
+  7,   /* field[7] = limit_ms */
   1,   /* field[1] = port */
   2,   /* field[2] = priority */
   3,   /* field[3] = service */
@@ -1982,7 +2008,7 @@
   { 1, 0 },
   { 5, 2 },
   { 8, 4 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ht__entry_route__descriptor =
 {
@@ -1992,14 +2018,14 @@
   "Ht__EntryRoute",
   "ht",
   sizeof(Ht__EntryRoute),
-  6,
+  8,
   ht__entry_route__field_descriptors,
   ht__entry_route__field_indices_by_name,
   3,  ht__entry_route__number_ranges,
   (ProtobufCMessageInit) ht__entry_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ht__entry_service__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ht__entry_service__field_descriptors[4] =
 {
   {
     "name",
@@ -2037,8 +2063,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "flows_max",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ht__EntryService, flows_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ht__entry_service__field_indices_by_name[] = {
+  3,   /* field[3] = flows_max */
   0,   /* field[0] = name */
   2,   /* field[2] = warmup_ms */
   1,   /* field[1] = warmup_rate */
@@ -2046,7 +2085,7 @@
 static const ProtobufCIntRange ht__entry_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ht__entry_service__descriptor =
 {
@@ -2056,7 +2095,7 @@
   "Ht__EntryService",
   "ht",
   sizeof(Ht__EntryService),
-  3,
+  4,
   ht__entry_service__field_descriptors,
   ht__entry_service__field_indices_by_name,
   1,  ht__entry_service__number_ranges,
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -356,14 +356,19 @@
   Ht__EntryShare **shares;
   uint32_t priority;
   protobuf_c_boolean idempotent;
+  /*
+   * Absent from builds before the field EntryGreeting.load; 0: not stated.
+   */
+  uint32_t aim_ms;
+  uint32_t limit_ms;
 };
 #define HT__ENTRY_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_route__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
- * A service that states how many flows its cold targets bear.
+ * A service that states how many flows its cold targets bear, or its targets hold.
  */
 struct  Ht__EntryService
 {
@@ -380,10 +385,14 @@
    * time for which a target is cold
    */
   uint32_t warmup_ms;
+  /*
+   * that a target holds, idle ones included; 0: not stated
+   */
+  uint32_t flows_max;
 };
 #define HT__ENTRY_SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ht__entry_service__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Ht__EntryAddress
