--- a/core/steering.c
+++ b/core/steering.c
@@ -642,6 +642,11 @@
 	}
 }
 
+void ht_steering_report_load(struct ht_steering *st)
+{
+	ht_overload_add_targets(&st->params.overload);
+}
+
 void ht_steering_update_load(struct ht_steering *st, ht_ms now)
 {
 	ht_overload_update(&st->params.overload, st->instance_count, now);
--- a/core/steering.h
+++ b/core/steering.h
@@ -191,6 +191,8 @@
 /** Applies the misses and errors that another instance has reported. */
 void ht_steering_apply_report(struct ht_steering *st, const struct ht_report *report, ht_ms now);
 
+/** Adds what this instance sees of each target to the report of the load. */
+void ht_steering_report_load(struct ht_steering *st);
 /** Updates the plans of overload control; to be called when the shared load has changed. */
 void ht_steering_update_load(struct ht_steering *st, ht_ms now);
 /** Highest number of requests in flight per slot in the own data centre, see core/overload.h. */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -39,6 +39,11 @@
 #define STOP_NOTICE_MS 2000
 #define STOP_QUIET_MS 700
 
+/* Requests in flight per slot of the fullest service from which instances share their load often,
+ * and from which they share it at all. */
+#define LOAD_BUSY 0.5
+#define LOAD_RELAXED 0.05
+
 struct ht_entry {
 	struct ev_loop *loop;
 	const char *path;
@@ -50,6 +55,7 @@
 	struct ht_metrics *metrics;
 	struct ht_catalog *catalog;
 	struct ht_reports reports;
+	struct ht_load *load;
 	struct ht_steering *steering;
 	struct ht_packets *packets;
 	struct ht_readiness *readiness;
@@ -235,6 +241,35 @@
 	return e->feed || ht_err_set(err, HT_ENOMEM, "out of memory");
 }
 
+static void set_load_pace(struct ht_entry *e, ht_ms now)
+{
+	double occupancy = ht_steering_occupancy(e->steering, now);
+	enum ht_load_pace pace = HT_LOAD_IDLE;
+
+	if (occupancy >= LOAD_BUSY)
+		pace = HT_LOAD_BUSY;
+	else if (occupancy >= LOAD_RELAXED)
+		pace = HT_LOAD_RELAXED;
+	ht_link_set_load_pace(e->link, pace);
+}
+
+static void report_load(void *ctx, struct ht_load *load)
+{
+	struct ht_entry *e = ctx;
+
+	(void)load;
+	ht_steering_report_load(e->steering);
+}
+
+static void on_load_updated(void *ctx)
+{
+	struct ht_entry *e = ctx;
+	ht_ms now = ht_now();
+
+	ht_steering_update_load(e->steering, now);
+	set_load_pace(e, now);
+}
+
 static bool start_link(struct ht_entry *e, struct ht_err *err)
 {
 	e->link = ht_link_new(
@@ -244,6 +279,9 @@
 			.catalog = e->catalog,
 			.steering = e->steering,
 			.reports = &e->reports,
+			.load = e->load,
+			.add_targets = report_load,
+			.load_updated = on_load_updated,
 			.log = e->log,
 			.stats = &e->stats.link,
 			.feed = current_feed,
@@ -336,6 +374,7 @@
 	(void)revents;
 	ht_steering_expire(e->steering, now);
 	ht_catalog_expire(e->catalog, now, (ht_ms)(e->settings.flow_max_s * 1000));
+	set_load_pace(e, now);
 	e->ticks++;
 	if (!ht_feed_complete(e->feed) || e->ticks % TICKS_PER_GREETING == 0)
 		ht_link_round(e->link);
@@ -390,6 +429,16 @@
 	return e->log;
 }
 
+static bool start_load(struct ht_entry *e)
+{
+	struct ht_load_params params;
+
+	ht_load_params_default(&params);
+	params.dc = ht_load_key(e->settings.data_centre);
+	e->load = ht_load_new(&params);
+	return e->load;
+}
+
 static bool start_steering(struct ht_entry *e)
 {
 	struct ht_catalog_observer observer;
@@ -411,6 +460,8 @@
 	ht_steering_params_default(&params);
 	params.catalog = e->catalog;
 	params.reports = &e->reports;
+	params.overload.load = e->load;
+	ht_admission_params_default(&params.overload.admission);
 	params.observer = ht_decisions_observer(e->decisions);
 	params.seed = ht_hash_pair(ht_hash_str(e->settings.instance), (uint64_t)ht_clock_wall());
 	e->steering = ht_steering_new(&params);
@@ -449,7 +500,7 @@
 	ht_entry_stats_init(&e->stats);
 	if (!ht_entry_settings_load(&e->settings, e->path, err))
 		return false;
-	if (!start_log(e) || !start_steering(e))
+	if (!start_log(e) || !start_load(e) || !start_steering(e))
 		return ht_err_set(err, HT_ENOMEM, "out of memory");
 	e->packets = ht_packets_new(
 		&(struct ht_packets_params){
@@ -518,6 +569,7 @@
 	ht_readiness_free(e->readiness);
 	ht_packets_free(e->packets);
 	ht_steering_free(e->steering);
+	ht_load_free(e->load);
 	ht_decisions_free(e->decisions);
 	ht_catalog_free(e->catalog);
 	ht_logger_free(e->log);
--- /dev/null
+++ b/tests/core/test_overload.c
@@ -0,0 +1,189 @@
+/* What the steering makes of a plan for a service that is short of capacity. */
+#include "tests/core/steering_world.h"
+#include "tests/suite.h"
+
+#define TARGETS 6
+#define CALLERS 400
+
+static struct ht_load *load;
+static struct ht_service *stock;
+
+static void start(void)
+{
+	struct ht_load_params lp;
+
+	world_start();
+	ht_steering_free(st);
+	ht_load_params_default(&lp);
+	lp.dc = ht_load_key("here");
+	load = ht_load_new(&lp);
+	params.overload.load = load;
+	ht_admission_params_default(&params.overload.admission);
+	st = ht_steering_new(&params);
+	ht_steering_set_view_complete(st, true);
+	for (int i = 0; i < TARGETS; i++)
+		put_target(i, "stock", i % 2 ? "here" : "there");
+	stock = ht_catalog_by_name(cat, "i-1000")->service;
+}
+
+static void stop(void)
+{
+	world_stop();
+	ht_load_free(load);
+}
+
+/* Capacity is short: routes of priority 1 are admitted, of those of priority 2 the share @admit;
+ * the share @stay of the admitted flows goes to the own data centre. */
+static void set_plan(double admit, bool delay, double stay)
+{
+	stock->plan = (struct ht_admission_plan){
+		.short_of_room = true,
+		.class_count = 2,
+		.classes = {{.priority = 1}, {.priority = 2}},
+		.admit = {1, admit},
+		.delay = {false, delay},
+		.dc_count = 2,
+		.dcs = {ht_load_key("here"), ht_load_key("there")},
+		.share = {stay, 1 - stay},
+	};
+}
+
+static struct ht_steering_decision open_from(uint32_t caller, uint16_t port, uint32_t copy)
+{
+	struct ht_packet pkt = packet_of(1024, port);
+
+	pkt.src.ip += caller;
+	pkt.opens = true;
+	pkt.acknowledged = copy;
+	return ht_steering_packet(st, &pkt, now);
+}
+
+static unsigned int count_forwarded(uint16_t port, bool local)
+{
+	unsigned int n = 0;
+
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		struct ht_steering_decision d = open_from(i, port, 0);
+
+		n += d.action == HT_STEER_FORWARD && d.target->dc->local == local;
+	}
+	return n;
+}
+
+/* Guards against urgent flows that are turned away while others are admitted. */
+START_TEST(less_urgent_flows_are_refused_at_once)
+{
+	struct ht_steering_decision d;
+
+	set_plan(0, false, 1);
+	d = open_flow(1024, STOCK_PORT, 0);
+	ck_assert_int_eq(d.action, HT_STEER_RESET);
+	ck_assert_int_eq(d.reason, HT_STEER_NO_ROOM);
+	ck_assert_uint_eq(count_forwarded(STOCK_PORT + 1, true), CALLERS);
+}
+END_TEST
+
+/* Guards against a reset where a later copy of the packet can still be served. */
+START_TEST(flows_that_can_wait_are_left_to_a_later_copy)
+{
+	set_plan(0, true, 1);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 0).action, HT_STEER_DROP);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 1).action, HT_STEER_DROP);
+	ck_assert_int_ne(open_flow(1024, STOCK_PORT, 2).action, HT_STEER_DROP);
+}
+END_TEST
+
+/* Burst in one data centre: guards against flows that stay where they would have to wait. */
+START_TEST(flows_go_where_the_plan_says)
+{
+	unsigned int here;
+
+	set_plan(1, false, 0.25);
+	here = count_forwarded(STOCK_PORT, true);
+	ck_assert_uint_ge(here, CALLERS * 15 / 100);
+	ck_assert_uint_le(here, CALLERS * 35 / 100);
+}
+END_TEST
+
+/* Guards against all instances choosing the target that looks best in a view they share: of two
+ * drawn at random the less loaded one is taken, so none gets all flows, and a full one the least.
+ */
+START_TEST(full_target_of_the_view_gets_fewest_flows)
+{
+	struct ht_target *full = ht_catalog_by_name(cat, "i-1001");
+	struct ht_load_view view = {
+		.count = 1,
+		.dcs = {{.dc = ht_load_key("here"),
+			 .instances = 9,
+			 .target_count = 1,
+			 .targets = {{.mark = full->marks[0].value, .open = 10, .flows = 10}}}}};
+	unsigned int at_full = 0;
+
+	ht_load_set_view(load, &view, now);
+	set_plan(1, false, 1);
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		struct ht_steering_decision d = open_from(i, STOCK_PORT, 0);
+
+		at_full += d.target == full;
+		now += 200;
+		ht_load_set_view(load, &view, now);
+		ht_steering_expire(st, now);
+	}
+	ck_assert_uint_eq(at_full, 0);
+}
+END_TEST
+
+/* Guards against more flows at a target than its service says it holds. */
+START_TEST(limit_of_flows_is_kept)
+{
+	stock->flows_max = 10;
+	for (uint32_t i = 0; i < CALLERS; i++)
+		open_from(i, STOCK_PORT, 0);
+	for (int i = 0; i < TARGETS; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "i-%x", 0x1000 + i);
+		ck_assert_uint_le(ht_catalog_by_name(cat, name)->flows, 10);
+	}
+}
+END_TEST
+
+/* Guards against a change of decisions for services that are not short of capacity. */
+START_TEST(without_shortage_decisions_are_as_before)
+{
+	struct ht_steering_params plain = params;
+	struct ht_steering *before;
+
+	plain.overload.load = NULL;
+	before = ht_steering_new(&plain);
+	ht_steering_set_view_complete(before, true);
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		struct ht_packet pkt = packet_of((uint16_t)(1024 + i), STOCK_PORT);
+		struct ht_steering_decision a, b;
+
+		pkt.opens = true;
+		a = ht_steering_packet(st, &pkt, now);
+		ht_steering_expire(st, now + 10000);
+		b = ht_steering_packet(before, &pkt, now);
+		ht_steering_expire(before, now + 10000);
+		now += 10;
+		ck_assert_int_eq(a.action, b.action);
+		ck_assert_ptr_eq(a.target, b.target);
+	}
+	ht_steering_free(before);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("overload");
+
+	tcase_add_checked_fixture(tc, start, stop);
+	tcase_add_test(tc, less_urgent_flows_are_refused_at_once);
+	tcase_add_test(tc, flows_that_can_wait_are_left_to_a_later_copy);
+	tcase_add_test(tc, flows_go_where_the_plan_says);
+	tcase_add_test(tc, full_target_of_the_view_gets_fewest_flows);
+	tcase_add_test(tc, limit_of_flows_is_kept);
+	tcase_add_test(tc, without_shortage_decisions_are_as_before);
+	return run_case("overload", tc);
+}
--- a/tests/entry/test_snapshot.c
+++ b/tests/entry/test_snapshot.c
@@ -754,6 +754,50 @@
 }
 END_TEST
 
+static uint32_t flows_max;
+
+static void note_flows_max(void *ctx, const struct ht_service *service)
+{
+	(void)ctx;
+	flows_max = service->flows_max;
+}
+
+/* Guards against plans that differ because one instance read the terms and another was told. */
+START_TEST(snapshot_carries_terms)
+{
+	struct ht_route_entry e = {.at = {.ip = 1, .port = 443},
+				   .service = "stock",
+				   .priority = 1,
+				   .aim_ms = 250,
+				   .limit_ms = 2500};
+	struct ht_service_entry service = {.name = "stock", .flows_max = 2000};
+	struct ht_route_table table = {.id = {7, rev(7)},
+				       .count = 1,
+				       .entries = &e,
+				       .service_count = 1,
+				       .services = &service};
+	struct ht_load_terms terms = {.priority = 1, .aim = 250, .limit = 2500};
+	struct ht_snapshot *snap;
+
+	ht_catalog_set_routes(from, &table);
+	copy_all(6);
+	ck_assert(ht_load_terms_equal(&ht_catalog_route(to, e.at)->terms, &terms));
+	ht_catalog_each_service(to, note_flows_max, NULL);
+	ck_assert_uint_eq(flows_max, 2000);
+	/* A changed term is part of a difference. A build without the field states none. */
+	e.aim_ms = 300;
+	table.id = (struct ht_routes_id){8, rev(8)};
+	ht_catalog_set_routes(from, &table);
+	snap = make_snapshot(7, 6, 6);
+	ck_assert_uint_eq(ht_snapshot_message(snap)->n_routes, 1);
+	ht_snapshot_message(snap)->routes[0]->aim_ms = 0;
+	ht_snapshot_apply(to, ht_snapshot_message(snap), rev(6), 0, 0);
+	ht_snapshot_free(snap);
+	ck_assert_int_eq(ht_catalog_route(to, e.at)->terms.aim, 0);
+	ck_assert_uint_eq(ht_catalog_route(to, e.at)->terms.priority, 1);
+}
+END_TEST
+
 START_TEST(snapshot_carries_evacuations)
 {
 	put(from, 1, 5, false);
@@ -813,6 +857,7 @@
 	tcase_add_test(tc, snapshot_carries_limits_of_cold_targets);
 	tcase_add_test(tc, earlier_builds_get_the_main_service);
 	tcase_add_test(tc, routes_of_earlier_builds_are_not_used);
+	tcase_add_test(tc, snapshot_carries_terms);
 	tcase_add_test(tc, snapshot_carries_evacuations);
 	tcase_add_test(tc, evacuations_of_an_earlier_era_are_not_sent);
 	return run_case("snapshot", tc);
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -177,6 +177,8 @@
 	ck_assert_str_eq(reply.routes.entries[1].service, "huvo11a");
 	ck_assert(reply.routes.entries[0].idempotent);
 	ck_assert(!reply.routes.entries[1].idempotent);
+	ck_assert_uint_eq(reply.routes.entries[0].aim_ms, 200);
+	ck_assert_uint_eq(reply.routes.entries[1].limit_ms, 2500);
 }
 END_TEST
 
@@ -235,6 +237,23 @@
 }
 END_TEST
 
+/* Guards against a route or service that is lost because a term of it has another form. */
+START_TEST(terms_that_cannot_be_read_are_not_stated)
+{
+	decode_route(address, "\"service\":\"a\",\"aimMs\":\"200\",\"timeoutMs\":-1");
+	ck_assert_uint_eq(reply.routes.count, 1);
+	ck_assert_uint_eq(reply.routes.entries[0].aim_ms, 0);
+	ck_assert_uint_eq(reply.routes.entries[0].limit_ms, 0);
+	decode_service("{\"name\":\"a\",\"maxConns\":2000},"
+		       "{\"name\":\"b\",\"maxConns\":\"many\"},"
+		       "{\"name\":\"c\",\"maxConns\":null,\"warmupPerS\":2,\"warmupS\":1}");
+	ck_assert_uint_eq(reply.routes.service_count, 2);
+	ck_assert_uint_eq(reply.routes.services[0].flows_max, 2000);
+	ck_assert_str_eq(reply.routes.services[1].name, "c");
+	ck_assert_uint_eq(reply.routes.services[1].flows_max, 0);
+}
+END_TEST
+
 START_TEST(limit_that_cannot_be_read_is_not_absent)
 {
 	static const char *const services[] = {
@@ -515,6 +534,7 @@
 	tcase_add_test(tc, decodes_routes);
 	tcase_add_test(tc, decodes_routes_with_shares);
 	tcase_add_test(tc, decodes_limits_of_cold_targets);
+	tcase_add_test(tc, terms_that_cannot_be_read_are_not_stated);
 	tcase_add_test(tc, limit_that_cannot_be_read_is_not_absent);
 	tcase_add_test(tc, mangled_route_is_unreadable_and_not_absent);
 	tcase_add_test(tc, unreadable_value_costs_its_entry_only);
