--- a/core/load.h
+++ b/core/load.h
@@ -122,6 +122,8 @@
 /** Counts a response @took after its request. @error: it looks like an error. */
 void ht_load_count_answer(struct ht_load *load, uint32_t service, uint32_t dc,
 			  const struct ht_load_terms *terms, ht_ms took, bool error);
+/** Number of times that a service, class or data centre had no room in a table, report or sum. */
+uint64_t ht_load_left_out(const struct ht_load *load);
 
 /** Begins the report of the time since the last one; ht_load_add_target() adds the targets. */
 void ht_load_begin_report(struct ht_load *load);
