--- a/core/load.c
+++ b/core/load.c
@@ -118,15 +118,12 @@
 	return &load->counts[i];
 }
 
-static struct ht_load_class_counts *class_counts(struct ht_load *load, uint32_t service,
-						 const struct ht_load_terms *terms)
+static struct ht_load_class_counts *
+class_counts(struct ht_load *load, struct ht_load_counts *counts, const struct ht_load_terms *terms)
 {
-	struct ht_load_counts *counts = service_counts(load, service);
-	int slot;
 	size_t i;
+	int slot;
 
-	if (!counts)
-		return NULL;
 	for (i = 0; i < HT_LOAD_CLASS_SLOTS; i++) {
 		if (!ht_load_terms_equal(&counts->classes[i].terms, terms))
 			continue;
@@ -140,15 +137,12 @@
 	return &counts->classes[slot];
 }
 
-static struct ht_load_place_counts *place_counts(struct ht_load *load, uint32_t service,
-						 uint32_t dc)
+static struct ht_load_place_counts *place_counts(struct ht_load *load,
+						 struct ht_load_counts *counts, uint32_t dc)
 {
-	struct ht_load_counts *counts = service_counts(load, service);
-	int slot;
 	size_t i;
+	int slot;
 
-	if (!counts)
-		return NULL;
 	for (i = 0; i < HT_LOAD_PLACE_SLOTS; i++) {
 		if (counts->places[i].dc != dc)
 			continue;
@@ -165,7 +159,8 @@
 void ht_load_count_opening(struct ht_load *load, uint32_t service,
 			   const struct ht_load_terms *terms, bool refused)
 {
-	struct ht_load_class_counts *class = class_counts(load, service, terms);
+	struct ht_load_counts *counts = service_counts(load, service);
+	struct ht_load_class_counts *class = counts ? class_counts(load, counts, terms) : NULL;
 
 	if (!class)
 		return;
@@ -175,7 +170,8 @@
 
 void ht_load_count_request(struct ht_load *load, uint32_t service, uint32_t dc, bool continued)
 {
-	struct ht_load_place_counts *place = place_counts(load, service, dc);
+	struct ht_load_counts *counts = service_counts(load, service);
+	struct ht_load_place_counts *place = counts ? place_counts(load, counts, dc) : NULL;
 
 	if (place)
 		place->continued.count += continued;
@@ -196,14 +192,19 @@
 void ht_load_count_answer(struct ht_load *load, uint32_t service, uint32_t dc,
 			  const struct ht_load_terms *terms, ht_ms took, bool error)
 {
-	struct ht_load_place_counts *place = place_counts(load, service, dc);
-	struct ht_load_class_counts *class = error ? NULL : class_counts(load, service, terms);
+	struct ht_load_counts *counts = service_counts(load, service);
+	struct ht_load_class_counts *class;
+	struct ht_load_place_counts *place;
 
+	if (!counts)
+		return;
+	place = place_counts(load, counts, dc);
 	if (place) {
 		place->answered.count++;
 		place->shed.count += error;
 	}
 	/* An error takes none of the work. */
+	class = error ? NULL : class_counts(load, counts, terms);
 	if (class)
 		note_took(class, (double)took);
 }
@@ -272,10 +273,12 @@
 			const struct ht_load_target *target)
 {
 	struct ht_load_place_counts *place;
+	struct ht_load_counts *counts;
 
 	if (!target->open && !target->flows)
 		return;
-	place = place_counts(load, service, dc);
+	counts = service_counts(load, service);
+	place = counts ? place_counts(load, counts, dc) : NULL;
 	if (place)
 		place->open.count += target->open;
 	ht_load_top_add(&load->top, target);
@@ -387,6 +390,36 @@
 	return smooth ? f->smooth : f->reported;
 }
 
+/* A figure's part of the demand that decides what is kept. What was busy until now counts too, so
+ * that it does not come and go with every report. */
+static double recent(const struct ht_load_figure *f)
+{
+	return f->reported + f->smooth;
+}
+
+static double class_score(const struct ht_load_class_counts *class)
+{
+	/* A class whose flows stay open has no opening packets, but its work is known. */
+	return recent(&class->opening) + NEGLIGIBLE * (class->least_ms > 0);
+}
+
+static double place_score(const struct ht_load_place_counts *place)
+{
+	return recent(&place->open) + recent(&place->answered) + recent(&place->continued);
+}
+
+static double service_score(const struct ht_load_counts *counts)
+{
+	double score = 0;
+	size_t i;
+
+	for (i = 0; i < HT_LOAD_CLASS_SLOTS; i++)
+		score += recent(&counts->classes[i].opening);
+	for (i = 0; i < HT_LOAD_PLACE_SLOTS; i++)
+		score += place_score(&counts->places[i]);
+	return score;
+}
+
 /* Returns the number of classes left out. */
 static size_t fill_classes(const struct ht_load_counts *counts, bool smooth, double times,
 			   struct ht_load_service *out)
@@ -395,11 +428,8 @@
 	size_t chosen[HT_LOAD_CLASSES_MAX];
 	size_t i;
 
-	/* A class whose flows stay open has no opening packets, but its work is known. */
 	for (i = 0; i < HT_LOAD_CLASS_SLOTS; i++)
-		scores[i] = counts->classes[i].opening.reported +
-			    counts->classes[i].opening.smooth +
-			    NEGLIGIBLE * (counts->classes[i].least_ms > 0);
+		scores[i] = class_score(&counts->classes[i]);
 	out->class_count = ht_load_choose(scores, HT_LOAD_CLASS_SLOTS, HT_LOAD_CLASSES_MAX, chosen);
 	for (i = 0; i < out->class_count; i++) {
 		const struct ht_load_class_counts *class = &counts->classes[chosen[i]];
@@ -422,13 +452,8 @@
 	size_t chosen[HT_LOAD_DCS_MAX];
 	size_t i;
 
-	for (i = 0; i < HT_LOAD_PLACE_SLOTS; i++) {
-		const struct ht_load_place_counts *place = &counts->places[i];
-
-		scores[i] = place->open.reported + place->open.smooth + place->answered.reported +
-			    place->answered.smooth + place->continued.reported +
-			    place->continued.smooth;
-	}
+	for (i = 0; i < HT_LOAD_PLACE_SLOTS; i++)
+		scores[i] = place_score(&counts->places[i]);
 	out->place_count = ht_load_choose(scores, HT_LOAD_PLACE_SLOTS, HT_LOAD_DCS_MAX, chosen);
 	for (i = 0; i < out->place_count; i++) {
 		const struct ht_load_place_counts *place = &counts->places[chosen[i]];
@@ -479,23 +504,21 @@
 
 static void fill_report(struct ht_load *load, struct ht_load_sum *out)
 {
-	struct ht_load_service services[HT_LOAD_TABLE];
 	double scores[HT_LOAD_TABLE];
-	size_t left[HT_LOAD_TABLE], chosen[HT_LOAD_SERVICES_MAX];
+	size_t chosen[HT_LOAD_SERVICES_MAX];
 	size_t i;
 
-	for (i = 0; i < HT_LOAD_TABLE; i++) {
-		services[i] = (struct ht_load_service){.service = load->keys[i]};
-		left[i] = fill_classes(&load->counts[i], false, 1, &services[i]) +
-			  fill_places(&load->counts[i], false, 1, &services[i]);
-		scores[i] = ht_load_service_demand(&services[i]);
-	}
+	for (i = 0; i < HT_LOAD_TABLE; i++)
+		scores[i] = service_score(&load->counts[i]);
 	out->service_count = ht_load_choose(scores, HT_LOAD_TABLE, HT_LOAD_SERVICES_MAX, chosen);
+	load->left_out += count_positive(scores, HT_LOAD_TABLE) - out->service_count;
 	for (i = 0; i < out->service_count; i++) {
-		out->services[i] = services[chosen[i]];
-		load->left_out += left[chosen[i]];
+		const struct ht_load_counts *counts = &load->counts[chosen[i]];
+
+		out->services[i].service = load->keys[chosen[i]];
+		load->left_out += fill_classes(counts, false, 1, &out->services[i]) +
+				  fill_places(counts, false, 1, &out->services[i]);
 	}
-	load->left_out += count_positive(scores, HT_LOAD_TABLE) - out->service_count;
 }
 
 void ht_load_end_report(struct ht_load *load, struct ht_load_sum *out, ht_ms now)
--- a/core/load_internal.h
+++ b/core/load_internal.h
@@ -84,7 +84,7 @@
 	ht_ms own_at;		/* ...and its time, or HT_NEVER */
 	ht_ms counted_at;	/* the counters were cleared, or HT_NEVER */
 	struct ht_list members;
-	size_t member_count;
+	size_t member_count; /* expired ones included */
 	size_t dc_count;
 	struct ht_load_sum dcs[HT_LOAD_DCS_MAX - 1];
 	ht_ms dc_at[HT_LOAD_DCS_MAX - 1];
--- a/core/load_members.c
+++ b/core/load_members.c
@@ -67,16 +67,9 @@
 	}
 }
 
-static void remove_member(struct ht_load *load, struct ht_load_member *m)
-{
-	ht_list_del(&m->node);
-	load->member_count--;
-	free(m);
-}
-
-static struct ht_load_member *oldest(const struct ht_load *load)
+static bool counts_now(const struct ht_load *load, const struct ht_load_member *m, ht_ms now)
 {
-	return ht_container_of(load->members.next, struct ht_load_member, node);
+	return ht_load_recent(m->at, load->params.report_valid - m->report.age, now);
 }
 
 static struct ht_load_member *find_member(const struct ht_load *load, uint64_t instance)
@@ -92,25 +85,26 @@
 	return NULL;
 }
 
+/* The entry of the member; otherwise that of the longest ago if it has expired or there is no room
+ * for another one, or a new one. */
 static struct ht_load_member *find_or_add(struct ht_load *load, uint64_t instance, ht_ms now)
 {
-	struct ht_load_member *m;
+	struct ht_load_member *first =
+		ht_container_of(load->members.next, struct ht_load_member, node);
+	struct ht_load_member *m = find_member(load, instance);
 
-	while (load->member_count &&
-	       !ht_load_recent(oldest(load)->at, load->params.report_valid, now))
-		remove_member(load, oldest(load));
-	m = find_member(load, instance);
+	if (!m && load->member_count &&
+	    (load->member_count == HT_LOAD_MEMBERS_MAX || !counts_now(load, first, now)))
+		m = first;
 	if (m) {
 		ht_list_del(&m->node);
 	} else {
-		if (load->member_count == HT_LOAD_MEMBERS_MAX)
-			remove_member(load, oldest(load));
 		m = calloc(1, sizeof(*m));
 		if (!m)
 			return NULL;
-		m->instance = instance;
 		load->member_count++;
 	}
+	m->instance = instance;
 	ht_list_add_tail(&load->members, &m->node);
 	return m;
 }
@@ -131,11 +125,6 @@
 	ht_load_clean(&m->report);
 }
 
-static bool counts_now(const struct ht_load *load, const struct ht_load_member *m, ht_ms now)
-{
-	return ht_load_recent(m->at, load->params.report_valid - m->report.age, now);
-}
-
 size_t ht_load_member_count(const struct ht_load *load, ht_ms now)
 {
 	struct ht_list *pos;
--- a/core/load_view.c
+++ b/core/load_view.c
@@ -255,11 +255,15 @@
 		const struct ht_load_place *o = place_of(own, dc->dc);
 
 		dc->open = fmin(dc->open, times * fmax(o->open, local->open) + slack);
-		dc->shed = fmin(dc->shed, times * fmax(o->shed, local->shed) + slack);
 		dc->continued =
 			fmin(dc->continued, times * fmax(o->continued, local->continued) + slack);
+		/* Few responses would look like a low rate at full load, many like a high one. */
+		dc->answered =
+			fmin(dc->answered, times * fmax(o->answered, local->answered) + slack);
 		dc->answered =
 			fmax(dc->answered, o->answered * (double)alive / p->outlier_factor - slack);
+		dc->shed = fmin(dc->shed, times * fmax(o->shed, local->shed) + slack);
+		dc->shed = fmin(dc->shed, dc->answered);
 		for (j = 0; dc->dc == p->dc && j < out->class_count; j++) {
 			double opening = own_opening(own, &out->classes[j]);
 
