core: admission of new flows by class while capacity is short

Instances refused only after targets were full, whatever the priority. The plan takes the state of one service and serves classes by priority, aim and work up to the capacity of all data centres.

--- /dev/null
+++ b/core/admission.c
@@ -0,0 +1,511 @@
+#include "core/admission.h"
+
+#include "base/hash.h"
+
+#include <math.h>
+#include <string.h>
+
+/* A larger figure is an error; sums and products of figures up to it stay finite. */
+#define FIGURE_MAX 1e9
+/* Weight of a new measurement of the rate. States are 400 ms apart while capacity is short. */
+#define RATE_WEIGHT 0.5
+/* The measured rate is at most this many times, and at least this part of, the one by work_ms. */
+#define RATE_RANGE 10
+/* Classes of equal priority whose work differs by less than this factor are served alike. */
+#define WORK_ALIKE 1.25
+/* A single instance's counts are too noisy to refuse more than the rest of this. */
+#define OWN_ADMIT_MIN 0.1
+/* Callers send the next copy of an opening packet after this time at the earliest. */
+#define COPY_MS 200
+/* Copies of an opening packet that callers send. */
+#define COPIES 3
+
+/* A distribution of the demand of all instances over the targets, class by class. */
+struct allocation {
+	const struct ht_admission_input *in;
+	const struct ht_admission_params *params;
+	size_t local;		       /* dc_count: there is none */
+	uint32_t top;		       /* highest priority with demand */
+	double rate;		       /* per second and slot */
+	double excess;		       /* part of the demand of @top that exceeds the full load */
+	double wait_ms;		       /* expected response time */
+	double taken[HT_LOAD_DCS_MAX]; /* by the classes distributed so far */
+	double sent[HT_LOAD_DCS_MAX];  /* of these, from instances of the local data centre */
+	double admit[HT_LOAD_CLASSES_MAX];
+};
+
+void ht_admission_params_default(struct ht_admission_params *params)
+{
+	*params = (struct ht_admission_params){.begin = 1.5,
+					       .end = 1.0,
+					       .shed = 0.05,
+					       .updates = 2,
+					       .depth = 2.0,
+					       .horizon = 500,
+					       .turn = 2000};
+}
+
+static double figure(double x)
+{
+	if (isnan(x) || x < 0)
+		return 0;
+	return x < FIGURE_MAX ? x : FIGURE_MAX;
+}
+
+static size_t smaller(size_t a, size_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Copies @from without negative, infinite or missing figures; unusable targets have no slots. */
+static void clean(struct ht_admission_input *to, const struct ht_admission_input *from)
+{
+	*to = *from;
+	to->dc_count = smaller(from->dc_count, HT_LOAD_DCS_MAX);
+	to->class_count = smaller(from->class_count, HT_LOAD_CLASSES_MAX);
+	for (size_t c = 0; c < to->class_count; c++)
+		to->work_ms[c] = figure(from->work_ms[c]);
+	for (size_t i = 0; i < to->dc_count; i++) {
+		struct ht_admission_dc *dc = &to->dcs[i];
+
+		dc->slots = dc->usable ? figure(dc->slots) : 0;
+		dc->open = figure(dc->open);
+		dc->answered = figure(dc->answered);
+		dc->shed = fmin(figure(dc->shed), dc->answered);
+		dc->continued = figure(dc->continued);
+		for (size_t c = 0; c < to->class_count; c++)
+			dc->opening[c] = figure(dc->opening[c]);
+	}
+}
+
+static size_t find_local(const struct ht_admission_input *in)
+{
+	size_t i = 0;
+
+	while (i < in->dc_count && !in->dcs[i].local)
+		i++;
+	return i;
+}
+
+static double dc_demand(const struct ht_admission_input *in, size_t dc)
+{
+	double sum = 0;
+
+	for (size_t c = 0; c < in->class_count; c++)
+		sum += in->dcs[dc].opening[c];
+	return sum;
+}
+
+static double class_demand(const struct ht_admission_input *in, size_t class)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < in->dc_count; i++)
+		sum += in->dcs[i].opening[class];
+	return sum;
+}
+
+static double all_slots(const struct ht_admission_input *in)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < in->dc_count; i++)
+		sum += in->dcs[i].slots;
+	return sum;
+}
+
+/* Mean of work_ms over the demand; over the classes if there is none; 0: unknown. */
+static double mean_work(const struct ht_admission_input *in)
+{
+	double sum = 0, weight = 0, plain = 0;
+	size_t count = 0;
+
+	for (size_t c = 0; c < in->class_count; c++) {
+		double demand = class_demand(in, c);
+
+		if (in->work_ms[c] <= 0)
+			continue;
+		sum += in->work_ms[c] * demand;
+		weight += demand;
+		plain += in->work_ms[c];
+		count++;
+	}
+	if (weight > 0)
+		return sum / weight;
+	return count ? plain / (double)count : 0;
+}
+
+/* Requests per second and slot that saturated data centres serve; 0: none is saturated. */
+static double measured_rate(const struct ht_admission_input *in, double saturated)
+{
+	double served = 0, slots = 0;
+
+	for (size_t i = 0; i < in->dc_count; i++) {
+		const struct ht_admission_dc *dc = &in->dcs[i];
+
+		if (dc->slots <= 0 || dc->open < saturated * dc->slots)
+			continue;
+		served += dc->answered - dc->shed;
+		slots += dc->slots;
+	}
+	return slots > 0 ? served / slots : 0;
+}
+
+static void learn_rate(struct ht_admission_plan *plan, const struct ht_admission_input *in,
+		       const struct ht_admission_params *params)
+{
+	double work = mean_work(in), derived = work > 0 ? 1000 / work : 0;
+	double measured = measured_rate(in, params->begin);
+
+	plan->rate = figure(plan->rate);
+	if (plan->rate <= 0)
+		plan->rate = derived > 0 ? derived : measured;
+	if (measured > 0)
+		plan->rate += RATE_WEIGHT * (measured - plan->rate);
+	if (derived > 0)
+		plan->rate = fmin(fmax(plan->rate, derived / RATE_RANGE), derived * RATE_RANGE);
+}
+
+/* What the state of the local data centre speaks for: 1: capacity is short, -1: it is not. */
+static int judge(const struct ht_admission_input *in, size_t local,
+		 const struct ht_admission_params *params)
+{
+	const struct ht_admission_dc *dc = &in->dcs[local];
+	bool sheds;
+
+	if (local == in->dc_count)
+		return -1;
+	if (dc->slots <= 0)
+		return dc_demand(in, local) > 0 && all_slots(in) > 0 ? 1 : -1;
+	sheds = dc->shed > 0 && dc->shed >= params->shed * dc->answered;
+	if (sheds || dc->open >= params->begin * dc->slots)
+		return 1;
+	return dc->open < params->end * dc->slots ? -1 : 0;
+}
+
+static void update_state(struct ht_admission_plan *plan, int verdict,
+			 const struct ht_admission_params *params)
+{
+	if (verdict != (plan->short_of_room ? -1 : 1)) {
+		plan->contrary = 0;
+	} else if (++plan->contrary >= params->updates) {
+		plan->short_of_room = !plan->short_of_room;
+		plan->contrary = 0;
+	}
+}
+
+static double full_load(const struct allocation *a, size_t dc)
+{
+	return a->rate * a->in->dcs[dc].slots;
+}
+
+/* Rate that brings the requests in flight to the intended depth within the horizon. */
+static double queue_term(const struct allocation *a, size_t dc)
+{
+	const struct ht_admission_dc *d = &a->in->dcs[dc];
+	double horizon = a->params->horizon > 0 ? (double)a->params->horizon / 1000 : 1;
+
+	return (a->params->depth * d->slots - d->open) / horizon;
+}
+
+/*
+ * New flows per second that data centre @dc can still take of a class of @priority. Requests on
+ * open flows may be of any class, so they count against all but the highest. The highest is
+ * entitled to the full load; a queue that is too long counts against it only as far as its own
+ * demand exceeds that.
+ */
+static double room(const struct allocation *a, size_t dc, uint32_t priority)
+{
+	double full = full_load(a, dc), queue = queue_term(a, dc), sum;
+
+	if (full <= 0)
+		return 0;
+	if (priority <= a->top)
+		sum = full + fmax(queue, -a->excess * full);
+	else
+		sum = full + queue - a->in->dcs[dc].continued;
+	return fmax(sum - a->taken[dc], 0);
+}
+
+static double excess_of_top(const struct allocation *a)
+{
+	double demand = 0, full = a->rate * all_slots(a->in);
+
+	for (size_t c = 0; c < a->in->class_count; c++)
+		if (a->in->classes[c].priority <= a->top)
+			demand += class_demand(a->in, c);
+	return full > 0 ? fmin(fmax(demand / full - 1, 0), 1) : 0;
+}
+
+static uint32_t highest_priority(const struct ht_admission_input *in)
+{
+	uint32_t top = UINT32_MAX;
+
+	for (size_t c = 0; c < in->class_count; c++)
+		if (in->classes[c].priority < top && class_demand(in, c) > 0)
+			top = in->classes[c].priority;
+	return top;
+}
+
+static bool late(const struct allocation *a, size_t class)
+{
+	const struct ht_load_terms *terms = &a->in->classes[class];
+	ht_ms goal = terms->aim > 0 ? terms->aim : terms->limit;
+
+	return goal > 0 && a->wait_ms > (double)goal;
+}
+
+/* Classes are served in this order: positive if @x comes after @y, 0 if they are alike. */
+static int compare(const struct allocation *a, size_t x, size_t y)
+{
+	const struct ht_admission_input *in = a->in;
+
+	if (in->classes[x].priority != in->classes[y].priority)
+		return in->classes[x].priority > in->classes[y].priority ? 1 : -1;
+	if (late(a, x) != late(a, y))
+		return late(a, x) ? 1 : -1;
+	if (in->work_ms[x] <= 0 || in->work_ms[y] <= 0)
+		return 0;
+	if (in->work_ms[x] > in->work_ms[y] * WORK_ALIKE)
+		return 1;
+	return in->work_ms[y] > in->work_ms[x] * WORK_ALIKE ? -1 : 0;
+}
+
+/*
+ * Serves the demand of the classes in @set, all alike: each data centre its own first, then the
+ * rest of all by the room that is left.
+ */
+static void serve(struct allocation *a, const size_t *set, size_t count)
+{
+	const struct ht_admission_input *in = a->in;
+	uint32_t priority = in->classes[set[0]].priority;
+	double rest[HT_LOAD_DCS_MAX], left[HT_LOAD_DCS_MAX];
+	double rests = 0, lefts = 0, fraction, own = 0, demand = 0;
+
+	for (size_t i = 0; i < in->dc_count; i++) {
+		double here, total = 0;
+
+		for (size_t k = 0; k < count; k++)
+			total += in->dcs[i].opening[set[k]];
+		left[i] = room(a, i, priority);
+		here = fmin(total, left[i]);
+		a->taken[i] += here;
+		rest[i] = total - here;
+		left[i] -= here;
+		rests += rest[i];
+		lefts += left[i];
+		if (i == a->local) {
+			a->sent[i] += here;
+			own = here;
+			demand = total;
+		}
+	}
+	fraction = rests > lefts ? lefts / rests : 1;
+	for (size_t i = 0; i < in->dc_count && lefts > 0 && rests > 0; i++) {
+		double part = left[i] / lefts * fraction;
+
+		a->taken[i] += rests * part;
+		if (a->local < in->dc_count)
+			a->sent[i] += rest[a->local] * part;
+	}
+	if (demand > 0)
+		fraction = (own + rest[a->local] * fraction) / demand;
+	else
+		fraction = lefts > rests ? 1 : 0;
+	for (size_t k = 0; k < count; k++)
+		a->admit[set[k]] = fmin(fmax(fraction, 0), 1);
+}
+
+static void allocate(struct allocation *a)
+{
+	size_t order[HT_LOAD_CLASSES_MAX];
+
+	memset(a->taken, 0, sizeof(a->taken));
+	memset(a->sent, 0, sizeof(a->sent));
+	for (size_t c = 0; c < a->in->class_count; c++) {
+		size_t k = c;
+
+		for (; k > 0 && compare(a, order[k - 1], c) > 0; k--)
+			order[k] = order[k - 1];
+		order[k] = c;
+	}
+	for (size_t k = 0; k < a->in->class_count;) {
+		size_t first = k;
+
+		while (k < a->in->class_count && compare(a, order[k], order[first]) == 0)
+			k++;
+		serve(a, &order[first], k - first);
+	}
+}
+
+/* Shares of the data centres by @weights; false if their sum is 0. */
+static bool set_shares(struct ht_admission_plan *plan, const double *weights)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < plan->dc_count; i++)
+		sum += weights[i];
+	if (sum <= 0)
+		return false;
+	for (size_t i = 0; i < plan->dc_count; i++)
+		plan->share[i] = weights[i] / sum;
+	return true;
+}
+
+/* All to the local data centre if it has targets, otherwise to the others by their slots. */
+static void set_default_shares(struct ht_admission_plan *plan, const struct ht_admission_input *in,
+			       size_t local, bool local_only)
+{
+	double weights[HT_LOAD_DCS_MAX] = {0};
+
+	for (size_t i = 0; i < in->dc_count; i++)
+		weights[i] = in->dcs[i].slots;
+	if (local < in->dc_count && (local_only || in->dcs[local].slots > 0)) {
+		memset(weights, 0, sizeof(weights));
+		weights[local] = 1;
+	}
+	if (!set_shares(plan, weights) && local < in->dc_count)
+		plan->share[local] = 1;
+}
+
+/* Expected response time of a flow that is placed by the shares of @plan. */
+static double expected_wait(const struct allocation *a, const struct ht_admission_plan *plan)
+{
+	double wait = 0;
+
+	for (size_t i = 0; i < a->in->dc_count; i++)
+		if (full_load(a, i) > 0)
+			wait += plan->share[i] * a->in->dcs[i].open / full_load(a, i);
+	return wait * 1000;
+}
+
+/* True if all demand can be served once the queues are short enough. */
+static bool only_queues(const struct allocation *a)
+{
+	double demand = 0, full = a->rate * all_slots(a->in);
+
+	for (size_t i = 0; i < a->in->dc_count; i++) {
+		demand += dc_demand(a->in, i);
+		if (a->in->dcs[i].slots > 0)
+			demand += a->in->dcs[i].continued;
+	}
+	return full > demand;
+}
+
+static void admit_all(struct ht_admission_plan *plan)
+{
+	for (size_t c = 0; c < plan->class_count; c++) {
+		plan->admit[c] = 1;
+		plan->delay[c] = false;
+	}
+}
+
+static void make_plan(struct ht_admission_plan *plan, struct allocation *a)
+{
+	bool queues = only_queues(a);
+
+	/* The shares depend on the order of classes, which depends on the wait, by the shares. */
+	for (int pass = 0; pass < 2; pass++) {
+		allocate(a);
+		if (!set_shares(plan, a->sent))
+			set_default_shares(plan, a->in, a->local, false);
+		a->wait_ms = expected_wait(a, plan);
+	}
+	for (size_t c = 0; c < plan->class_count; c++) {
+		ht_ms limit = plan->classes[c].limit;
+
+		plan->admit[c] = a->admit[c];
+		if (a->in->source == HT_LOAD_OWN)
+			plan->admit[c] = fmax(plan->admit[c], OWN_ADMIT_MIN);
+		plan->delay[c] = queues && plan->admit[c] < 1 &&
+				 (limit <= 0 || a->wait_ms + COPY_MS <= (double)limit);
+	}
+}
+
+void ht_admission_update(struct ht_admission_plan *plan, const struct ht_admission_input *input,
+			 const struct ht_admission_params *params)
+{
+	struct ht_admission_input in;
+	struct allocation a = {.in = &in, .params = params};
+
+	clean(&in, input);
+	a.local = find_local(&in);
+	learn_rate(plan, &in, params);
+	update_state(plan, judge(&in, a.local, params), params);
+	plan->dc_count = in.dc_count;
+	plan->class_count = in.class_count;
+	memcpy(plan->classes, in.classes, sizeof(plan->classes));
+	memset(plan->share, 0, sizeof(plan->share));
+	for (size_t i = 0; i < in.dc_count; i++)
+		plan->dcs[i] = in.dcs[i].dc;
+	admit_all(plan);
+	if (!plan->short_of_room || plan->rate <= 0) {
+		set_default_shares(plan, &in, a.local, !plan->short_of_room);
+		return;
+	}
+	a.rate = plan->rate;
+	a.top = highest_priority(&in);
+	a.excess = excess_of_top(&a);
+	make_plan(plan, &a);
+}
+
+static bool same_terms(const struct ht_load_terms *a, const struct ht_load_terms *b)
+{
+	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
+}
+
+/*
+ * Index of the class with @terms. One that the plan does not list has too little demand to matter;
+ * it is treated as the most urgent class listed that is not more urgent than itself, or else as the
+ * least urgent one.
+ */
+static size_t find_class(const struct ht_admission_plan *plan, const struct ht_load_terms *terms)
+{
+	size_t below = plan->class_count, last = 0;
+
+	for (size_t c = 0; c < plan->class_count; c++) {
+		uint32_t priority = plan->classes[c].priority;
+
+		if (same_terms(&plan->classes[c], terms))
+			return c;
+		if (priority > plan->classes[last].priority)
+			last = c;
+		if (priority >= terms->priority &&
+		    (below == plan->class_count || priority < plan->classes[below].priority))
+			below = c;
+	}
+	return below < plan->class_count ? below : last;
+}
+
+/*
+ * Callers are spread over [0, 1), for each class by a hash of its own, and a window of the admitted
+ * width moves through that once in @turn. Clocks of instances differ, so that the window is not at
+ * the same place at all of them; its width is, and a caller's turn comes at each within @turn.
+ */
+static bool has_turn(const struct ht_load_terms *terms, double width, uint64_t caller, ht_ms turn,
+		     ht_ms now)
+{
+	uint64_t class = ht_hash_pair(terms->priority,
+				      ht_hash_pair((uint64_t)terms->aim, (uint64_t)terms->limit));
+	double place = ldexp((double)(ht_hash_pair(caller, class) >> 11), -53);
+	double start = turn > 0 ? (double)(now % turn) / (double)turn : 0;
+	double ahead = place - start;
+
+	return (ahead < 0 ? ahead + 1 : ahead) < width;
+}
+
+enum ht_admission ht_admission_decide(const struct ht_admission_plan *plan,
+				      const struct ht_admission_params *params,
+				      const struct ht_load_terms *terms, uint64_t caller,
+				      uint32_t copy, ht_ms now)
+{
+	size_t class;
+
+	if (!plan->short_of_room || !plan->class_count)
+		return HT_ADMIT;
+	class = find_class(plan, terms);
+	if (plan->admit[class] >= 1 ||
+	    has_turn(terms, plan->admit[class], caller, params->turn, now))
+		return HT_ADMIT;
+	return plan->delay[class] && copy + 1 < COPIES ? HT_DELAY : HT_REFUSE;
+}
