--- a/core/admission.c
+++ b/core/admission.c
@@ -28,6 +28,7 @@
 	uint32_t top;		       /* highest priority with demand */
 	double rate;		       /* per second and slot */
 	double excess;		       /* part of the demand of @top that exceeds the full load */
+	double work_ms;		       /* mean of all classes */
 	double wait_ms;		       /* expected response time */
 	double taken[HT_LOAD_DCS_MAX]; /* by the classes distributed so far */
 	double sent[HT_LOAD_DCS_MAX];  /* of these, from instances of the local data centre */
@@ -255,86 +256,117 @@
 	return goal > 0 && a->wait_ms > (double)goal;
 }
 
-/* Classes are served in this order: positive if @x comes after @y, 0 if they are alike. */
-static int compare(const struct allocation *a, size_t x, size_t y)
+/* The work of classes without a measurement counts as the mean of all. */
+static double work_of(const struct allocation *a, size_t class)
 {
-	const struct ht_admission_input *in = a->in;
+	return a->in->work_ms[class] > 0 ? a->in->work_ms[class] : a->work_ms;
+}
+
+/* True if class @x is served before @y. */
+static bool precedes(const struct allocation *a, size_t x, size_t y)
+{
+	const struct ht_load_terms *terms = a->in->classes;
 
-	if (in->classes[x].priority != in->classes[y].priority)
-		return in->classes[x].priority > in->classes[y].priority ? 1 : -1;
+	if (terms[x].priority != terms[y].priority)
+		return terms[x].priority < terms[y].priority;
 	if (late(a, x) != late(a, y))
-		return late(a, x) ? 1 : -1;
-	if (in->work_ms[x] <= 0 || in->work_ms[y] <= 0)
-		return 0;
-	if (in->work_ms[x] > in->work_ms[y] * WORK_ALIKE)
-		return 1;
-	return in->work_ms[y] > in->work_ms[x] * WORK_ALIKE ? -1 : 0;
+		return late(a, y);
+	return work_of(a, x) < work_of(a, y);
 }
 
-/*
- * Serves the demand of the classes in @set, all alike: each data centre its own first, then the
- * rest of all by the room that is left.
- */
-static void serve(struct allocation *a, const size_t *set, size_t count)
+/* True if class @y, which does not precede @x, shares in proportion with it. */
+static bool alike(const struct allocation *a, size_t x, size_t y)
 {
-	const struct ht_admission_input *in = a->in;
-	uint32_t priority = in->classes[set[0]].priority;
-	double rest[HT_LOAD_DCS_MAX], left[HT_LOAD_DCS_MAX];
-	double rests = 0, lefts = 0, fraction, own = 0, demand = 0;
+	return a->in->classes[x].priority == a->in->classes[y].priority &&
+	       late(a, x) == late(a, y) && work_of(a, y) <= work_of(a, x) * WORK_ALIKE;
+}
 
-	for (size_t i = 0; i < in->dc_count; i++) {
-		double here, total = 0;
+static size_t sort_classes(const struct allocation *a, size_t *order)
+{
+	size_t count = 0;
+
+	for (size_t c = 0; c < a->in->class_count; c++) {
+		size_t k = count++;
+
+		for (; k > 0 && precedes(a, c, order[k - 1]); k--)
+			order[k] = order[k - 1];
+		order[k] = c;
+	}
+	return count;
+}
+
+/* Demand for a set of classes, and the room for it, by data centre. */
+struct rest {
+	double demand[HT_LOAD_DCS_MAX], room[HT_LOAD_DCS_MAX];
+	double demands, rooms; /* sums */
+};
+
+/* Serves the demand of each data centre as far as possible by its own targets. */
+static void serve_at_home(struct allocation *a, struct rest *rest)
+{
+	for (size_t i = 0; i < a->in->dc_count; i++) {
+		double here = fmin(rest->demand[i], rest->room[i]);
 
-		for (size_t k = 0; k < count; k++)
-			total += in->dcs[i].opening[set[k]];
-		left[i] = room(a, i, priority);
-		here = fmin(total, left[i]);
 		a->taken[i] += here;
-		rest[i] = total - here;
-		left[i] -= here;
-		rests += rest[i];
-		lefts += left[i];
-		if (i == a->local) {
+		if (i == a->local)
 			a->sent[i] += here;
-			own = here;
-			demand = total;
-		}
+		rest->demand[i] -= here;
+		rest->room[i] -= here;
+		rest->demands += rest->demand[i];
+		rest->rooms += rest->room[i];
 	}
-	fraction = rests > lefts ? lefts / rests : 1;
-	for (size_t i = 0; i < in->dc_count && lefts > 0 && rests > 0; i++) {
-		double part = left[i] / lefts * fraction;
+}
+
+/* Serves the rest by the room that is left anywhere; returns the part of it that is served. */
+static double serve_elsewhere(struct allocation *a, const struct rest *rest)
+{
+	double part = rest->demands > rest->rooms ? rest->rooms / rest->demands : 1;
+
+	if (rest->rooms <= 0 || rest->demands <= 0)
+		return part;
+	for (size_t i = 0; i < a->in->dc_count; i++) {
+		double to = part * rest->room[i] / rest->rooms;
+
+		a->taken[i] += rest->demands * to;
+		if (a->local < a->in->dc_count)
+			a->sent[i] += rest->demand[a->local] * to;
+	}
+	return part;
+}
 
-		a->taken[i] += rests * part;
-		if (a->local < in->dc_count)
-			a->sent[i] += rest[a->local] * part;
+/* Serves the demand of the classes in @set, which are alike. */
+static void serve(struct allocation *a, const size_t *set, size_t count)
+{
+	struct rest rest = {0};
+	double demand, part;
+
+	for (size_t i = 0; i < a->in->dc_count; i++) {
+		for (size_t k = 0; k < count; k++)
+			rest.demand[i] += a->in->dcs[i].opening[set[k]];
+		rest.room[i] = room(a, i, a->in->classes[set[0]].priority);
 	}
+	demand = a->local < a->in->dc_count ? rest.demand[a->local] : 0;
+	serve_at_home(a, &rest);
+	part = serve_elsewhere(a, &rest);
 	if (demand > 0)
-		fraction = (own + rest[a->local] * fraction) / demand;
+		part = 1 - (1 - part) * rest.demand[a->local] / demand;
 	else
-		fraction = lefts > rests ? 1 : 0;
+		part = rest.rooms > rest.demands ? 1 : 0;
 	for (size_t k = 0; k < count; k++)
-		a->admit[set[k]] = fmin(fmax(fraction, 0), 1);
+		a->admit[set[k]] = part;
 }
 
 static void allocate(struct allocation *a)
 {
-	size_t order[HT_LOAD_CLASSES_MAX];
+	size_t order[HT_LOAD_CLASSES_MAX] = {0};
+	size_t count = sort_classes(a, order);
 
 	memset(a->taken, 0, sizeof(a->taken));
 	memset(a->sent, 0, sizeof(a->sent));
-	for (size_t c = 0; c < a->in->class_count; c++) {
-		size_t k = c;
-
-		for (; k > 0 && compare(a, order[k - 1], c) > 0; k--)
-			order[k] = order[k - 1];
-		order[k] = c;
-	}
-	for (size_t k = 0; k < a->in->class_count;) {
-		size_t first = k;
-
-		while (k < a->in->class_count && compare(a, order[k], order[first]) == 0)
-			k++;
-		serve(a, &order[first], k - first);
+	for (size_t first = 0, end; first < count; first = end) {
+		for (end = first + 1; end < count && alike(a, order[first], order[end]);)
+			end++;
+		serve(a, &order[first], end - first);
 	}
 }
 
@@ -444,6 +476,7 @@
 		return;
 	}
 	a.rate = plan->rate;
+	a.work_ms = mean_work(&in);
 	a.top = highest_priority(&in);
 	a.excess = excess_of_top(&a);
 	make_plan(plan, &a);
