--- a/entry/announce.c
+++ b/entry/announce.c
@@ -18,12 +18,12 @@
 /* Bit of the encoded receiver, see EntryGreeting.pass_on in wire/entry.proto. */
 #define FOR_DC_BIT 48
 
-static uint64_t encode_receiver(const struct ht_fanout_receiver *r)
+uint64_t ht_link_encode_receiver(const struct ht_fanout_receiver *r)
 {
 	return (uint64_t)r->for_dc << FOR_DC_BIT | (uint64_t)r->at.ip << 16 | r->at.port;
 }
 
-static struct ht_fanout_receiver decode_receiver(uint64_t field)
+struct ht_fanout_receiver ht_link_decode_receiver(uint64_t field)
 {
 	return (struct ht_fanout_receiver){
 		.at = {.ip = (uint32_t)(field >> 16), .port = (uint16_t)field},
@@ -39,7 +39,7 @@
 	Ht__EntrySnapshot *changes = msg->changes;
 
 	for (size_t i = 1; i < group->count; i++)
-		pass_on[i - 1] = encode_receiver(&group->to[i]);
+		pass_on[i - 1] = ht_link_encode_receiver(&group->to[i]);
 	msg->to_dc = group->to[0].for_dc;
 	msg->n_pass_on = group->count - 1;
 	msg->pass_on = pass_on;
@@ -84,21 +84,24 @@
 		r->to[r->count++].at = n->at;
 }
 
-/* Adds the instances of the own data centre. Those that may be gone come last, so that no other
- * receiver depends on them. */
-static void add_local(struct ht_link *link, struct ht_link_receivers *r)
+void ht_link_add_local(const struct ht_neighbours *nb, uint64_t seed, ht_ms now,
+		       struct ht_link_receivers *r)
 {
 	struct receiver_lists lists = {.fresh = r, .old.count = 0};
-	uint64_t seed = link->seed + link->announcements++;
 	size_t first = r->count;
 
-	ht_neighbours_each_local(link->neighbours, ht_now(), add_receiver, &lists);
+	ht_neighbours_each_local(nb, now, add_receiver, &lists);
 	ht_fanout_shuffle(r->to + first, r->count - first, seed);
 	ht_fanout_shuffle(lists.old.to, lists.old.count, seed);
 	for (size_t i = 0; i < lists.old.count && r->count < HT_LINK_RELAY_MAX; i++)
 		r->to[r->count++] = lists.old.to[i];
 }
 
+static void add_local(struct ht_link *link, struct ht_link_receivers *r)
+{
+	ht_link_add_local(link->neighbours, link->seed + link->announcements++, ht_now(), r);
+}
+
 /* Adds one instance of each other data centre, which relays the message there. */
 static void add_representatives(struct ht_link *link, struct ht_link_receivers *r)
 {
@@ -250,7 +253,7 @@
 	if (msg->to_dc)
 		add_local(link, r);
 	for (size_t i = 0; i < msg->n_pass_on && r->count < HT_LINK_RELAY_MAX; i++)
-		r->to[r->count++] = decode_receiver(msg->pass_on[i]);
+		r->to[r->count++] = ht_link_decode_receiver(msg->pass_on[i]);
 }
 
 /* Relays @msg as received, because an instance without a view has nothing to add. */
--- a/entry/load_codec.c
+++ b/entry/load_codec.c
@@ -216,15 +216,14 @@
 			const struct ht_load_classes *classes = &names->services[s];
 
 			for (size_t c = 0; c < classes->count; c++) {
-				const struct ht_load_demand *d = find_demand(
-					sums[i], classes->service, &classes->terms[c]);
+				const struct ht_load_demand *d =
+					find_demand(sums[i], classes->service, &classes->terms[c]);
 
 				*to++ = d ? encode_figure(d->opening) : 0;
 				*to++ = d ? encode_figure(d->refused) : 0;
 				if (i == 0)
-					*work++ = encode_figure(lowest_work(sums, count,
-									    classes->service,
-									    &classes->terms[c]));
+					*work++ = encode_figure(lowest_work(
+						sums, count, classes->service, &classes->terms[c]));
 			}
 		}
 	}
@@ -398,9 +397,9 @@
 		add_dc(names, msg->dcs[i]);
 	for (size_t s = 0; s < msg->n_services; s++) {
 		struct ht_load_classes *classes = &names->services[s];
-		size_t n = used < msg->n_terms ? read_classes(msg->terms + used,
-							      msg->n_terms - used, classes)
-					       : 0;
+		size_t n = used < msg->n_terms
+				   ? read_classes(msg->terms + used, msg->n_terms - used, classes)
+				   : 0;
 
 		if (!n || find_service(names, msg->services[s]) < names->service_count)
 			return false;
@@ -433,8 +432,7 @@
 
 	return count && count <= names->dc_count && msg->n_ages == count &&
 	       msg->demand.len == count * classes * DEMAND_FIGURES && msg->work.len == classes &&
-	       msg->places.len ==
-		       groups * names->service_count * names->dc_count * PLACE_FIGURES &&
+	       msg->places.len == groups * names->service_count * names->dc_count * PLACE_FIGURES &&
 	       msg->n_target_marks <= HT_LOAD_TARGETS_MAX &&
 	       msg->n_target_open == msg->n_target_marks &&
 	       msg->n_target_flows == msg->n_target_marks;
