--- a/core/load_internal.h
+++ b/core/load_internal.h
@@ -101,11 +101,6 @@
 	return at != HT_NEVER && now - at < valid;
 }
 
-static inline bool ht_load_terms_equal(const struct ht_load_terms *a, const struct ht_load_terms *b)
-{
-	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
-}
-
 /** Figure at offset @at of a class or place. */
 static inline double ht_load_field(const void *part, size_t at)
 {
