--- a/core/overload.c
+++ b/core/overload.c
@@ -31,13 +31,15 @@
 	return &in->dcs[in->dc_count++];
 }
 
+/* Suspected targets count: full ones are suspected, too, and what dead ones do not serve shows in
+ * the service rate. */
 static void add_slots(struct ht_admission_input *in, const struct ht_service *s, ht_ms now)
 {
 	for (size_t i = 0; i < s->count; i++) {
 		const struct ht_target *t = s->targets[i];
 		struct ht_admission_dc *dc = find_dc(in, t->dc->key);
 
-		if (!dc || ht_evidence_suspected(&t->evidence, now))
+		if (!dc)
 			continue;
 		dc->slots += now < t->warmup_ends_at ? COLD_SLOTS * t->slots : t->slots;
 		dc->local = t->dc->local;
--- a/core/placing.c
+++ b/core/placing.c
@@ -161,6 +161,7 @@
 {
 	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
 	size_t start = s->count ? next_random(pl) % s->count : 0, seen = 0;
+	bool skip_suspected = may_skip_suspected(pl, s, start, sampled, now);
 	struct ht_target *drawn[2] = {NULL, NULL};
 	uint32_t dc;
 
@@ -172,8 +173,9 @@
 		struct ht_target *t = s->targets[(start + i) % s->count];
 		size_t at = seen;
 
-		if (t->dc->key != dc || is_suspected(t, now) || was_tried(t, tried, n) ||
-		    !ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
+		if (t->dc->key != dc || was_tried(t, tried, n) ||
+		    (skip_suspected && is_suspected(t, now)) || !ht_placing_allows(pl, t, now) ||
+		    !ht_placing_holds_more(pl, t, now))
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
--- a/core/steering.c
+++ b/core/steering.c
@@ -422,6 +422,9 @@
 	uint32_t bytes = pkt->acknowledged - f->acknowledged;
 	bool error = ht_answer_is_error(&route->answers, bytes, f->answer_delay);
 
+	/* A full target is well; leaving it out would put its load on the others. */
+	if (t->service->plan.short_of_room && ht_answer_is_refusal(&route->answers, bytes))
+		return;
 	if (error)
 		notify_flow(st, f, HT_FLOW_ERROR, now - f->answer_delay, bytes, now);
 	else
