--- a/entry/load_exchange.c
+++ b/entry/load_exchange.c
@@ -67,7 +67,8 @@
 	return within(ex->collected_at, SILENCE(interval_of(ex->pace)), now);
 }
 
-/* The instance to report to; NULL: this one. */
+/* The instance to report to; NULL: this one. The sender of views remains the collector even if one
+ * that precedes it returns, which has no reports to make a view of. */
 static const struct ht_neighbour *find_collector(const struct ht_load_exchange *ex, ht_ms now)
 {
 	const struct ht_neighbours *nb = ex->params.neighbours;
@@ -76,7 +77,8 @@
 
 	if (has_collector(ex, now)) {
 		n = ht_neighbours_find(nb, ex->collector);
-		return n && ht_neighbours_precedes(nb, n, NULL) ? n : NULL;
+		if (n || ex->collector == ex->self)
+			return n;
 	}
 	if (ex->collected_at != HT_NEVER && ex->collected_at > since)
 		since = ex->collected_at;
@@ -145,6 +147,24 @@
 		ex->params.send(ex->params.ctx, to, buf, ht__entry_greeting__pack(&greeting, buf));
 }
 
+/* Size of a datagram with @size bytes of a message for one of @copies groups of receivers. */
+static size_t datagram_size(size_t size, size_t receivers, size_t copies)
+{
+	const size_t frame = 16; /* tags and lengths */
+
+	return frame + size + (receivers + copies - 1) / copies * sizeof(uint64_t);
+}
+
+/* Number of copies to send: more if the receivers to pass it on to do not fit otherwise. */
+static size_t view_copies(size_t size, size_t receivers)
+{
+	size_t copies = ht_fanout_copies(size);
+
+	while (copies < HT_FANOUT && datagram_size(size, receivers, copies) > HT_LINK_GREETING_MAX)
+		copies++;
+	return copies;
+}
+
 /* Sends the view @msg to the receivers, each of which passes it on to some of the others. */
 static void spread(struct ht_load_exchange *ex, const Ht__EntryLoad *msg,
 		   const struct ht_link_receivers *receivers)
@@ -156,7 +176,8 @@
 
 	copy.n_pass_on = 0;
 	n = ht_fanout_split(receivers->to, receivers->count,
-			    ht_fanout_copies(ht__entry_load__get_packed_size(&copy)), groups);
+			    view_copies(ht__entry_load__get_packed_size(&copy), receivers->count),
+			    groups);
 	for (size_t i = 0; i < n; i++) {
 		for (size_t k = 1; k < groups[i].count; k++)
 			pass_on[k - 1] = ht_link_encode_receiver(&groups[i].to[k]);
@@ -166,29 +187,20 @@
 	}
 }
 
-/* Size of the largest datagram of a view for @receivers. */
-static size_t view_size(const Ht__EntryLoad *msg, size_t receivers)
-{
-	const size_t frame = 16; /* tags and lengths */
-	size_t size = ht__entry_load__get_packed_size(msg);
-	size_t copies = ht_fanout_copies(size);
-
-	return frame + size + (receivers + copies - 1) / copies * sizeof(uint64_t);
-}
-
 /* Encodes as much of the view as fits a datagram: targets are left out first, then the last data
  * centres. */
 static void encode_view(struct ht_load_message *m, const struct ht_load_view *view,
 			size_t receivers)
 {
 	const struct ht_load_sum *sums[HT_LOAD_DCS_MAX];
-	size_t count = view->count, targets = HT_LOAD_TARGETS_MAX;
+	size_t count = view->count, targets = HT_LOAD_TARGETS_MAX, size;
 
 	for (size_t i = 0; i < count; i++)
 		sums[i] = &view->dcs[i];
 	for (;;) {
 		ht_load_encode(m, sums, count, targets, NULL);
-		if (view_size(&m->msg, receivers) <= HT_LINK_GREETING_MAX)
+		size = ht__entry_load__get_packed_size(&m->msg);
+		if (datagram_size(size, receivers, HT_FANOUT) <= HT_LINK_GREETING_MAX)
 			return;
 		if (targets)
 			targets /= 2;
--- a/entry/load_exchange.h
+++ b/entry/load_exchange.h
@@ -2,9 +2,9 @@
  * Reports of load to the collector of the data centre, sums between collectors, and views back to
  * the members, as EntryLoad in greetings (wire/entry.proto).
  *
- * The collector is the first live instance in the order of readers (core/neighbours.h) that sends
- * views: an instance reports to the sender of the views that it gets, and without views to one
- * instance after the other in that order.
+ * An instance reports to the sender of the views that it gets, and while it gets none to one
+ * instance after the other in the order of readers (core/neighbours.h). An instance that gets
+ * reports, or whose turn it is, collects. If several send views, all report to the first of them.
  */
 #ifndef HT_ENTRY_LOAD_EXCHANGE_H
 #define HT_ENTRY_LOAD_EXCHANGE_H
