--- a/entry/load_codec.c
+++ b/entry/load_codec.c
@@ -442,9 +442,7 @@
 static void read_demand(const Ht__EntryLoad *msg, const struct ht_load_names *names, size_t i,
 			struct ht_load_sum *out)
 {
-	const uint8_t *work = msg->work.data;
-	const uint8_t *from =
-		work ? msg->demand.data + i * class_total(names) * DEMAND_FIGURES : NULL;
+	size_t at = i * class_total(names) * DEMAND_FIGURES, work = 0;
 
 	out->service_count = names->service_count;
 	for (size_t s = 0; s < names->service_count; s++) {
@@ -453,12 +451,12 @@
 
 		service->service = classes->service;
 		service->class_count = classes->count;
-		for (size_t c = 0; c < classes->count; c++, from += DEMAND_FIGURES)
+		for (size_t c = 0; c < classes->count; c++, at += DEMAND_FIGURES)
 			service->classes[c] = (struct ht_load_demand){
 				.terms = classes->terms[c],
-				.opening = decode_figure(from[0]),
-				.refused = decode_figure(from[1]),
-				.work_ms = decode_figure(*work++),
+				.opening = decode_figure(msg->demand.data[at]),
+				.refused = decode_figure(msg->demand.data[at + 1]),
+				.work_ms = decode_figure(msg->work.data[work++]),
 			};
 	}
 }
@@ -467,13 +465,14 @@
 static void read_places(const Ht__EntryLoad *msg, const struct ht_load_names *names, size_t group,
 			struct ht_load_sum *out)
 {
-	size_t size = names->service_count * names->dc_count * PLACE_FIGURES;
-	const uint8_t *from = size ? msg->places.data + group * size : NULL;
+	size_t at = group * names->service_count * names->dc_count * PLACE_FIGURES;
 
 	for (size_t s = 0; s < names->service_count; s++) {
 		struct ht_load_service *service = &out->services[s];
 
-		for (size_t i = 0; i < names->dc_count; i++, from += PLACE_FIGURES) {
+		for (size_t i = 0; i < names->dc_count; i++, at += PLACE_FIGURES) {
+			const uint8_t *from = &msg->places.data[at];
+
 			if (!from[0] && !from[1] && !from[2] && !from[3])
 				continue;
 			service->places[service->place_count++] = (struct ht_load_place){
