core: requests on open flows are counted by class

Cause: they may be of any class, and a plan that does not know which takes them for more urgent than the flows it decides on: bookings were refused for the sake of the feed's open flows.

--- a/core/admission.h
+++ b/core/admission.h
@@ -22,7 +22,8 @@
 	size_t dc_count, class_count;
 	struct ht_admission_dc dcs[HT_LOAD_DCS_MAX];
 	struct ht_load_terms classes[HT_LOAD_CLASSES_MAX];
-	double work_ms[HT_LOAD_CLASSES_MAX]; /**< lowest response time; 0: unknown */
+	double continued[HT_LOAD_CLASSES_MAX]; /**< requests on open flows, in all data centres */
+	double work_ms[HT_LOAD_CLASSES_MAX];   /**< lowest response time; 0: unknown */
 	enum ht_load_source source;
 };
 
--- a/core/load.c
+++ b/core/load.c
@@ -167,13 +167,17 @@
 	class->refused.count += refused;
 }
 
-void ht_load_count_request(struct ht_load *load, uint32_t service, uint32_t dc, bool continued)
+void ht_load_count_continued(struct ht_load *load, uint32_t service, uint32_t dc,
+			     const struct ht_load_terms *terms)
 {
 	struct ht_load_counts *counts = service_counts(load, service);
 	struct ht_load_place_counts *place = counts ? place_counts(load, counts, dc) : NULL;
+	struct ht_load_class_counts *class = counts ? class_counts(load, counts, terms) : NULL;
 
 	if (place)
-		place->continued.count += continued;
+		place->continued.count++;
+	if (class)
+		class->continued.count++;
 }
 
 static void note_took(struct ht_load_class_counts *class, double took)
@@ -292,8 +296,8 @@
 
 static double class_score(const struct ht_load_class_counts *class)
 {
-	/* A class whose flows stay open has no opening packets, but its work is known. */
-	return recent(&class->opening) + NEGLIGIBLE * (class->least_ms > 0);
+	return recent(&class->opening) + recent(&class->continued) +
+	       NEGLIGIBLE * (class->least_ms > 0);
 }
 
 static double place_score(const struct ht_load_place_counts *place)
@@ -336,7 +340,8 @@
 {
 	settle(&class->opening, times, weight);
 	settle(&class->refused, times, weight);
-	*credit = kept_credit(*credit, recent(&class->opening) > 0);
+	settle(&class->continued, times, weight);
+	*credit = kept_credit(*credit, recent(&class->opening) + recent(&class->continued) > 0);
 	/* Without requests for several seconds, its response time is not known any more. */
 	if (!*credit)
 		class->least_ms = class->mean_ms = 0;
@@ -454,6 +459,7 @@
 			.terms = class->terms,
 			.opening = times * figure(&class->opening, smooth),
 			.refused = times * figure(&class->refused, smooth),
+			.continued = times * figure(&class->continued, smooth),
 			.work_ms = class->least_ms,
 		};
 	}
--- a/core/load.h
+++ b/core/load.h
@@ -32,9 +32,10 @@
 /** Demand for a class of a service at the instances of one data centre. */
 struct ht_load_demand {
 	struct ht_load_terms terms;
-	double opening; /**< new flows requested: first copies of opening packets */
-	double refused; /**< of these, refused */
-	double work_ms; /**< lowest response time observed recently; 0: unknown */
+	double opening;	  /**< new flows requested: first copies of opening packets */
+	double refused;	  /**< of these, refused */
+	double continued; /**< requests on flows that were already open */
+	double work_ms;	  /**< lowest response time observed recently; 0: unknown */
 };
 
 /** Targets of a service in data centre @dc, as seen by the instances of the reporting one. */
@@ -94,7 +95,8 @@
 	size_t dc_count, class_count;
 	struct ht_load_dc dcs[HT_LOAD_DCS_MAX];
 	struct ht_load_terms classes[HT_LOAD_CLASSES_MAX];
-	double work_ms[HT_LOAD_CLASSES_MAX]; /**< lowest response time; 0: unknown */
+	double continued[HT_LOAD_CLASSES_MAX]; /**< by class, at all instances */
+	double work_ms[HT_LOAD_CLASSES_MAX];   /**< lowest response time; 0: unknown */
 };
 
 struct ht_load_params {
@@ -122,8 +124,9 @@
 /** Counts the first copy of an opening packet. */
 void ht_load_count_opening(struct ht_load *load, uint32_t service,
 			   const struct ht_load_terms *terms, bool refused);
-/** Counts a request to a target in data centre @dc. @continued: its flow had been open already. */
-void ht_load_count_request(struct ht_load *load, uint32_t service, uint32_t dc, bool continued);
+/** Counts a request on a flow that was already open to a target in data centre @dc. */
+void ht_load_count_continued(struct ht_load *load, uint32_t service, uint32_t dc,
+			     const struct ht_load_terms *terms);
 /** Counts a response @took after its request. @error: it looks like an error. */
 void ht_load_count_answer(struct ht_load *load, uint32_t service, uint32_t dc,
 			  const struct ht_load_terms *terms, ht_ms took, bool error);
--- a/core/load_members.c
+++ b/core/load_members.c
@@ -12,6 +12,7 @@
 static const size_t demand_fields[] = {
 	offsetof(struct ht_load_demand, opening),
 	offsetof(struct ht_load_demand, refused),
+	offsetof(struct ht_load_demand, continued),
 };
 
 static const size_t place_fields[] = {
@@ -37,6 +38,7 @@
 {
 	d->opening = clean_figure(d->opening);
 	d->refused = fmin(clean_figure(d->refused), d->opening);
+	d->continued = clean_figure(d->continued);
 	d->work_ms = clean_figure(d->work_ms);
 }
 
@@ -355,8 +357,8 @@
 		sum_fields(p, s, times, demand_fields, ARRAY_SIZE(demand_fields), &all[i]);
 		all[i].refused = fmin(all[i].refused, all[i].opening);
 		all[i].work_ms = least_work(p, s);
-		/* A class without new flows is listed last, for its work. */
-		scores[i] = all[i].opening + 1 / FIGURE_MAX;
+		/* A class without requests is listed last, for its work. */
+		scores[i] = all[i].opening + all[i].continued + 1 / FIGURE_MAX;
 	}
 	out->class_count = ht_load_choose(scores, count, HT_LOAD_CLASSES_MAX, chosen);
 	s->left_out += count - out->class_count;
--- a/core/load_view.c
+++ b/core/load_view.c
@@ -133,10 +133,11 @@
 				k++;
 			if (k == found) {
 				all[found] = *d;
-				scores[found++] = d->opening + 1e-9;
+				scores[found++] = d->opening + d->continued + 1e-9;
 				continue;
 			}
-			scores[k] += d->opening;
+			scores[k] += d->opening + d->continued;
+			all[k].continued += d->continued;
 			if (d->work_ms > 0 && (all[k].work_ms <= 0 || d->work_ms < all[k].work_ms))
 				all[k].work_ms = d->work_ms;
 		}
@@ -144,6 +145,7 @@
 	out->class_count = ht_load_choose(scores, found, HT_LOAD_CLASSES_MAX, chosen);
 	for (i = 0; i < out->class_count; i++) {
 		out->classes[i] = all[chosen[i]].terms;
+		out->continued[i] = all[chosen[i]].continued;
 		out->work_ms[i] = all[chosen[i]].work_ms;
 	}
 }
--- a/core/overload.c
+++ b/core/overload.c
@@ -53,6 +53,7 @@
 	in->class_count = state->class_count;
 	for (size_t k = 0; k < state->class_count; k++) {
 		in->classes[k] = state->classes[k];
+		in->continued[k] = state->continued[k];
 		in->work_ms[k] = state->work_ms[k];
 	}
 	for (size_t i = 0; i < state->dc_count; i++) {
--- a/core/steering.c
+++ b/core/steering.c
@@ -446,13 +446,14 @@
 }
 
 static void start_request(const struct ht_steering *st, struct ht_tracked_flow *f,
-			  const struct ht_packet *pkt, ht_ms since, ht_ms now)
+			  const struct ht_route *route, const struct ht_packet *pkt, ht_ms since,
+			  ht_ms now)
 {
 	const struct ht_target *t = f->target;
 
-	if (st->params.overload.load)
-		ht_load_count_request(st->params.overload.load, t->service->key, t->dc->key,
-				      f->phase == HT_PHASE_ANSWERED || !f->opened_here);
+	if (st->params.overload.load && (f->phase == HT_PHASE_ANSWERED || !f->opened_here))
+		ht_load_count_continued(st->params.overload.load, t->service->key, t->dc->key,
+					&route->terms);
 	f->phase = HT_PHASE_REQUESTED;
 	f->requested_at = now;
 	f->request_sequence = pkt->sequence;
@@ -495,9 +496,9 @@
 		record_opened(st, f, t, pkt, now);
 	if (is_next_request(f, pkt)) {
 		evaluate_answer(st, f, route, t, pkt, now);
-		start_request(st, f, pkt, f->last_packet_at, now);
+		start_request(st, f, route, pkt, f->last_packet_at, now);
 	} else if (f->phase == HT_PHASE_OPEN && pkt->length) {
-		start_request(st, f, pkt, f->placed_at, now);
+		start_request(st, f, route, pkt, f->placed_at, now);
 	} else if (f->phase == HT_PHASE_REQUESTED && pkt->acknowledged != f->acknowledged) {
 		record_answer(st, f, route, t, pkt, now);
 		record_alive(st, t, now);
--- a/entry/load_codec.c
+++ b/entry/load_codec.c
@@ -14,7 +14,7 @@
 
 /* Figures per place and per class. */
 #define PLACE_FIGURES 4
-#define DEMAND_FIGURES 2
+#define DEMAND_FIGURES 3
 
 static uint8_t encode_figure(double value)
 {
@@ -221,6 +221,7 @@
 
 				*to++ = d ? encode_figure(d->opening) : 0;
 				*to++ = d ? encode_figure(d->refused) : 0;
+				*to++ = d ? encode_figure(d->continued) : 0;
 				if (i == 0)
 					*work++ = encode_figure(lowest_work(
 						sums, count, classes->service, &classes->terms[c]));
@@ -456,6 +457,7 @@
 				.terms = classes->terms[c],
 				.opening = decode_figure(msg->demand.data[at]),
 				.refused = decode_figure(msg->demand.data[at + 1]),
+				.continued = decode_figure(msg->demand.data[at + 2]),
 				.work_ms = decode_figure(msg->work.data[work++]),
 			};
 	}
--- a/tests/core/test_load_view.c
+++ b/tests/core/test_load_view.c
@@ -67,7 +67,8 @@
 	for (i = 0; i < t->bulk; i++)
 		ht_load_count_opening(load, SHOP, &bulk, i % 2);
 	for (i = 0; i < t->answers; i++) {
-		ht_load_count_request(load, SHOP, HERE, i % 2);
+		if (i % 2)
+			ht_load_count_continued(load, SHOP, HERE, &urgent);
 		ht_load_count_answer(load, SHOP, HERE, &urgent, 20 + i, i < t->errors);
 	}
 	ht_load_begin_report(load);
@@ -465,11 +466,11 @@
 
 			ht_load_count_opening(fleet[0], collision(100 + i % 400), &bulk, false);
 			ht_load_count_opening(fleet[0], SHOP, &terms, false);
-			ht_load_count_request(fleet[0], SHOP, 100 + i % 40, true);
+			ht_load_count_continued(fleet[0], SHOP, 100 + i % 40, &terms);
 			terms.priority = 50 + i % 4;
 			for (k = 0; k < 4; k++)
 				ht_load_count_opening(fleet[0], SHOP, &terms, false);
-			ht_load_count_request(fleet[0], SHOP, HERE, true);
+			ht_load_count_continued(fleet[0], SHOP, HERE, &terms);
 			for (k = 0; k < 2; k++)
 				ht_load_count_opening(fleet[0], collision(1 + i % 7), &bulk, false);
 		}
--- a/tests/entry/test_load_exchange.c
+++ b/tests/entry/test_load_exchange.c
@@ -112,13 +112,16 @@
 /* Each instance sees every service, class and data centre, and 16 of the targets. */
 static void add_targets(void *ctx, struct ht_load *load)
 {
+	const struct ht_load_terms terms[CLASSES] = {class_terms(0), class_terms(1),
+						     class_terms(2)};
 	struct node *n = ctx;
 
 	for (unsigned int s = 0; s < SERVICES; s++) {
 		for (unsigned int c = 0; c < CLASSES; c++)
 			count_class(load, s, c, ht_load_key(dc_names[n->dc]));
 		for (unsigned int d = 0; d < DCS; d++)
-			ht_load_count_request(load, service_key(s), ht_load_key(dc_names[d]), true);
+			ht_load_count_continued(load, service_key(s), ht_load_key(dc_names[d]),
+						&terms[d % CLASSES]);
 	}
 	for (unsigned int i = 0; i < HT_LOAD_TARGETS_MAX; i++) {
 		unsigned int t = (n->index * 7 + i * 11) % TARGETS;
--- a/wire/entry.pb-c.h
+++ b/wire/entry.pb-c.h
@@ -219,7 +219,7 @@
   size_t n_ages;
   uint32_t *ages;
   /*
-   * by sum, service and class: new flows requested, refused
+   * By sum, service and class: new flows requested, of these refused, requests on open flows.
    */
   ProtobufCBinaryData demand;
   /*
