core: load view: rare requests are no outliers

In a trial with Poisson arrivals and 86 members, the sum showed 83 % of a demand of 0.5 requests per step and member, as the median of the reports was 0.

--- a/core/load.h
+++ b/core/load.h
@@ -130,7 +130,10 @@
 /** Adds the requests in flight and flows that this instance sees at a target. */
 void ht_load_add_target(struct ht_load *load, uint32_t service, uint32_t dc,
 			const struct ht_load_target *target);
-/** Ends the report, fills @out and clears the counters. It is also part of the own sum. */
+/**
+ * Ends the report, fills @out and clears the counters. It is also part of the own sum. The first
+ * report has no rates, as its period is unknown.
+ */
 void ht_load_end_report(struct ht_load *load, struct ht_load_sum *out, ht_ms now);
 
 /** At a collector: the report of the member @instance (hash of its name) has arrived. */
@@ -149,11 +152,12 @@
 
 /** A view has arrived from a collector, or was made here. */
 void ht_load_set_view(struct ht_load *load, const struct ht_load_view *view, ht_ms now);
-/** Age of the view in force, or HT_NEVER. */
+/** Time since the view in force arrived, or HT_NEVER if there is none. */
 ht_ms ht_load_view_age(const struct ht_load *load, ht_ms now);
 /**
- * Fills @out with the state of @service: of the view if it is recent enough, otherwise of the own
- * smoothed counts times @alive, the number of live instances of the own data centre.
+ * Fills @out with the state of @service: of the view if that is recent enough and lists it, otherwise
+ * of the own smoothed counts times @alive, the number of live instances of the own data centre. An
+ * unknown service has no data centres, and without any report the age is HT_NEVER.
  */
 void ht_load_get(const struct ht_load *load, uint32_t service, size_t alive,
 		 struct ht_load_state *out, ht_ms now);
--- a/core/load_members.c
+++ b/core/load_members.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define ARRAY_SIZE(a) (sizeof(a) / sizeof((a)[0]))
 
@@ -9,6 +10,10 @@
 #define FIGURE_MAX 1e9
 #define AGE_MAX_MS 3600000
 
+/* Reports left out of the mean that a figure is compared to: an eighth, and two at least. */
+#define TRIM_DIVISOR 8
+#define TRIM_MIN ((size_t)2)
+
 static const size_t demand_fields[] = {
 	offsetof(struct ht_load_demand, opening),
 	offsetof(struct ht_load_demand, refused),
@@ -168,14 +173,32 @@
 
 static double median(struct ht_load_scratch *s)
 {
-	size_t i;
-
-	for (i = 0; i < s->count; i++)
-		s->sorted[i] = s->values[i];
+	memcpy(s->sorted, s->values, s->count * sizeof(s->values[0]));
 	qsort(s->sorted, s->count, sizeof(s->sorted[0]), compare_figures);
 	return s->sorted[(s->count - 1) / 2];
 }
 
+/* Mean of the sorted values without the largest ones. */
+static double trimmed_mean(const struct ht_load_scratch *s)
+{
+	size_t trimmed = s->count / TRIM_DIVISOR > TRIM_MIN ? s->count / TRIM_DIVISOR : TRIM_MIN;
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i + trimmed < s->count; i++)
+		sum += s->sorted[i];
+	return i ? sum / (double)i : 0;
+}
+
+/* What a report may state for the figure. If less than one request in two steps comes to each
+ * instance, the median is 0 or varies between 0 and 1 request, and the mean says more. */
+static double expected_figure(struct ht_load_scratch *s)
+{
+	double middle = median(s);
+
+	return fmax(middle, trimmed_mean(s));
+}
+
 /* The most that a single report's figure may be, by the values of all of them. */
 static double figure_limit(const struct ht_load_params *p, struct ht_load_scratch *s)
 {
@@ -190,7 +213,7 @@
 	if (most <= p->outlier_factor * least + p->outlier_slack)
 		return most;
 	if (s->count > 2)
-		expected = median(s);
+		expected = expected_figure(s);
 	else
 		expected = s->own ? s->values[0] : least;
 	return p->outlier_factor * expected + p->outlier_slack;
--- a/tests/core/test_load_view.c
+++ b/tests/core/test_load_view.c
@@ -273,6 +273,27 @@
 }
 END_TEST
 
+/* Load pattern: less than one request per step and instance, of which most report 0. The few that
+ * see two requests are no outliers: the demand must not look smaller than it is. */
+START_TEST(rare_requests_are_no_outliers)
+{
+	static const unsigned int requests[FLEET] = {0, 0, 1, 0, 2, 0, 1, 0, 1, 0};
+	struct ht_load_sum report;
+	size_t i;
+	int k;
+
+	for (k = 0; k < 2; k++, now += STEP) {
+		for (i = 0; i < FLEET; i++) {
+			serve(fleet[i], &(struct traffic){.urgent = requests[i]}, &report);
+			if (i)
+				ht_load_put_report(fleet[0], i, &report, now);
+		}
+		ht_load_sum_members(fleet[0], FLEET, &sum, now);
+	}
+	near(class_of(&sum, &urgent)->opening, PER_S(5));
+}
+END_TEST
+
 /* Failure: a collector is wrong. Neither demand nor occupancy can look so large, nor the responses
  * so few, that nothing would be admitted. */
 START_TEST(absurd_view_cannot_close_a_service)
@@ -612,6 +633,7 @@
 	tcase_add_test(tc, share_of_a_dead_member_passes_on);
 	tcase_add_test(tc, without_a_view_own_counts_decide);
 	tcase_add_test(tc, absurd_member_cannot_close_a_service);
+	tcase_add_test(tc, rare_requests_are_no_outliers);
 	tcase_add_test(tc, absurd_view_cannot_close_a_service);
 	tcase_add_test(tc, two_collectors_differ_by_what_each_lacks);
 	tcase_add_test(tc, sum_is_scaled_to_instances_without_report);
