--- a/core/load.h
+++ b/core/load.h
@@ -155,9 +155,9 @@
 /** Time since the view in force arrived, or HT_NEVER if there is none. */
 ht_ms ht_load_view_age(const struct ht_load *load, ht_ms now);
 /**
- * Fills @out with the state of @service: of the view if that is recent enough and lists it, otherwise
- * of the own smoothed counts times @alive, the number of live instances of the own data centre. An
- * unknown service has no data centres, and without any report the age is HT_NEVER.
+ * Fills @out with the state of @service: of the view if that is recent enough and lists it,
+ * otherwise of the own smoothed counts times @alive, the number of live instances of the own data
+ * centre. An unknown service has no data centres, and without any report the age is HT_NEVER.
  */
 void ht_load_get(const struct ht_load *load, uint32_t service, size_t alive,
 		 struct ht_load_state *out, ht_ms now);
