--- a/core/admission.c
+++ b/core/admission.c
@@ -9,8 +9,14 @@
 #define FIGURE_MAX 1e9
 /* Weight of a new measurement of the rate. States are 400 ms apart while capacity is short. */
 #define RATE_WEIGHT 0.5
+/* Rate to try, in parts of the current one, while requests are refused before targets are full. */
+#define RATE_PROBE 1.05
 /* The measured rate is at most this many times, and at least this part of, the one by work_ms. */
 #define RATE_RANGE 10
+/* Requests in flight per slot from which the response time says something about the rate. */
+#define BUSY 0.25
+/* Room below this part of the full load is a rounding error. */
+#define ROUNDING 1e-9
 /* Classes of equal priority whose work differs by less than this factor are served alike. */
 #define WORK_ALIKE 1.25
 /* A single instance's counts are too noisy to refuse more than the rest of this. */
@@ -41,8 +47,8 @@
 					       .end = 1.0,
 					       .shed = 0.05,
 					       .updates = 2,
-					       .depth = 2.0,
-					       .horizon = 500,
+					       .depth = 3.0,
+					       .horizon = 1000,
 					       .turn = 2000};
 }
 
@@ -136,52 +142,95 @@
 	return count ? plain / (double)count : 0;
 }
 
-/* Requests per second and slot that saturated data centres serve; 0: none is saturated. */
-static double measured_rate(const struct ht_admission_input *in, double saturated)
+/* Responses without errors and the slots they came from, of data centres by their load. */
+struct served {
+	double responses, slots;
+};
+
+static double rate_of(const struct served *served)
 {
-	double served = 0, slots = 0;
+	return served->slots > 0 ? served->responses / served->slots : 0;
+}
 
-	for (size_t i = 0; i < in->dc_count; i++) {
-		const struct ht_admission_dc *dc = &in->dcs[i];
+static void add_served(struct served *sum, const struct ht_admission_dc *dc, double slots)
+{
+	sum->responses += dc->answered - dc->shed;
+	sum->slots += slots;
+}
 
-		if (dc->slots <= 0 || dc->open < saturated * dc->slots)
-			continue;
-		served += dc->answered - dc->shed;
-		slots += dc->slots;
-	}
-	return slots > 0 ? served / slots : 0;
+static bool sheds(const struct ht_admission_dc *dc, const struct ht_admission_params *params)
+{
+	return dc->shed > 0 && dc->shed >= params->shed * dc->answered;
 }
 
+static bool refuses(const struct ht_admission_plan *plan)
+{
+	for (size_t c = 0; plan->short_of_room && c < plan->class_count; c++)
+		if (plan->admit[c] < 1)
+			return true;
+	return false;
+}
+
+/*
+ * Learns the rate at full load. What saturated targets serve is that rate; what others serve is a
+ * lower bound of it, by slot in use. A rate that is too low would never be corrected otherwise, as
+ * too little is admitted by it for the targets to be saturated; for the same reason it is raised
+ * step by step while requests are refused and no targets are saturated.
+ */
 static void learn_rate(struct ht_admission_plan *plan, const struct ht_admission_input *in,
 		       const struct ht_admission_params *params)
 {
-	double work = mean_work(in), derived = work > 0 ? 1000 / work : 0;
-	double measured = measured_rate(in, params->begin);
+	double work = mean_work(in), derived = work > 0 ? 1000 / work : 0, measured;
+	struct served full = {0}, busy = {0};
 
-	plan->rate = figure(plan->rate);
+	for (size_t i = 0; i < in->dc_count; i++) {
+		const struct ht_admission_dc *dc = &in->dcs[i];
+
+		if (dc->slots <= 0 || dc->open < BUSY * dc->slots)
+			continue;
+		if (dc->open >= params->depth * dc->slots)
+			add_served(&full, dc, dc->slots);
+		else
+			add_served(&busy, dc, fmin(dc->open, dc->slots));
+	}
+	measured = rate_of(&full);
+	if (measured <= 0) {
+		measured = fmax(rate_of(&busy), refuses(plan) ? plan->rate * RATE_PROBE : 0);
+		if (derived > 0)
+			measured = fmin(measured, derived);
+		measured = fmax(measured, plan->rate);
+	}
 	if (plan->rate <= 0)
 		plan->rate = derived > 0 ? derived : measured;
-	if (measured > 0)
-		plan->rate += RATE_WEIGHT * (measured - plan->rate);
+	plan->rate += RATE_WEIGHT * (measured - plan->rate);
 	if (derived > 0)
 		plan->rate = fmin(fmax(plan->rate, derived / RATE_RANGE), derived * RATE_RANGE);
 }
 
-/* What the state of the local data centre speaks for: 1: capacity is short, -1: it is not. */
-static int judge(const struct ht_admission_input *in, size_t local,
+/* True if the local targets can serve all requests at the local instances. */
+static bool fits(const struct ht_admission_input *in, size_t local, double rate)
+{
+	const struct ht_admission_dc *dc = &in->dcs[local];
+
+	return rate <= 0 || dc_demand(in, local) + dc->continued <= rate * dc->slots;
+}
+
+/*
+ * What the state of the local data centre speaks for: 1: capacity is short, -1: it is not. Few
+ * requests in flight alone do not speak for the end, as they may be few because of refusals.
+ */
+static int judge(const struct ht_admission_input *in, size_t local, double rate,
 		 const struct ht_admission_params *params)
 {
 	const struct ht_admission_dc *dc = &in->dcs[local];
-	bool sheds;
 
 	if (local == in->dc_count)
 		return -1;
 	if (dc->slots <= 0)
 		return dc_demand(in, local) > 0 && all_slots(in) > 0 ? 1 : -1;
-	sheds = dc->shed > 0 && dc->shed >= params->shed * dc->answered;
-	if (sheds || dc->open >= params->begin * dc->slots)
+	if (dc->open >= params->begin * dc->slots || sheds(dc, params))
 		return 1;
-	return dc->open < params->end * dc->slots ? -1 : 0;
+	return dc->open < params->end * dc->slots && fits(in, local, rate) ? -1 : 0;
 }
 
 static void update_state(struct ht_admission_plan *plan, int verdict,
@@ -225,7 +274,8 @@
 		sum = full + fmax(queue, -a->excess * full);
 	else
 		sum = full + queue - a->in->dcs[dc].continued;
-	return fmax(sum - a->taken[dc], 0);
+	sum -= a->taken[dc];
+	return sum > full * ROUNDING ? sum : 0;
 }
 
 static double excess_of_top(const struct allocation *a)
@@ -462,8 +512,9 @@
 
 	clean(&in, input);
 	a.local = find_local(&in);
+	plan->rate = figure(plan->rate);
 	learn_rate(plan, &in, params);
-	update_state(plan, judge(&in, a.local, params), params);
+	update_state(plan, judge(&in, a.local, plan->rate, params), params);
 	plan->dc_count = in.dc_count;
 	plan->class_count = in.class_count;
 	memcpy(plan->classes, in.classes, sizeof(plan->classes));
--- a/mk/measure.mk
+++ b/mk/measure.mk
@@ -7,9 +7,10 @@
 .PHONY: measure measure-capacity
 measure-capacity: $(B)/bench/bench_capacity
 	@$<
-measure: $(B)/bench/bench_placement $(B)/bench/bench_steering $(B)/bench/bench_log $(B)/bench/bench_evidence $(B)/hickorytrestle-entry $(B)/standins/metadata
+measure: $(B)/bench/bench_placement $(B)/bench/bench_steering $(B)/bench/bench_log $(B)/bench/bench_evidence $(B)/bench/bench_admission $(B)/hickorytrestle-entry $(B)/standins/metadata
 	@$<
 	@$(B)/bench/bench_steering
 	@$(B)/bench/bench_log
 	@$(B)/bench/bench_evidence
+	@$(B)/bench/bench_admission
 	@HT_BUILD=$(B) PYTHONDONTWRITEBYTECODE=1 python3 scripts/measure_start.py
