--- a/core/admission.c
+++ b/core/admission.c
@@ -31,9 +31,7 @@
 	const struct ht_admission_input *in;
 	const struct ht_admission_params *params;
 	size_t local;		       /* dc_count: there is none */
-	uint32_t top;		       /* highest priority with demand */
 	double rate;		       /* per second and slot */
-	double excess;		       /* part of the demand of @top that exceeds the full load */
 	double work_ms;		       /* mean of all classes */
 	double wait_ms;		       /* expected response time */
 	double taken[HT_LOAD_DCS_MAX]; /* by the classes distributed so far */
@@ -70,8 +68,10 @@
 	*to = *from;
 	to->dc_count = smaller(from->dc_count, HT_LOAD_DCS_MAX);
 	to->class_count = smaller(from->class_count, HT_LOAD_CLASSES_MAX);
-	for (size_t c = 0; c < to->class_count; c++)
+	for (size_t c = 0; c < to->class_count; c++) {
 		to->work_ms[c] = figure(from->work_ms[c]);
+		to->continued[c] = figure(from->continued[c]);
+	}
 	for (size_t i = 0; i < to->dc_count; i++) {
 		struct ht_admission_dc *dc = &to->dcs[i];
 
@@ -258,44 +258,47 @@
 	return (a->params->depth * d->slots - d->open) / horizon;
 }
 
-/*
- * New flows per second that data centre @dc can still take of a class of @priority. Requests on
- * open flows may be of any class, so they count against all but the highest. The highest is
- * entitled to the full load; a queue that is too long counts against it only as far as its own
- * demand exceeds that.
- */
-static double room(const struct allocation *a, size_t dc, uint32_t priority)
-{
-	double full = full_load(a, dc), queue = queue_term(a, dc), sum;
-
-	if (full <= 0)
-		return 0;
-	if (priority <= a->top)
-		sum = full + fmax(queue, -a->excess * full);
-	else
-		sum = full + queue - a->in->dcs[dc].continued;
-	sum -= a->taken[dc];
-	return sum > full * ROUNDING ? sum : 0;
-}
+/* Demand of the classes served so far, @order[0] to @order[count - 1]. */
+struct prefix {
+	double opening;	  /* new flows per second */
+	double continued; /* requests on open flows per second */
+	double share;	  /* of the requests on open flows of all classes */
+	bool last;	  /* no class comes after them */
+};
 
-static double excess_of_top(const struct allocation *a)
+static struct prefix prefix_of(const struct allocation *a, const size_t *order, size_t count)
 {
-	double demand = 0, full = a->rate * all_slots(a->in);
+	struct prefix p = {.share = 1, .last = count == a->in->class_count};
+	double continued = 0;
 
+	for (size_t k = 0; k < count; k++) {
+		p.opening += class_demand(a->in, order[k]);
+		p.continued += a->in->continued[order[k]];
+	}
 	for (size_t c = 0; c < a->in->class_count; c++)
-		if (a->in->classes[c].priority <= a->top)
-			demand += class_demand(a->in, c);
-	return full > 0 ? fmin(fmax(demand / full - 1, 0), 1) : 0;
+		continued += a->in->continued[c];
+	if (continued > 0)
+		p.share = p.continued / continued;
+	return p;
 }
 
-static uint32_t highest_priority(const struct ht_admission_input *in)
+/*
+ * New flows per second that data centre @dc can still take of the last class of @prefix. Requests
+ * on open flows of later classes do not count: they give way, if only at the targets. Likewise, a
+ * queue that is too long counts as far as the demand of @prefix itself exceeds the full load,
+ * unless all classes are in it.
+ */
+static double room(const struct allocation *a, size_t dc, const struct prefix *prefix)
 {
-	uint32_t top = UINT32_MAX;
+	double full = full_load(a, dc), queue = queue_term(a, dc), all = a->rate * all_slots(a->in);
+	double excess = (prefix->opening + prefix->continued) / all - 1, sum;
 
-	for (size_t c = 0; c < in->class_count; c++)
-		if (in->classes[c].priority < top && class_demand(in, c) > 0)
-			top = in->classes[c].priority;
-	return top;
+	if (full <= 0)
+		return 0;
+	if (!prefix->last)
+		queue = fmax(queue, -fmin(fmax(excess, 0), 1) * full);
+	sum = full + queue - prefix->share * a->in->dcs[dc].continued - a->taken[dc];
+	return sum > full * ROUNDING ? sum : 0;
 }
 
 static bool late(const struct allocation *a, size_t class)
@@ -385,7 +388,8 @@
 }
 
 /* Serves the demand of the classes in @set, which are alike. */
-static void serve(struct allocation *a, const size_t *set, size_t count)
+static void serve(struct allocation *a, const size_t *set, size_t count,
+		  const struct prefix *prefix)
 {
 	struct rest rest = {0};
 	double demand, part;
@@ -393,7 +397,7 @@
 	for (size_t i = 0; i < a->in->dc_count; i++) {
 		for (size_t k = 0; k < count; k++)
 			rest.demand[i] += a->in->dcs[i].opening[set[k]];
-		rest.room[i] = room(a, i, a->in->classes[set[0]].priority);
+		rest.room[i] = room(a, i, prefix);
 	}
 	demand = a->local < a->in->dc_count ? rest.demand[a->local] : 0;
 	serve_at_home(a, &rest);
@@ -410,13 +414,15 @@
 {
 	size_t order[HT_LOAD_CLASSES_MAX] = {0};
 	size_t count = sort_classes(a, order);
+	struct prefix prefix;
 
 	memset(a->taken, 0, sizeof(a->taken));
 	memset(a->sent, 0, sizeof(a->sent));
 	for (size_t first = 0, end; first < count; first = end) {
 		for (end = first + 1; end < count && alike(a, order[first], order[end]);)
 			end++;
-		serve(a, &order[first], end - first);
+		prefix = prefix_of(a, order, end);
+		serve(a, &order[first], end - first, &prefix);
 	}
 }
 
@@ -528,8 +534,6 @@
 	}
 	a.rate = plan->rate;
 	a.work_ms = mean_work(&in);
-	a.top = highest_priority(&in);
-	a.excess = excess_of_top(&a);
 	make_plan(plan, &a);
 }
 
--- a/core/overload.c
+++ b/core/overload.c
@@ -2,6 +2,8 @@
 
 #include "base/hash.h"
 
+#include <math.h>
+
 /* A target that has just started serves about half as much. */
 #define COLD_SLOTS 0.5
 
@@ -71,6 +73,27 @@
 	}
 }
 
+/*
+ * Requests queued at a full target wait for it alone: what exceeds the intended depth there does
+ * not count, or a few slow targets would make the others look full.
+ */
+static void discount_full_targets(const struct ht_overload *ov, struct ht_admission_input *in,
+				  const struct ht_service *s, ht_ms now)
+{
+	for (size_t i = 0; i < s->count; i++) {
+		const struct ht_target *t = s->targets[i];
+		double depth = ov->admission.depth * t->slots;
+		struct ht_load_target load;
+		struct ht_admission_dc *dc;
+
+		if (!ht_load_target(ov->load, t->marks[0].value, &load, now) || load.open <= depth)
+			continue;
+		dc = find_dc(in, t->dc->key);
+		if (dc)
+			dc->open = fmax(dc->open - (load.open - depth), 0);
+	}
+}
+
 struct update {
 	const struct ht_overload *ov;
 	size_t alive;
@@ -86,6 +109,8 @@
 	add_slots(in, s, u->now);
 	ht_load_get(u->ov->load, s->key, u->alive, state, u->now);
 	add_load(in, state);
+	if (state->source == HT_LOAD_SHARED)
+		discount_full_targets(u->ov, in, s, u->now);
 	return s->count;
 }
 
