core: neighbours: instances by rank, first instance elsewhere, look-up

Reports of load go to the first live instance of the data centre in the order of readers, to the next one if that is silent, and to an instance of each other data centre. The list of neighbours knew only whether another instance precedes this one.

ht_neighbours_ranked() returns the instance at a rank (NULL: this one; after the last, the first), ht_neighbours_first_elsewhere() one of each other data centre, ht_neighbours_find() the one with a hash. Unlike the reader of the store, they need no usable view. The search for representatives of data centres is shared with ht_neighbours_representatives().

--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -180,6 +180,7 @@
 {
 	snprintf(n->name, sizeof(n->name), "%s", name);
 	snprintf(n->dc, sizeof(n->dc), "%s", dc);
+	n->id = ht_hash_str(n->name);
 	n->local = strcmp(n->dc, nb->dc) == 0;
 }
 
@@ -436,20 +437,61 @@
 	return false;
 }
 
-/* Compares two neighbours of one data centre: prefers live ones, then decides by @seed. */
-static bool is_better_representative(const struct ht_neighbour *a, const struct ht_neighbour *b,
-				     uint64_t seed, ht_ms now)
+bool ht_neighbours_precedes(const struct ht_neighbours *nb, const struct ht_neighbour *a,
+			    const struct ht_neighbour *b)
 {
-	bool a_live = live(a, now), b_live = live(b, now);
+	return precedes(nb, a ? a->size : nb->params.size, a ? a->id : ht_hash_str(nb->name),
+			b ? b->size : nb->params.size, b ? b->id : ht_hash_str(nb->name));
+}
 
-	if (a_live != b_live)
-		return a_live;
-	return ht_hash_pair(seed, ht_hash_str(a->name)) < ht_hash_pair(seed, ht_hash_str(b->name));
+static bool is_ranked(const struct ht_neighbour *n, ht_ms now)
+{
+	return n->local && n->name[0] && heard_or_mentioned(n, LIVE_MS, now);
 }
 
-size_t ht_neighbours_representatives(const struct ht_neighbours *nb, uint64_t seed,
-				     const struct ht_neighbour *out[HT_REPRESENTATIVES_MAX],
-				     ht_ms now)
+/* The first instance of the own data centre. @follow: the first one after @after. There is one. */
+static const struct ht_neighbour *next_ranked(const struct ht_neighbours *nb, bool follow,
+					      const struct ht_neighbour *after, ht_ms now)
+{
+	const struct ht_neighbour *best = NULL;
+	/* This instance is a candidate. */
+	bool found = !follow || ht_neighbours_precedes(nb, after, NULL);
+	const struct ht_list *pos;
+
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (!is_ranked(n, now) || (follow && !ht_neighbours_precedes(nb, after, n)) ||
+		    (found && !ht_neighbours_precedes(nb, n, best)))
+			continue;
+		best = n;
+		found = true;
+	}
+	return best;
+}
+
+const struct ht_neighbour *ht_neighbours_ranked(const struct ht_neighbours *nb, size_t rank,
+						ht_ms now)
+{
+	const struct ht_neighbour *n;
+	const struct ht_list *pos;
+	size_t count = 1;
+
+	ht_list_for_each (pos, &nb->list)
+		count += is_ranked(ht_container_of(pos, const struct ht_neighbour, node), now);
+	n = next_ranked(nb, false, NULL, now);
+	for (size_t i = 0; i < rank % count; i++)
+		n = next_ranked(nb, true, n, now);
+	return n;
+}
+
+/* Lists each other data centre of which an instance was heard or mentioned lately, with the best of
+ * these by @better. */
+static size_t
+best_elsewhere(const struct ht_neighbours *nb,
+	       bool (*better)(const struct ht_neighbours *nb, const struct ht_neighbour *a,
+			      const struct ht_neighbour *b, uint64_t seed, ht_ms now),
+	       uint64_t seed, const struct ht_neighbour *out[HT_REPRESENTATIVES_MAX], ht_ms now)
 {
 	const struct ht_list *pos;
 	size_t count = 0;
@@ -466,12 +508,76 @@
 			continue;
 		if (i == count)
 			out[count++] = n;
-		else if (is_better_representative(n, out[i], seed, now))
+		else if (better(nb, n, out[i], seed, now))
 			out[i] = n;
 	}
 	return count;
 }
 
+/* Compares two neighbours of one data centre: prefers live ones, then decides by the order. */
+static bool is_before(const struct ht_neighbours *nb, const struct ht_neighbour *a,
+		      const struct ht_neighbour *b, uint64_t seed, ht_ms now)
+{
+	bool a_live = heard_or_mentioned(a, LIVE_MS, now);
+
+	(void)seed;
+	if (a_live != heard_or_mentioned(b, LIVE_MS, now))
+		return a_live;
+	return ht_neighbours_precedes(nb, a, b);
+}
+
+size_t ht_neighbours_first_elsewhere(const struct ht_neighbours *nb,
+				     const struct ht_neighbour *out[HT_REPRESENTATIVES_MAX],
+				     ht_ms now)
+{
+	return best_elsewhere(nb, is_before, 0, out, now);
+}
+
+const struct ht_neighbour *ht_neighbours_find(const struct ht_neighbours *nb, uint32_t id)
+{
+	const struct ht_list *pos;
+
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (n->name[0] && (uint32_t)n->id == id)
+			return n;
+	}
+	return NULL;
+}
+
+bool ht_neighbours_any_local(const struct ht_neighbours *nb, ht_ms now)
+{
+	const struct ht_list *pos;
+
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (n->local && n->name[0] && heard_or_mentioned(n, MENTIONED_MS, now))
+			return true;
+	}
+	return false;
+}
+
+/* Compares two neighbours of one data centre: prefers live ones, then decides by @seed. */
+static bool is_better_representative(const struct ht_neighbours *nb, const struct ht_neighbour *a,
+				     const struct ht_neighbour *b, uint64_t seed, ht_ms now)
+{
+	bool a_live = live(a, now), b_live = live(b, now);
+
+	(void)nb;
+	if (a_live != b_live)
+		return a_live;
+	return ht_hash_pair(seed, a->id) < ht_hash_pair(seed, b->id);
+}
+
+size_t ht_neighbours_representatives(const struct ht_neighbours *nb, uint64_t seed,
+				     const struct ht_neighbour *out[HT_REPRESENTATIVES_MAX],
+				     ht_ms now)
+{
+	return best_elsewhere(nb, is_better_representative, seed, out, now);
+}
+
 ht_ms ht_neighbours_heard_elsewhere(const struct ht_neighbours *nb,
 				    bool (*wanted)(void *ctx, const char *dc), void *ctx)
 {
--- a/core/neighbours.h
+++ b/core/neighbours.h
@@ -50,6 +50,7 @@
 	struct ht_list node; /**< sorted by heard_at, newest first */
 	char name[HT_NEIGHBOUR_NAME];
 	char dc[HT_NEIGHBOUR_NAME];
+	uint64_t id; /**< hash of its name */
 	struct ht_endpoint at;
 	bool local;
 	uint32_t size; /**< configured share of a CPU core, in thousandths */
@@ -120,6 +121,27 @@
 /** Number of neighbours of the own data centre, heard or mentioned recently, that precede this
  * instance in the order of readers. */
 size_t ht_neighbours_reader_rank(const struct ht_neighbours *nb, ht_ms now);
+/** True if @a precedes @b in the order of readers. NULL stands for this instance. */
+bool ht_neighbours_precedes(const struct ht_neighbours *nb, const struct ht_neighbour *a,
+			    const struct ht_neighbour *b);
+/**
+ * The instance number @rank, from 0, in the order of readers of those of the own data centre that
+ * were heard or mentioned within the last few seconds, whatever their view. NULL: it is this
+ * instance. After the last one, the first follows.
+ */
+const struct ht_neighbour *ht_neighbours_ranked(const struct ht_neighbours *nb, size_t rank,
+						ht_ms now);
+/**
+ * Fills @out with the first neighbour of each other data centre in the order of readers, a live one
+ * if there is any. Returns their number.
+ */
+size_t ht_neighbours_first_elsewhere(const struct ht_neighbours *nb,
+				     const struct ht_neighbour *out[HT_REPRESENTATIVES_MAX],
+				     ht_ms now);
+/** The neighbour the hash of whose name ends in the 32 bits @id, or NULL. */
+const struct ht_neighbour *ht_neighbours_find(const struct ht_neighbours *nb, uint32_t id);
+/** True if a neighbour of the own data centre was heard or mentioned in the last half minute. */
+bool ht_neighbours_any_local(const struct ht_neighbours *nb, ht_ms now);
 /** Time since the last announcement by a reader that precedes this instance, or HT_NEVER. */
 ht_ms ht_neighbours_announcement_age(const struct ht_neighbours *nb, ht_ms now);
 /**
--- a/tests/core/test_neighbours.c
+++ b/tests/core/test_neighbours.c
@@ -88,6 +88,59 @@
 }
 END_TEST
 
+/* Guards against members that report to different collectors although they know the same instances,
+ * and against an order that ends before the own instance. */
+START_TEST(ranks_follow_the_order_of_readers)
+{
+	const struct ht_neighbour *last, *n;
+
+	ck_assert_ptr_null(ht_neighbours_ranked(nb, 0, now));
+	ck_assert_ptr_null(ht_neighbours_ranked(nb, 3, now));
+	heard(1, "here", 300, 0);
+	heard(2, "here", 500, 9);
+	heard(3, "there", 900, 9);
+	heard(4, "here", 50, 9);
+	heard(5, "here", 50, 9);
+	ht_neighbours_add_address(nb, at(6), now);
+	ck_assert_str_eq(ht_neighbours_ranked(nb, 0, now)->name, "n2");
+	ck_assert_str_eq(ht_neighbours_ranked(nb, 1, now)->name, "n1");
+	ck_assert_ptr_null(ht_neighbours_ranked(nb, 2, now));
+	n = ht_neighbours_ranked(nb, 3, now);
+	last = ht_neighbours_ranked(nb, 4, now);
+	ck_assert_uint_eq(n->size + last->size, 100);
+	ck_assert_ptr_ne(n, last);
+	ck_assert(ht_neighbours_precedes(nb, n, last) && !ht_neighbours_precedes(nb, last, n));
+	ck_assert(ht_neighbours_precedes(nb, NULL, n) && !ht_neighbours_precedes(nb, n, NULL));
+	ck_assert_str_eq(ht_neighbours_ranked(nb, 5, now)->name, "n2");
+	/* A mention is enough, as in a large data centre most are heard rarely. */
+	now += 5000;
+	ck_assert_ptr_null(ht_neighbours_ranked(nb, 0, now));
+	ht_neighbours_add(nb, "n1", "here", at(1), 300, now);
+	ck_assert_str_eq(ht_neighbours_ranked(nb, 0, now)->name, "n1");
+	ck_assert(ht_neighbours_any_local(nb, now));
+	ck_assert(!ht_neighbours_any_local(nb, now + 30000));
+}
+END_TEST
+
+START_TEST(first_elsewhere_is_live_and_largest)
+{
+	const struct ht_neighbour *out[HT_REPRESENTATIVES_MAX];
+
+	ck_assert(!ht_neighbours_any_local(nb, now));
+	heard(1, "there", 900, 9);
+	heard(2, "beyond", 10, 9);
+	now += 5000;
+	heard(3, "there", 300, 9);
+	heard(4, "there", 500, 9);
+	heard(5, "here", 500, 9);
+	ck_assert_uint_eq(ht_neighbours_first_elsewhere(nb, out, now), 2);
+	ck_assert_str_eq(out[strcmp(out[0]->dc, "there") ? 1 : 0]->name, "n4");
+	ck_assert_str_eq(out[strcmp(out[0]->dc, "there") ? 0 : 1]->name, "n2");
+	ck_assert_str_eq(ht_neighbours_find(nb, (uint32_t)out[0]->id)->name, out[0]->name);
+	ck_assert_ptr_null(ht_neighbours_find(nb, 1));
+}
+END_TEST
+
 /* Guards against a view of an earlier build that undoes what this one has read: such an instance is
  * neither the reader of the store nor a source while the own view is up to date. */
 START_TEST(instances_of_a_lower_level_are_not_relied_on)
@@ -594,6 +647,8 @@
 
 	tcase_add_checked_fixture(tc, start, stop);
 	tcase_add_test(tc, larger_live_neighbour_reads_first);
+	tcase_add_test(tc, ranks_follow_the_order_of_readers);
+	tcase_add_test(tc, first_elsewhere_is_live_and_largest);
 	tcase_add_test(tc, instances_of_a_lower_level_are_not_relied_on);
 	tcase_add_test(tc, long_bounds_do_not_make_lower_levels_acceptable);
 	tcase_add_test(tc, first_view_is_taken_from_the_highest_level);
