entry: exchange of loads between instances

Instances are to know how loaded services are everywhere.

The link carries these messages if it has a load (kind "load" in its statistics and in the metrics); entry.c gives it none yet.

--- a/entry/announce.c
+++ b/entry/announce.c
@@ -18,12 +18,12 @@
 /* Bit of the encoded receiver, see EntryGreeting.pass_on in wire/entry.proto. */
 #define FOR_DC_BIT 48
 
-static uint64_t encode_receiver(const struct ht_fanout_receiver *r)
+uint64_t ht_link_encode_receiver(const struct ht_fanout_receiver *r)
 {
 	return (uint64_t)r->for_dc << FOR_DC_BIT | (uint64_t)r->at.ip << 16 | r->at.port;
 }
 
-static struct ht_fanout_receiver decode_receiver(uint64_t field)
+struct ht_fanout_receiver ht_link_decode_receiver(uint64_t field)
 {
 	return (struct ht_fanout_receiver){
 		.at = {.ip = (uint32_t)(field >> 16), .port = (uint16_t)field},
@@ -39,7 +39,7 @@
 	Ht__EntrySnapshot *changes = msg->changes;
 
 	for (size_t i = 1; i < group->count; i++)
-		pass_on[i - 1] = encode_receiver(&group->to[i]);
+		pass_on[i - 1] = ht_link_encode_receiver(&group->to[i]);
 	msg->to_dc = group->to[0].for_dc;
 	msg->n_pass_on = group->count - 1;
 	msg->pass_on = pass_on;
@@ -250,7 +250,7 @@
 	if (msg->to_dc)
 		add_local(link, r);
 	for (size_t i = 0; i < msg->n_pass_on && r->count < HT_LINK_RELAY_MAX; i++)
-		r->to[r->count++] = decode_receiver(msg->pass_on[i]);
+		r->to[r->count++] = ht_link_decode_receiver(msg->pass_on[i]);
 }
 
 /* Relays @msg as received, because an instance without a view has nothing to add. */
--- a/entry/link.c
+++ b/entry/link.c
@@ -142,6 +142,8 @@
 
 enum ht_link_message ht_link_message_kind(const Ht__EntryGreeting *msg)
 {
+	if (msg->load)
+		return HT_LINK_LOAD;
 	if (msg->n_evidence)
 		return HT_LINK_EVIDENCE;
 	return msg->n_known || msg->answer_wanted ? HT_LINK_GREETING : HT_LINK_ANNOUNCEMENT;
@@ -270,6 +272,11 @@
 	struct ht_endpoint at;
 	ht_ms now = ht_now();
 
+	if (msg->load) {
+		if (link->load_exchange)
+			ht_load_exchange_receive(link->load_exchange, msg->load);
+		return;
+	}
 	if (!self || !self->name[0] || !self->port || self->port > UINT16_MAX)
 		return;
 	at = (struct ht_endpoint){.ip = self->ip, .port = (uint16_t)self->port};
@@ -398,6 +405,53 @@
 	return (ht_ms)(set->drain_bound > set->config_bound ? set->drain_bound : set->config_bound);
 }
 
+static void send_load(void *ctx, struct ht_endpoint to, const uint8_t *data, size_t len)
+{
+	ht_link_send(ctx, HT_LINK_LOAD, to, data, len);
+}
+
+static void add_targets(void *ctx, struct ht_load *load)
+{
+	struct ht_link *link = ctx;
+
+	link->params.add_targets(link->params.ctx, load);
+}
+
+static void on_load_updated(void *ctx)
+{
+	struct ht_link *link = ctx;
+
+	link->params.load_updated(link->params.ctx);
+}
+
+/* Returns false when out of memory. */
+static bool start_load_exchange(struct ht_link *link)
+{
+	const struct ht_entry_settings *set = link->params.settings;
+
+	if (!link->params.load)
+		return true;
+	link->load_exchange = ht_load_exchange_new(&(struct ht_load_exchange_params){
+		.loop = link->params.loop,
+		.clock = &ht_clock_monotonic,
+		.load = link->params.load,
+		.neighbours = link->neighbours,
+		.instance = set->instance,
+		.dc = set->data_centre,
+		.add_targets = add_targets,
+		.send = send_load,
+		.updated = on_load_updated,
+		.ctx = link,
+	});
+	return link->load_exchange;
+}
+
+void ht_link_set_load_pace(struct ht_link *link, enum ht_load_pace pace)
+{
+	if (link->load_exchange)
+		ht_load_exchange_set_pace(link->load_exchange, pace);
+}
+
 struct ht_link *ht_link_new(const struct ht_link_params *params, struct ht_err *err)
 {
 	const struct ht_entry_settings *set = params->settings;
@@ -422,7 +476,7 @@
 	nb.size = (uint32_t)(set->core_share * SIZE_UNIT);
 	nb.accept_after = accept_after(set);
 	link->neighbours = ht_neighbours_new(&nb, ht_now());
-	if (!link->neighbours)
+	if (!link->neighbours || !start_load_exchange(link))
 		ht_err_set(err, HT_ENOMEM, "out of memory");
 	else if (open_socket(link, &set->peer_address, err))
 		link->transfer = ht_transfer_new(
@@ -461,6 +515,7 @@
 	link->params.reports->notify = NULL;
 	ev_timer_stop(link->params.loop, &link->report_timer);
 	ev_timer_stop(link->params.loop, &link->relay.timer);
+	ht_load_exchange_free(link->load_exchange);
 	ht_transfer_free(link->transfer);
 	if (link->fd >= 0) {
 		ev_io_stop(link->params.loop, &link->io);
--- a/entry/link.h
+++ b/entry/link.h
@@ -7,6 +7,7 @@
 #include "core/neighbours.h"
 #include "core/steering.h"
 #include "entry/feed.h"
+#include "entry/load_exchange.h"
 #include "entry/settings.h"
 #include "entry/stats.h"
 
@@ -25,6 +26,10 @@
 		void *ctx); /**< returns the current feed, borrowed; a reload replaces it */
 	/** A neighbour's changes have been applied, or its proofs adopted. */
 	void (*changed)(void *ctx);
+	struct ht_load *load; /**< shared with the other instances; NULL: nothing is exchanged */
+	/** See struct ht_load_exchange_params; needed with @load. */
+	void (*add_targets)(void *ctx, struct ht_load *load);
+	void (*load_updated)(void *ctx);
 	void *ctx;
 };
 
@@ -44,6 +49,9 @@
  */
 void ht_link_announce_view(struct ht_link *link, bool all_dcs);
 
+/** Sets how often loads are exchanged; without effect if there is no load. */
+void ht_link_set_load_pace(struct ht_link *link, enum ht_load_pace pace);
+
 /** The other instances, borrowed. */
 const struct ht_neighbours *ht_link_others(const struct ht_link *link);
 /** Number of other instances known. */
--- a/entry/link_internal.h
+++ b/entry/link_internal.h
@@ -46,6 +46,7 @@
 	struct ht_link_params params;
 	struct ht_neighbours *neighbours;
 	struct ht_transfer *transfer;
+	struct ht_load_exchange *load_exchange; /* NULL: none */
 	struct ht_endpoint self;
 	struct ht_view_id announced; /* latest view announced to the own data centre, by anyone */
 	int fd;
@@ -55,6 +56,10 @@
 	struct ht_link_relay relay;
 };
 
+/** Receivers as in EntryGreeting.pass_on, see wire/entry.proto. */
+uint64_t ht_link_encode_receiver(const struct ht_fanout_receiver *r);
+struct ht_fanout_receiver ht_link_decode_receiver(uint64_t field);
+
 struct ht_feed *ht_link_feed(struct ht_link *link);
 struct ht_view_state ht_link_view(struct ht_link *link);
 /** Identifies the current view by its revisions. */
--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -149,8 +149,9 @@
 
 static const char *const message_names[] = {
 	[HT_LINK_GREETING] = "greeting",	[HT_LINK_ANNOUNCEMENT] = "news",
-	[HT_LINK_EVIDENCE] = "evidence",	[HT_LINK_SNAPSHOT_REQUEST] = "request",
-	[HT_LINK_DIFF_SNAPSHOT] = "difference", [HT_LINK_FULL_SNAPSHOT] = "view",
+	[HT_LINK_EVIDENCE] = "evidence",	[HT_LINK_LOAD] = "load",
+	[HT_LINK_SNAPSHOT_REQUEST] = "request", [HT_LINK_DIFF_SNAPSHOT] = "difference",
+	[HT_LINK_FULL_SNAPSHOT] = "view",
 };
 
 static void write_direction(FILE *out, const char *direction, const struct ht_message_stats *st)
--- a/entry/stats.h
+++ b/entry/stats.h
@@ -18,6 +18,7 @@
 	HT_LINK_GREETING,
 	HT_LINK_ANNOUNCEMENT,	  /**< changes read from the store, and proofs of them */
 	HT_LINK_EVIDENCE,	  /**< observations of targets */
+	HT_LINK_LOAD,		  /**< how loaded services are */
 	HT_LINK_SNAPSHOT_REQUEST, /**< request for a snapshot */
 	HT_LINK_DIFF_SNAPSHOT,	  /**< snapshot with the changes since a base */
 	HT_LINK_FULL_SNAPSHOT,	  /**< full snapshot */
