--- a/entry/announce.c
+++ b/entry/announce.c
@@ -84,24 +84,21 @@
 		r->to[r->count++].at = n->at;
 }
 
-void ht_link_add_local(const struct ht_neighbours *nb, uint64_t seed, ht_ms now,
-		       struct ht_link_receivers *r)
+/* Adds the instances of the own data centre. Those that may be gone come last, so that no other
+ * receiver depends on them. */
+static void add_local(struct ht_link *link, struct ht_link_receivers *r)
 {
 	struct receiver_lists lists = {.fresh = r, .old.count = 0};
+	uint64_t seed = link->seed + link->announcements++;
 	size_t first = r->count;
 
-	ht_neighbours_each_local(nb, now, add_receiver, &lists);
+	ht_neighbours_each_local(link->neighbours, ht_now(), add_receiver, &lists);
 	ht_fanout_shuffle(r->to + first, r->count - first, seed);
 	ht_fanout_shuffle(lists.old.to, lists.old.count, seed);
 	for (size_t i = 0; i < lists.old.count && r->count < HT_LINK_RELAY_MAX; i++)
 		r->to[r->count++] = lists.old.to[i];
 }
 
-static void add_local(struct ht_link *link, struct ht_link_receivers *r)
-{
-	ht_link_add_local(link->neighbours, link->seed + link->announcements++, ht_now(), r);
-}
-
 /* Adds one instance of each other data centre, which relays the message there. */
 static void add_representatives(struct ht_link *link, struct ht_link_receivers *r)
 {
--- a/entry/load_codec.c
+++ b/entry/load_codec.c
@@ -1,6 +1,7 @@
 #include "entry/load_codec.h"
 
 #include "base/hash.h"
+#include "core/load_internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -41,11 +42,6 @@
 	return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX;
 }
 
-static bool same_terms(const struct ht_load_terms *a, const struct ht_load_terms *b)
-{
-	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
-}
-
 static size_t find_dc(const struct ht_load_names *names, uint32_t dc)
 {
 	size_t i = 0;
@@ -68,7 +64,7 @@
 {
 	size_t i = 0;
 
-	while (i < classes->count && !same_terms(&classes->terms[i], terms))
+	while (i < classes->count && !ht_load_terms_equal(&classes->terms[i], terms))
 		i++;
 	return i;
 }
@@ -185,7 +181,7 @@
 		if (found->service != service)
 			continue;
 		for (size_t c = 0; c < found->class_count; c++)
-			if (same_terms(&found->classes[c].terms, terms))
+			if (ht_load_terms_equal(&found->classes[c].terms, terms))
 				return &found->classes[c];
 	}
 	return NULL;
@@ -270,28 +266,6 @@
 	return to;
 }
 
-static bool more_loaded(const struct ht_load_target *a, const struct ht_load_target *b)
-{
-	return a->open != b->open ? a->open > b->open : a->flows > b->flows;
-}
-
-/* Inserts @t into the list sorted by load; returns the new length, at most @max. */
-static size_t insert_target(struct ht_load_target *list, size_t count, size_t max,
-			    const struct ht_load_target *t)
-{
-	size_t i = count;
-
-	while (i > 0 && more_loaded(t, &list[i - 1]))
-		i--;
-	if (i == max)
-		return count;
-	if (count < max)
-		count++;
-	memmove(&list[i + 1], &list[i], (count - 1 - i) * sizeof(*list));
-	list[i] = *t;
-	return count;
-}
-
 /* Adds the targets of @sum to @list of all sums. */
 static size_t merge_targets(struct ht_load_target *list, size_t count,
 			    const struct ht_load_sum *sum)
@@ -314,14 +288,16 @@
 {
 	struct ht_load_target all[HT_LOAD_DCS_MAX * HT_LOAD_TARGETS_MAX];
 	struct ht_load_target most[HT_LOAD_TARGETS_MAX];
-	size_t n = 0, kept = 0;
+	struct ht_load_top top = {0};
+	size_t n = 0, kept;
 
-	if (max > HT_LOAD_TARGETS_MAX)
-		max = HT_LOAD_TARGETS_MAX;
 	for (size_t i = 0; i < count; i++)
 		n = merge_targets(all, n, sums[i]);
 	for (size_t i = 0; i < n; i++)
-		kept = insert_target(most, kept, max, &all[i]);
+		ht_load_top_add(&top, &all[i]);
+	kept = ht_load_top_take(&top, most);
+	if (kept > max)
+		kept = max;
 	for (size_t i = 0; i < kept; i++) {
 		m->marks[i] = most[i].mark;
 		m->open[i] = most[i].open;
--- a/entry/load_exchange.c
+++ b/entry/load_exchange.c
@@ -14,6 +14,10 @@
  * collecting without reports for as long. A view at the busy pace is valid for about as long. */
 #define SILENCE(interval) ((interval)*5 / 2)
 
+/* Slots for members that have reported; one for each remainder of the hash of a name. A member
+ * whose slot another one has taken is treated as one that has not reported. */
+#define REPORTERS 2048
+
 /* Names of this many views are kept, as reports may refer to an earlier one. */
 #define NAMES_KEPT 4
 
@@ -28,6 +32,11 @@
 	ht_ms any_at, busy_at;
 };
 
+struct reporter {
+	uint32_t instance;
+	ht_ms at; /* 0: none */
+};
+
 struct ht_load_exchange {
 	struct ht_load_exchange_params params;
 	uint32_t self, dc; /* keys of the own names */
@@ -42,6 +51,7 @@
 	size_t peer_count;
 	struct peer peers[HT_LOAD_DCS_MAX - 1];
 	struct ht_load_names names[NAMES_KEPT]; /* of views, newest first */
+	struct reporter reporters[REPORTERS];
 };
 
 static ht_ms interval_of(enum ht_load_pace pace)
@@ -193,19 +203,33 @@
 	return copies;
 }
 
+/* Splits the list into groups; receivers at its front become the first ones of their groups. */
+static size_t deal(const struct ht_link_receivers *receivers, size_t copies,
+		   struct ht_fanout_receiver *dealt, struct ht_fanout_group groups[HT_FANOUT])
+{
+	size_t n = ht_fanout_split(dealt, receivers->count, copies, groups), next = 0;
+
+	for (size_t row = 0; next < receivers->count; row++)
+		for (size_t i = 0; i < n; i++)
+			if (row < groups[i].count)
+				dealt[(groups[i].to - dealt) + (ptrdiff_t)row] =
+					receivers->to[next++];
+	return n;
+}
+
 /* Sends the view @msg to the receivers, each of which passes it on to some of the others. */
 static void spread(struct ht_load_exchange *ex, const Ht__EntryLoad *msg,
 		   const struct ht_link_receivers *receivers)
 {
-	uint64_t pass_on[HT_LINK_RELAY_MAX];
+	struct ht_fanout_receiver dealt[HT_LINK_RELAY_MAX];
 	struct ht_fanout_group groups[HT_FANOUT];
+	uint64_t pass_on[HT_LINK_RELAY_MAX];
 	Ht__EntryLoad copy = *msg;
 	size_t n;
 
 	copy.n_pass_on = 0;
-	n = ht_fanout_split(receivers->to, receivers->count,
-			    view_copies(ht__entry_load__get_packed_size(&copy), receivers->count),
-			    groups);
+	n = deal(receivers, view_copies(ht__entry_load__get_packed_size(&copy), receivers->count),
+		 dealt, groups);
 	for (size_t i = 0; i < n; i++) {
 		for (size_t k = 1; k < groups[i].count; k++)
 			pass_on[k - 1] = ht_link_encode_receiver(&groups[i].to[k]);
@@ -215,6 +239,41 @@
 	}
 }
 
+struct member_lists {
+	const struct ht_load_exchange *ex;
+	ht_ms now;
+	struct ht_link_receivers *reporting, others;
+};
+
+static void add_member(void *ctx, const struct ht_neighbour *n, bool fresh)
+{
+	struct member_lists *lists = ctx;
+	const struct reporter *r = &lists->ex->reporters[n->id % REPORTERS];
+	bool reports = r->at && r->instance == (uint32_t)n->id &&
+		       within(r->at, SILENCE(view_interval(lists->ex, lists->now)), lists->now);
+	struct ht_link_receivers *to = reports ? lists->reporting : &lists->others;
+
+	(void)fresh;
+	if (to->count < HT_LINK_RELAY_MAX)
+		to->to[to->count++].at = n->at;
+}
+
+/* Lists the instances of the own data centre. Those without reports, which may be down or of an
+ * earlier build and then pass nothing on, come last. */
+static void list_members(const struct ht_load_exchange *ex, struct ht_link_receivers *out,
+			 ht_ms now)
+{
+	struct member_lists lists = {.ex = ex, .now = now, .reporting = out, .others.count = 0};
+	uint64_t seed = ht_hash_pair(ex->seed, (uint64_t)now);
+
+	out->count = 0;
+	ht_neighbours_each_local(ex->params.neighbours, now, add_member, &lists);
+	ht_fanout_shuffle(out->to, out->count, seed);
+	ht_fanout_shuffle(lists.others.to, lists.others.count, seed);
+	for (size_t i = 0; i < lists.others.count && out->count < HT_LINK_RELAY_MAX; i++)
+		out->to[out->count++] = lists.others.to[i];
+}
+
 /* Encodes as much of the view as fits a datagram: targets are left out first, then the last data
  * centres. */
 static void encode_view(struct ht_load_message *m, const struct ht_load_view *view,
@@ -241,15 +300,14 @@
 
 static void make_view(struct ht_load_exchange *ex, ht_ms now)
 {
-	struct ht_link_receivers receivers = {.count = 0};
+	struct ht_link_receivers receivers;
 	struct ht_load_message m;
 	struct ht_load_view view;
 
 	ht_load_make_view(ex->params.load, count_live(ex, now), &view, now);
 	if (!view.dcs[0].instances)
 		return;
-	ht_link_add_local(ex->params.neighbours, ht_hash_pair(ex->seed, (uint64_t)now), now,
-			  &receivers);
+	list_members(ex, &receivers, now);
 	encode_view(&m, &view, receivers.count);
 	m.msg.kind = HT_LOAD_VIEW;
 	m.msg.instance = ex->self;
@@ -436,6 +494,8 @@
 		      const struct ht_load_view *view, const struct ht_neighbour *sender, ht_ms now)
 {
 	ht_load_put_report(ex->params.load, sender->id, &view->dcs[0], now);
+	ex->reporters[sender->id % REPORTERS] =
+		(struct reporter){.instance = (uint32_t)sender->id, .at = now};
 	note_heard(ex, &ex->members, msg->pace == HT_LOAD_BUSY ? HT_LOAD_BUSY : HT_LOAD_RELAXED,
 		   now);
 }
--- a/tests/entry/test_load_exchange.c
+++ b/tests/entry/test_load_exchange.c
@@ -50,9 +50,6 @@
 static size_t queue_len, queue_max;
 static size_t largest_sent;
 
-/* Instance that does not hear greetings, or NODES_MAX. */
-static unsigned int deaf;
-
 static ht_ms read_clock(void *ctx)
 {
 	(void)ctx;
@@ -196,7 +193,6 @@
 	now = 5000;
 	node_count = queue_len = 0;
 	largest_sent = 0;
-	deaf = NODES_MAX;
 }
 
 static void stop(void)
@@ -237,7 +233,7 @@
 		size_t k = ht_neighbours_to_advertise(n->neighbours, to[i]->dc, known,
 						      HT_GREETING_NEIGHBOURS_STEADY, now);
 
-		if (!reaches(n, r) || r->index == deaf)
+		if (!reaches(n, r))
 			continue;
 		introduce(r, n);
 		while (k--)
@@ -379,12 +375,13 @@
 	return count;
 }
 
-static const size_t small[DCS] = {5, 5, 4};
+static const size_t small[DCS] = {5, 5, 4}, large[DCS] = {29, 29, 28};
 
 /* Guards against instances that get no view, and against views that do not cover all instances. */
 START_TEST(all_have_a_view_within_two_intervals)
 {
-	const double expected = 14.0 * CLASSES * OPENINGS * 1000 / HT_LOAD_BUSY_MS;
+	const double expected = (double)(small[0] + small[1] + small[2]) * CLASSES * OPENINGS *
+				1000 / HT_LOAD_BUSY_MS;
 
 	add_nodes(small);
 	set_pace(HT_LOAD_BUSY);
@@ -572,13 +569,12 @@
 }
 END_TEST
 
-/* Guards against data centres without views during an upgrade. An instance of an earlier build is
- * live, but answers nothing. */
+/* Guards against data centres without views during an upgrade, and against members that depend on
+ * an instance of an earlier build to pass views on: it is live, but sends nothing. */
 START_TEST(instances_of_an_earlier_build_are_passed_over)
 {
-	add_nodes(small);
+	add_nodes(large);
 	first_of(0, 0)->silent = true;
-	first_of(0, 0)->updates = 0;
 	nodes[node_count - 1].silent = true;
 	/* The first two in the order. */
 	for (size_t rank = 0; rank < 2; rank++)
@@ -607,27 +603,29 @@
 /* Guards against members that change between collectors, and against a second one that stays. */
 START_TEST(one_of_two_collectors_remains)
 {
-	struct node *second;
-
 	add_nodes(small);
 	set_pace(HT_LOAD_BUSY);
 	run(1000);
-	/* It hears no greetings, so that it takes itself for the first, but the others know it. */
-	second = first_of(0, 1);
-	deaf = second->index;
-	run(8000);
+	/* Both parts of a data centre have a collector each. */
+	for (size_t i = 0; i < small[0] / 2; i++)
+		nodes[i].side = 1;
+	run(6000);
 	views_made(0);
-	for (ht_ms end = now + 4000; now < end;) {
+	run(2000);
+	for (size_t i = 0; i < small[0]; i++)
+		ck_assert_int_lt(view_age(&nodes[i]), HT_LOAD_BUSY_MS + 4 * STEP_MS);
+	ck_assert_uint_eq(views_made(0), 2);
+	for (size_t i = 0; i < small[0]; i++)
+		nodes[i].side = 0;
+	for (ht_ms end = now + 6000; now < end;) {
 		step();
 		for (size_t i = 0; i < node_count; i++)
 			ck_assert_int_lt(view_age(&nodes[i]), HT_LOAD_BUSY_MS + 4 * STEP_MS);
 	}
-	ck_assert_uint_gt(first_of(0, 0)->views_made, 0);
-	deaf = NODES_MAX;
-	run(6000);
 	views_made(0);
 	run(3000);
 	ck_assert_uint_eq(views_made(0), 1);
+	ck_assert_uint_eq(most_members(0), small[0] - 1);
 }
 END_TEST
 
@@ -697,6 +695,41 @@
 }
 END_TEST
 
+/* Guards against a view that does not list targets filled by idle flows, because others have
+ * requests in flight, and against a target that is listed once per data centre. */
+START_TEST(view_lists_targets_by_requests_and_by_flows)
+{
+	struct ht_load_message m;
+	struct ht_load_names names;
+	struct ht_load_view view;
+	struct ht_load_sum sum[2];
+	const struct ht_load_sum *sums[] = {&sum[0], &sum[1]};
+
+	for (uint32_t i = 0; i < 2; i++) {
+		make_sum(&sum[i], 7 + i);
+		sum[i].target_count = HT_LOAD_TARGETS_MAX;
+		for (uint32_t t = 0; t < HT_LOAD_TARGETS_MAX; t++)
+			sum[i].targets[t] = i || t >= 8
+						    ? (struct ht_load_target){t + 1 + i * 8, 5, 5}
+						    : (struct ht_load_target){t + 1, 0, 90};
+	}
+	/* Marks 1 to 8 have idle flows, 9 to 16 are in both sums, 17 to 24 in the second. */
+	ht_load_encode(&m, sums, 2, HT_LOAD_TARGETS_MAX, NULL);
+	ck_assert(ht_load_decode(&m.msg, NULL, 0, &view, &names));
+	ck_assert_uint_eq(view.dcs[0].target_count, HT_LOAD_TARGETS_MAX);
+	ck_assert_uint_eq(view.dcs[1].target_count, 0);
+	for (size_t t = 0; t < HT_LOAD_TARGETS_MAX; t++) {
+		const struct ht_load_target *found = &view.dcs[0].targets[t];
+
+		for (size_t k = 0; k < t; k++)
+			ck_assert_uint_ne(found->mark, view.dcs[0].targets[k].mark);
+		ck_assert_uint_le(found->mark, 16);
+		ck_assert_uint_eq(found->open, found->mark <= 8 ? 0 : 10);
+		ck_assert_uint_eq(found->flows, found->mark <= 8 ? 90 : 10);
+	}
+}
+END_TEST
+
 /* Guards against reads beyond a message's arrays: every count in it may be wrong. */
 START_TEST(malformed_messages_are_refused)
 {
@@ -909,7 +942,7 @@
 /* Guards against traffic that exceeds 1 kB/s per instance or grows with the number of instances. */
 START_TEST(cost_is_bounded)
 {
-	double at_86 = cost((const size_t[]){29, 29, 28});
+	double at_86 = cost(large);
 	double at_300 = cost((const size_t[]){100, 100, 100});
 
 	ck_assert_double_le(at_86, 1000);
@@ -924,6 +957,7 @@
 	tcase_add_checked_fixture(tc, start, stop);
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, sums_survive_encoding);
+	tcase_add_test(tc, view_lists_targets_by_requests_and_by_flows);
 	tcase_add_test(tc, malformed_messages_are_refused);
 	tcase_add_test(tc, all_have_a_view_within_two_intervals);
 	tcase_add_test(tc, nothing_is_sent_when_idle);
