--- a/core/admission.c
+++ b/core/admission.c
@@ -21,6 +21,10 @@
 #define WORK_ALIKE 1.25
 /* A single instance's counts are too noisy to refuse more than the rest of this. */
 #define OWN_ADMIT_MIN 0.1
+/* Part of an aim that the mean response time may take, as the queues of targets are uneven. */
+#define WAIT_PART 0.5
+/* Requests in flight per slot below which slots are idle, as the queues of targets are uneven. */
+#define DEPTH_MIN 2.0
 /* Callers send the next copy of an opening packet after this time at the earliest. */
 #define COPY_MS 200
 /* Copies of an opening packet that callers send. */
@@ -33,6 +37,7 @@
 	size_t local;		       /* dc_count: there is none */
 	uint32_t top;		       /* highest priority with demand */
 	double rate;		       /* per second and slot */
+	double depth;		       /* requests in flight per slot to aim for */
 	double excess;		       /* part of the demand of @top that exceeds the full load */
 	double work_ms;		       /* mean of all classes */
 	double wait_ms;		       /* expected response time */
@@ -141,6 +146,40 @@
 	return count ? plain / (double)count : 0;
 }
 
+static uint32_t highest_priority(const struct ht_admission_input *in)
+{
+	uint32_t top = UINT32_MAX;
+
+	for (size_t c = 0; c < in->class_count; c++)
+		if (in->classes[c].priority < top && class_demand(in, c) > 0)
+			top = in->classes[c].priority;
+	return top;
+}
+
+static ht_ms goal_of(const struct ht_load_terms *terms)
+{
+	return terms->aim > 0 ? terms->aim : terms->limit;
+}
+
+/*
+ * Requests in flight per slot to aim for: as the parameters say, or fewer if the wait would make
+ * the classes of the highest priority @top with demand miss their aims or limits.
+ */
+static double find_depth(const struct ht_admission_input *in, uint32_t top, double rate,
+			 const struct ht_admission_params *params)
+{
+	double depth = params->depth;
+
+	for (size_t c = 0; c < in->class_count; c++) {
+		ht_ms goal = goal_of(&in->classes[c]);
+
+		if (rate > 0 && goal > 0 && in->classes[c].priority == top &&
+		    class_demand(in, c) > 0)
+			depth = fmin(depth, rate * (double)goal / 1000 * WAIT_PART);
+	}
+	return fmin(fmax(depth, DEPTH_MIN), params->depth);
+}
+
 /* Responses without errors and the slots they came from, of data centres by their load. */
 struct served {
 	double responses, slots;
@@ -177,7 +216,7 @@
  * step by step while requests are refused and no targets are saturated.
  */
 static void learn_rate(struct ht_admission_plan *plan, const struct ht_admission_input *in,
-		       const struct ht_admission_params *params)
+		       double depth)
 {
 	double work = mean_work(in), derived = work > 0 ? 1000 / work : 0, measured;
 	struct served full = {0}, busy = {0};
@@ -187,7 +226,7 @@
 
 		if (dc->slots <= 0 || dc->open < BUSY * dc->slots)
 			continue;
-		if (dc->open >= params->depth * dc->slots)
+		if (dc->open >= depth * dc->slots)
 			add_served(&full, dc, dc->slots);
 		else
 			add_served(&busy, dc, fmin(dc->open, dc->slots));
@@ -254,7 +293,7 @@
 	const struct ht_admission_dc *d = &a->in->dcs[dc];
 	double horizon = a->params->horizon > 0 ? (double)a->params->horizon / 1000 : 1;
 
-	return (a->params->depth * d->slots - d->open) / horizon;
+	return (a->depth * d->slots - d->open) / horizon;
 }
 
 /*
@@ -287,20 +326,9 @@
 	return full > 0 ? fmin(fmax(demand / full - 1, 0), 1) : 0;
 }
 
-static uint32_t highest_priority(const struct ht_admission_input *in)
-{
-	uint32_t top = UINT32_MAX;
-
-	for (size_t c = 0; c < in->class_count; c++)
-		if (in->classes[c].priority < top && class_demand(in, c) > 0)
-			top = in->classes[c].priority;
-	return top;
-}
-
 static bool late(const struct allocation *a, size_t class)
 {
-	const struct ht_load_terms *terms = &a->in->classes[class];
-	ht_ms goal = terms->aim > 0 ? terms->aim : terms->limit;
+	ht_ms goal = goal_of(&a->in->classes[class]);
 
 	return goal > 0 && a->wait_ms > (double)goal;
 }
@@ -512,7 +540,9 @@
 	clean(&in, input);
 	a.local = find_local(&in);
 	plan->rate = figure(plan->rate);
-	learn_rate(plan, &in, params);
+	a.top = highest_priority(&in);
+	a.depth = find_depth(&in, a.top, plan->rate, params);
+	learn_rate(plan, &in, a.depth);
 	update_state(plan, judge(&in, a.local, plan->rate, params), params);
 	plan->dc_count = in.dc_count;
 	plan->class_count = in.class_count;
@@ -527,7 +557,6 @@
 	}
 	a.rate = plan->rate;
 	a.work_ms = mean_work(&in);
-	a.top = highest_priority(&in);
 	a.excess = excess_of_top(&a);
 	make_plan(plan, &a);
 }
