--- a/bench/queuesim.c
+++ b/bench/queuesim.c
@@ -79,6 +79,7 @@
 	struct target *targets;
 	size_t target_count, instance_count;
 	struct ht_list requests;
+	double continued[HT_LOAD_CLASSES_MAX]; /* since the last state */
 	struct ht_admission_input state, last_state;
 	double lowest_ms[HT_LOAD_CLASSES_MAX];
 };
@@ -506,6 +507,7 @@
 	}
 	attach(r, r->target);
 	sim->dcs[dc].counts.continued++;
+	sim->continued[class]++;
 	r->step = ASKED;
 	r->due = sim->now + sim->params.path;
 }
@@ -590,6 +592,8 @@
 	for (size_t c = 0; c < state->class_count; c++) {
 		state->classes[c] = sim->params.classes[c].terms;
 		state->work_ms[c] = sim->lowest_ms[c];
+		state->continued[c] = sim->continued[c] * 1000 / (double)sim->params.interval;
+		sim->continued[c] = 0;
 	}
 }
 
--- a/core/admission.c
+++ b/core/admission.c
@@ -21,6 +21,12 @@
 #define WORK_ALIKE 1.25
 /* A single instance's counts are too noisy to refuse more than the rest of this. */
 #define OWN_ADMIT_MIN 0.1
+/* Part of an aim that the mean response time may take, as the queues of targets are uneven. */
+#define WAIT_PART 0.5
+/* Requests in flight per slot below which slots are idle, as the queues of targets are uneven. */
+#define DEPTH_MIN 2.0
+/* Part of the demand below which a class does not decide what is urgent. */
+#define NOTICEABLE 0.02
 /* Callers send the next copy of an opening packet after this time at the earliest. */
 #define COPY_MS 200
 /* Copies of an opening packet that callers send. */
@@ -31,7 +37,9 @@
 	const struct ht_admission_input *in;
 	const struct ht_admission_params *params;
 	size_t local;		       /* dc_count: there is none */
+	uint32_t top;		       /* highest priority with demand */
 	double rate;		       /* per second and slot */
+	double depth;		       /* requests in flight per slot to aim for */
 	double work_ms;		       /* mean of all classes */
 	double wait_ms;		       /* expected response time */
 	double taken[HT_LOAD_DCS_MAX]; /* by the classes distributed so far */
@@ -50,11 +58,10 @@
 					       .turn = 2000};
 }
 
+/* A figure that is no number counts as missing, so that it cannot close a service. */
 static double figure(double x)
 {
-	if (isnan(x) || x < 0)
-		return 0;
-	return x < FIGURE_MAX ? x : FIGURE_MAX;
+	return isfinite(x) && x > 0 ? fmin(x, FIGURE_MAX) : 0;
 }
 
 static size_t smaller(size_t a, size_t b)
@@ -142,6 +149,45 @@
 	return count ? plain / (double)count : 0;
 }
 
+/* Highest priority with a noticeable part of the demand. */
+static uint32_t highest_priority(const struct ht_admission_input *in)
+{
+	uint32_t top = UINT32_MAX;
+	double all = 0;
+
+	for (size_t c = 0; c < in->class_count; c++)
+		all += class_demand(in, c) + in->continued[c];
+	for (size_t c = 0; c < in->class_count; c++)
+		if (in->classes[c].priority < top &&
+		    class_demand(in, c) + in->continued[c] > NOTICEABLE * all)
+			top = in->classes[c].priority;
+	return top;
+}
+
+static ht_ms goal_of(const struct ht_load_terms *terms)
+{
+	return terms->aim > 0 ? terms->aim : terms->limit;
+}
+
+/*
+ * Requests in flight per slot to aim for: as the parameters say, or fewer if the wait would make
+ * the classes of the highest priority @top with demand miss their aims or limits.
+ */
+static double find_depth(const struct ht_admission_input *in, uint32_t top, double rate,
+			 const struct ht_admission_params *params)
+{
+	double depth = params->depth;
+
+	for (size_t c = 0; c < in->class_count; c++) {
+		ht_ms goal = goal_of(&in->classes[c]);
+
+		if (rate > 0 && goal > 0 && in->classes[c].priority == top &&
+		    class_demand(in, c) > 0)
+			depth = fmin(depth, rate * (double)goal / 1000 * WAIT_PART);
+	}
+	return fmin(fmax(depth, DEPTH_MIN), params->depth);
+}
+
 /* Responses without errors and the slots they came from, of data centres by their load. */
 struct served {
 	double responses, slots;
@@ -178,7 +224,7 @@
  * step by step while requests are refused and no targets are saturated.
  */
 static void learn_rate(struct ht_admission_plan *plan, const struct ht_admission_input *in,
-		       const struct ht_admission_params *params)
+		       double depth)
 {
 	double work = mean_work(in), derived = work > 0 ? 1000 / work : 0, measured;
 	struct served full = {0}, busy = {0};
@@ -188,7 +234,7 @@
 
 		if (dc->slots <= 0 || dc->open < BUSY * dc->slots)
 			continue;
-		if (dc->open >= params->depth * dc->slots)
+		if (dc->open >= depth * dc->slots)
 			add_served(&full, dc, dc->slots);
 		else
 			add_served(&busy, dc, fmin(dc->open, dc->slots));
@@ -255,7 +301,7 @@
 	const struct ht_admission_dc *d = &a->in->dcs[dc];
 	double horizon = a->params->horizon > 0 ? (double)a->params->horizon / 1000 : 1;
 
-	return (a->params->depth * d->slots - d->open) / horizon;
+	return (a->depth * d->slots - d->open) / horizon;
 }
 
 /* Demand of the classes served so far, @order[0] to @order[count - 1]. */
@@ -282,6 +328,13 @@
 	return p;
 }
 
+/* Requests on open flows that are served. What full targets refuse takes nothing from the others.
+ */
+static double served_continued(const struct ht_admission_dc *dc)
+{
+	return fmax(dc->continued - dc->shed, 0);
+}
+
 /*
  * New flows per second that data centre @dc can still take of the last class of @prefix. Requests
  * on open flows of later classes do not count: they give way, if only at the targets. Likewise, a
@@ -297,14 +350,13 @@
 		return 0;
 	if (!prefix->last)
 		queue = fmax(queue, -fmin(fmax(excess, 0), 1) * full);
-	sum = full + queue - prefix->share * a->in->dcs[dc].continued - a->taken[dc];
+	sum = full + queue - prefix->share * served_continued(&a->in->dcs[dc]) - a->taken[dc];
 	return sum > full * ROUNDING ? sum : 0;
 }
 
 static bool late(const struct allocation *a, size_t class)
 {
-	const struct ht_load_terms *terms = &a->in->classes[class];
-	ht_ms goal = terms->aim > 0 ? terms->aim : terms->limit;
+	ht_ms goal = goal_of(&a->in->classes[class]);
 
 	return goal > 0 && a->wait_ms > (double)goal;
 }
@@ -519,7 +571,9 @@
 	clean(&in, input);
 	a.local = find_local(&in);
 	plan->rate = figure(plan->rate);
-	learn_rate(plan, &in, params);
+	a.top = highest_priority(&in);
+	a.depth = find_depth(&in, a.top, plan->rate, params);
+	learn_rate(plan, &in, a.depth);
 	update_state(plan, judge(&in, a.local, plan->rate, params), params);
 	plan->dc_count = in.dc_count;
 	plan->class_count = in.class_count;
