--- a/core/admission.c
+++ b/core/admission.c
@@ -27,6 +27,8 @@
 #define WAIT_PART 0.5
 /* Requests in flight per slot below which slots are idle, as the queues of targets are uneven. */
 #define DEPTH_MIN 2.0
+/* Factor by which both limits are exceeded when targets are clearly full. */
+#define CLEARLY 2
 /* Part of the demand below which a class does not decide what is urgent. */
 #define NOTICEABLE 0.02
 /* Callers send the next copy of an opening packet after this time at the earliest. */
@@ -286,12 +288,22 @@
 	return dc->open < params->end * dc->slots && fits(in, local, rate) ? -1 : 0;
 }
 
-static void update_state(struct ht_admission_plan *plan, int verdict,
+/* True if targets are so full that no further state is awaited: they refuse until the next one. */
+static bool clearly_short(const struct ht_admission_input *in, size_t local,
+			  const struct ht_admission_params *params)
+{
+	const struct ht_admission_dc *dc = &in->dcs[local];
+
+	return local < in->dc_count && dc->open >= CLEARLY * params->begin * dc->slots &&
+	       dc->shed >= CLEARLY * params->shed * dc->answered;
+}
+
+static void update_state(struct ht_admission_plan *plan, int verdict, bool clearly,
 			 const struct ht_admission_params *params)
 {
 	if (verdict != (plan->short_of_room ? -1 : 1)) {
 		plan->contrary = 0;
-	} else if (++plan->contrary >= params->updates) {
+	} else if (++plan->contrary >= params->updates || (verdict > 0 && clearly)) {
 		plan->short_of_room = !plan->short_of_room;
 		plan->contrary = 0;
 	}
@@ -597,7 +609,8 @@
 	a.top = highest_priority(&in);
 	a.depth = find_depth(&in, a.top, plan->rate, params);
 	learn_rate(plan, &in, a.depth);
-	update_state(plan, judge(&in, a.local, plan->rate, params), params);
+	update_state(plan, judge(&in, a.local, plan->rate, params),
+		     clearly_short(&in, a.local, params), params);
 	plan->dc_count = in.dc_count;
 	plan->class_count = in.class_count;
 	memcpy(plan->classes, in.classes, sizeof(plan->classes));
--- a/entry/load_exchange.h
+++ b/entry/load_exchange.h
@@ -15,7 +15,7 @@
 
 /** Intervals of reports and views. At 400 ms, they are more than 1 kB/s per instance. */
 #define HT_LOAD_BUSY_MS 500
-#define HT_LOAD_RELAXED_MS 1600
+#define HT_LOAD_RELAXED_MS 1000
 
 struct ev_loop;
 struct ht_load_exchange;
