--- a/core/placing.c
+++ b/core/placing.c
@@ -134,7 +134,7 @@
 
 static double planned_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
-	double c = (load_of(pl, t, now).open + 1.0) / t->slots *
+	double c = (load_of(pl, t, now).open + 1.0) / t->slots * relative_answer_time(t) *
 		   (1 + ERROR_COST * t->evidence.error_rate);
 
 	return now < t->warmup_ends_at ? c * pl->params->cold_factor : c;
