tests: clearly full targets need no second state

The test of two updates used a state that is clearly full, for which one suffices now; it uses one just over the limit, and a test of its own covers the other.

--- a/tests/core/test_admission.c
+++ b/tests/core/test_admission.c
@@ -233,12 +233,14 @@
 	struct ht_admission_dc *dc = &in.dcs[0];
 
 	saturate(dc, 100, 300);
+	dc->open = 1.6 * dc->slots;
 	update(1);
 	ck_assert(!plan.short_of_room);
 	dc->open = 0;
 	dc->shed = 0;
 	update(1);
 	saturate(dc, 100, 300);
+	dc->open = 1.6 * dc->slots;
 	update(1);
 	ck_assert(!plan.short_of_room);
 	update(1);
@@ -256,6 +258,25 @@
 }
 END_TEST
 
+/* Guards against full targets that refuse urgent requests until a second state has come. Neither a
+ * long queue nor a few refusals alone are as clear. */
+START_TEST(clearly_full_targets_need_no_second_state)
+{
+	struct ht_admission_dc *dc = &in.dcs[0];
+
+	saturate(dc, 100, 300);
+	dc->shed = 0.06 * dc->answered;
+	update(1);
+	ck_assert(!plan.short_of_room);
+	dc->open = 0;
+	dc->shed = 0;
+	update(1);
+	saturate(dc, 100, 300);
+	update(1);
+	ck_assert(plan.short_of_room);
+}
+END_TEST
+
 /* Guards against flows kept in a data centre that has lost its last target. */
 START_TEST(no_local_targets_send_all_elsewhere)
 {
@@ -672,6 +693,7 @@
 	tcase_add_test(tc, absurd_figures_give_a_valid_plan);
 	tcase_add_test(tc, figures_that_are_no_numbers_do_not_close_a_service);
 	tcase_add_test(tc, state_changes_after_two_updates);
+	tcase_add_test(tc, clearly_full_targets_need_no_second_state);
 	tcase_add_test(tc, no_local_targets_send_all_elsewhere);
 	tcase_add_test(tc, excess_goes_elsewhere_after_the_demand_there);
 	tcase_add_test(tc, rate_is_learnt_from_full_targets);
