soak: a pause within the transit time is a cause

The account now knows the pauses of an instance, with the bound that kills have (TRANSIT_S, unchanged), and prints how long before the pause each such packet was sent.

--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -199,7 +199,7 @@
         self.packets, self.ready_port = (self.ip, ports[0]), ports[1]
         self.dir = tempfile.TemporaryDirectory()
         self.ready = False
-        self.starts, self.killed_at = [], []
+        self.starts, self.killed_at, self.paused_at = [], [], []
         self.log = log
         self.settings = os.path.join(self.dir.name, "settings.json")
         self.command = [program, "--settings", self.settings]
@@ -214,7 +214,7 @@
     def start(self):
         self.ready = self.was_ready = self.paused = self.killed = False
         self.starts.append(time.monotonic())
-        self.stop_asked = self.paused_at = None
+        self.stop_asked = None
         self.process = subprocess.Popen(self.command, stdout=self.log, stderr=subprocess.DEVNULL)
 
     def poll(self):
@@ -240,7 +240,7 @@
             if number == signal.SIGTERM and self.stop_asked is None:
                 self.stop_asked = time.monotonic()
             if number == signal.SIGSTOP:
-                self.paused_at = time.monotonic()
+                self.paused_at.append(time.monotonic())
             if number in (signal.SIGSTOP, signal.SIGCONT):
                 self.paused = number == signal.SIGSTOP
             if number == signal.SIGKILL:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -43,7 +43,8 @@
 SPLIT_SEEDS = 10000
 # A busy machine delays the stand-ins themselves.
 SLACK_S = 0.5
-# A packet reaches its target, or is lost with the instance that has it, within this time.
+# A packet reaches its target within this time, or is lost with the instance that has it, or waits
+# in the socket of an instance that is paused before it has read the packet.
 TRANSIT_S = 0.3
 # An instance that can read the store, or hear from a neighbour, is ready in this time; one whose
 # reads have failed repeats them each second, and the routers ask twice a second.
@@ -75,6 +76,7 @@
         self.random = random.Random(seed)
         self.seconds, self.folder = seconds, folder
         self.problems = []
+        self.notes = []  # traces of failures that have a cause
         self.faults = []  # of the network, the store and instances: (start, end)
         self.returned_at = []  # the store, from older copies
         self.listings = 0  # that are expected for faults of the store
@@ -357,8 +359,9 @@
 
     def check_stopping(self, inst):
         """A stop that was asked for ends within its grace time, unless the process was paused."""
-        asked, paused = inst.stop_asked, inst.paused_at
-        if asked is None or (paused is not None and paused > asked - PAUSE_MAX_S):
+        asked = inst.stop_asked
+        if asked is None or any(t > max(asked - PAUSE_MAX_S, inst.starts[-1])
+                                for t in inst.paused_at):
             return
         if time.monotonic() - asked > STOP_GRACE_S:
             self.problems.append(f"{inst.name} still runs after its grace time")
@@ -456,6 +459,18 @@
         starts = [max((t for t in inst.starts if t <= at), default=at) for inst in self.instances]
         return at < min(self.readable_from(t, service) for t in starts) + RETRY_S
 
+    def pause_after(self, inst, at):
+        """How long after @at the instance was paused, if that was within the transit time."""
+        return min((t - at for t in inst.paused_at if at <= t <= at + TRANSIT_S), default=None)
+
+    def note_pauses(self, flow, what):
+        """Records how long before a pause the packets of a flow were sent that may have waited."""
+        for at, inst, state in flow.packets:
+            if self.packet_cause(flow, (at, inst, state)) == "instance paused in transit":
+                self.notes.append(f"{flow.sport}-{flow.service} {what}: sent "
+                                  f"{self.pause_after(inst, at) * 1000:.1f} ms before "
+                                  f"{inst.name} was paused")
+
     def packet_cause(self, flow, sent):
         """Why a packet of a flow had no effect, or None."""
         at, inst, state = sent
@@ -465,6 +480,8 @@
             return f"instance {state}"
         if any(at <= killed <= at + TRANSIT_S for killed in inst.killed_at):
             return "instance killed"
+        if self.pause_after(inst, at) is not None:
+            return "instance paused in transit"
         if any(at <= t <= at + TRANSIT_S for target in self.callers.targets
                for t in target.swallowed.get(flow.sport, ())):
             return "target dead"
@@ -499,6 +516,7 @@
         for flow, what, by in self.callers.failed:
             causes = self.failure_causes(flow, what, by)
             self.causes["+".join(sorted(str(c) for c in causes))] += 1
+            self.note_pauses(flow, what)
             if None in causes:
                 steps = ", ".join("%.2f %s %s" % (at - flow.started, inst.name,
                                                   self.packet_cause(flow, (at, inst, state)))
@@ -564,6 +582,8 @@
     if soak.causes:
         print(f"soak: seed={seed} not answered: "
               + ", ".join(f"{cause} {n}" for cause, n in soak.causes.most_common()))
+    for note in soak.notes:
+        print(f"soak: seed={seed} trace: {note}")
     for problem in soak.problems:
         print(f"soak: seed={seed}: {problem}")
     if soak.problems and keep:
