soak: bursts against targets with slots and a queue

The soak played a steady rate against targets that answer at once, so that no seed met full targets. Seeds 20000 to 29999 also play bursts: 8 to 16 times the rate for 2 to 4 s, to all routes, one service or one priority. Each service has two routes that differ in priority, aim and kind; a target has 2 slots of 40 ms and a queue of 8, and turns away what is over by an error or a reset, in turns. Other seeds keep their faults, routes, targets and rate.

Checked: no request runs twice, at another service, or after it was refused; instances drop the first two copies at most; refusals and what is turned away need a burst that has ended 3 s before at most. The summary line gives the shares answered by priority, from the first refusal in a burst to its end.

--- a/scripts/entry_world.py
+++ b/scripts/entry_world.py
@@ -5,6 +5,7 @@
 directly.
 """
 
+import collections
 import concurrent.futures
 import json
 import os
@@ -26,6 +27,12 @@
 GIVE_UP_S = 2
 # A turn of the loop that takes longer delays callers and targets alike.
 STALL_S = 0.15
+# Packets that are read from one socket in a turn of the loop.
+READ_MAX = 16
+# What a target without room answers, or sends with a reset. Answers of targets that have slots are
+# longer, as errors are told from answers by their size.
+TURNED_AWAY = b"full"
+ANSWER_BYTES = 400
 # Loopback addresses of one deployment; those that run at the same time need different ones.
 NET = "127.0.0"
 
@@ -87,10 +94,48 @@
         self.process.stdout.close()
 
 
+class Room:
+    """Slots of a target, each of which runs a request for @work_s, and a queue before them."""
+
+    def __init__(self, slots, queue, work_s):
+        self.slots, self.queue, self.work_s = slots, queue, work_s
+        self.clear()
+
+    def clear(self):
+        self.running = {}  # ends by request
+        self.waiting = collections.deque()
+
+    def full(self):
+        return len(self.running) == self.slots and len(self.waiting) == self.queue
+
+    def put(self, request, now):
+        """Returns the requests that begin to run: this one, or none if it waits."""
+        if len(self.running) == self.slots:
+            self.waiting.append(request)
+            return []
+        self.running[request] = now + self.work_s
+        return [request]
+
+    def advance(self, now):
+        """Returns the requests that are done, and those that begin to run, up to @now."""
+        done, begun = [], []
+        while self.running:
+            request = min(self.running, key=self.running.get)
+            end = self.running[request]
+            if end > now:
+                break
+            del self.running[request]
+            done.append(request)
+            if self.waiting:
+                begun += self.put(self.waiting.popleft(), end)
+        return done, begun
+
+
 class Target:
-    """Answers each request with its service's name; knows its flows."""
+    """Answers each request with its service's name; knows its flows. One that has a room answers
+    after a while, and turns away what is over, every other time by a reset."""
 
-    def __init__(self, store, number, service, dc, packet_port, sock=None):
+    def __init__(self, store, number, service, dc, packet_port, sock=None, room=None):
         """@sock is that of an earlier target whose address it takes over."""
         self.name = "i-%08x" % number
         self.number, self.service, self.dc = number, service, dc
@@ -108,12 +153,18 @@
         self.lapsed_at = None
         self.flows = {}
         self.opened_at = []
+        self.room = room
+        self.held = {}  # times of the packets of requests that are not answered yet, by flow
+        self.replies = {}  # functions that send what a request's flow was sent
+        self.turned_away = 0
+        self.ran = []  # (source port, port) of requests that began to run
         self.report("ready")
 
     def restart(self):
         """Another lifetime under the same name: it knows nothing of before."""
         self.born += 1000
         self.restarted_at.append(time.monotonic())
+        self.lose()
         self.dead = False
         self.flows = {}
         self.report("ready")
@@ -125,7 +176,8 @@
         self.sequence += 1
         self.store.put("servers", self.name, {
             "service": self.service, "address": "127.0.0.1:%d" % self.sock.getsockname()[1],
-            "zone": self.dc, "configVersion": "v1", "concurrency": 3, "state": self.state,
+            "zone": self.dc, "configVersion": "v1", "state": self.state,
+            "concurrency": self.room.slots if self.room else 3,
             "warmupLeftMs": 0, "sequence": self.sequence, "born": self.born})
 
     def lapse(self):
@@ -133,8 +185,46 @@
         self.lapsed_at = time.monotonic()
         self.store.put("servers", self.name, None)
 
+    def take(self, key, answer, turn_away):
+        """Runs a request now or later, or turns it away. A copy gets the same reply as the first."""
+        now = time.monotonic()
+        if key in self.held:
+            self.held[key].append(now)
+        elif key in self.replies:
+            self.replies[key]()
+        elif self.room.full():
+            self.turned_away += 1
+            self.replies[key] = turn_away
+            turn_away()
+        else:
+            self.held[key] = [now]
+            self.replies[key] = answer
+            self.begin(self.room.put(key, now))
+
+    def begin(self, keys):
+        self.ran += [(sport, dport) for _, sport, _, dport in keys]
+
+    def work(self, now):
+        """Answers the requests that are done."""
+        if self.dead:
+            self.lose()
+        elif self.room:
+            done, begun = self.room.advance(now)
+            self.begin(begun)
+            for key in done:
+                del self.held[key]
+                self.replies[key]()
+
+    def lose(self):
+        """What it holds when it dies has had no effect."""
+        for key, times in self.held.items():
+            self.swallowed.setdefault(key[1], []).extend(times)
+        self.held, self.replies = {}, {}
+        if self.room:
+            self.room.clear()
+
     def receive(self):
-        data = self.sock.recv(2000)
+        data = self.sock.recv(2000, socket.MSG_DONTWAIT)
         flags, _, seq, ack, _, sport, src, dst, dport, length, echo = HEAD.unpack_from(data, 8)
         key = (src, sport, dst, dport)
         foreign = int.from_bytes(data[:8], "big") != self.number
@@ -164,7 +254,14 @@
             self.dead = True
         elif length:
             answer = self.service.encode()
-            send(ACK | FIN, self.flows[key] + 1, seq + length, answer)
+            first, ended = self.flows[key] + 1, seq + length
+            if not self.room:
+                send(ACK | FIN, first, ended, answer)
+                return
+            flags = RST if self.turned_away % 2 else ACK | FIN
+            self.work(time.monotonic())
+            self.take(key, lambda: send(ACK | FIN, first, ended, answer.ljust(ANSWER_BYTES)),
+                      lambda: send(flags, first, ended, TURNED_AWAY))
 
 
 def free_port():
@@ -173,9 +270,10 @@
         return s.getsockname()[1]
 
 
-def put_config(store, services, version, kind="safe", weights=None):
-    """Routes of SERVICE_IP: a service for each port, and the kind of its requests. @weights splits a
-    port between services: {port: {service: weight}}."""
+def put_config(store, services, version, kind="safe", weights=None, terms=None):
+    """Routes of SERVICE_IP: a service for each port, and the kind of its requests. @weights splits
+    a port between services: {port: {service: weight}}. @terms gives further fields: {port:
+    fields}."""
     def share(port, service):
         if port not in (weights or {}):
             return {"service": service}
@@ -184,7 +282,8 @@
     store.put("config", "main", {
         "configVersion": version,
         "routes": [{"hostname": SERVICE_IP, "pathPrefix": "/%d/" % port, "routeType": kind,
-                    "timeoutMs": 2000, "aimMs": 200, "priority": 2, **share(port, service)}
+                    "timeoutMs": 2000, "aimMs": 200, "priority": 2, **share(port, service),
+                    **(terms or {}).get(port, {})}
                    for port, service in services.items()],
         "limits": {"idleTimeoutMs": 15000}})
 
@@ -260,12 +359,21 @@
     def __init__(self, sport, dport, service):
         self.sport, self.dport, self.service = sport, dport, service
         self.seq, self.ack, self.echo = random.getrandbits(31), 0, 0
-        self.copies, self.open = 0, False
+        self.copies, self.open, self.answered = 0, False, False
         self.started = self.sent_at = time.monotonic()
         self.failed_at = None
         self.packets = []  # (time, instance, its state) of what the caller has sent
 
 
+def read_waiting(receive):
+    """Reads the packets that wait in a socket, so many at most that the others have their turn."""
+    try:
+        for _ in range(READ_MAX):
+            receive()
+    except BlockingIOError:
+        pass  # all are read
+
+
 class Callers:
     """Callers and the routers before the instances, in one loop."""
 
@@ -275,8 +383,11 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((self.ip, packet_port))
         self.flows = {}
+        self.played = []  # all flows so far
+        self.bursts = []  # see bursts.Burst
         self.allowed = {}  # services that a port has ever led to, where there are several
         self.sent = self.answered = self.wrong = self.reset = self.lost = 0
+        self.turned_away = 0  # by targets without room
         self.told = 0  # open flows that an instance reset, as their target shows no life
         self.complaints = []  # what became of each flow that was not answered
         self.failed = []  # (flow, what, by): those flows, and whose reset ended them
@@ -301,18 +412,37 @@
         self.sent += 1
         flow = Flow(1024 + self.sent, dport, self.services[dport])
         self.flows[flow.sport] = flow
+        self.played.append(flow)
         self.send(flow, SYN)
 
     def ask(self, flow):
         self.send(flow, ACK, flow.ack, b"GET")
 
+    def services_of(self, port):
+        """Services that requests to a port may reach."""
+        return self.allowed.get(port, {self.services[port]})
+
+    def end(self, flow, payload):
+        """Counts what a flow was answered."""
+        if payload == TURNED_AWAY:
+            self.turned_away += 1
+            self.complain(flow, "turned away")
+        else:
+            self.answered += 1
+            flow.answered = True
+            services = self.allowed.get(flow.dport, {flow.service})
+            self.wrong += payload.decode().rstrip() not in services
+        del self.flows[flow.sport]
+
     def receive(self):
-        data, source = self.sock.recvfrom(2000)
+        data, source = self.sock.recvfrom(2000, socket.MSG_DONTWAIT)
         flags, _, seq, _, _, _, _, _, sport, length, echo = HEAD.unpack_from(data)
         flow = self.flows.get(sport)
         if not flow:
             return
-        if flags & RST:
+        if flags & RST and length:
+            self.end(flow, data[HEAD.size:])
+        elif flags & RST:
             self.reset += 1
             if source[0] in {i.ip for i in self.instances}:
                 self.told += flow.open
@@ -323,11 +453,9 @@
             flow.seq += 1
             self.ask(flow)
         elif length:
-            self.answered += 1
-            self.wrong += data[HEAD.size:].decode() not in self.allowed.get(flow.dport, {flow.service})
             flow.seq += 3
             self.send(flow, ACK | FIN, seq + length)
-            del self.flows[sport]
+            self.end(flow, data[HEAD.size:])
 
     def poll_all(self):
         """The routers wait for each instance on their own."""
@@ -367,16 +495,17 @@
             if rate and now >= next_flow:
                 next_flow += 1 / rate
                 self.start(random.choice(list(self.services)))
+            for dport in [port for burst in self.bursts for port in burst.due(now)]:
+                self.start(dport)
             if now >= next_poll:
                 next_poll = now + 0.5
                 self.poll_all()
             self.repeat()
+            for target in self.targets:
+                target.work(now)
             if step:
                 step(now)
             # A target that takes over an address stands behind the earlier one in the list.
             socks = {t.sock: t for t in self.targets}
             for sock in select.select([self.sock, *socks], [], [], 0.005)[0]:
-                if sock is self.sock:
-                    self.receive()
-                else:
-                    socks[sock].receive()
+                read_waiting(self.receive if sock is self.sock else socks[sock].receive)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -5,11 +5,11 @@
 
 Each seed is one plan: instances are killed, paused, stopped and started by signals; the store is
 down, slow, silent, cut one way, compacted, answers from the past or comes back from an older copy;
-targets crash, restart, leave, come, and take over addresses; the configuration changes. Faults come
-in series and overlap. After them the deployment is left alone and must serve everything; before,
-each request that was not answered names the fault that it met. Exit status 1 when a promise is
-broken; the logs of that seed are then kept, and the seed belongs into tests/soak/seeds.txt with its
-cause.
+targets crash, restart, leave, come, and take over addresses; the configuration changes; callers
+send more than the targets can hold. Faults come in series and overlap. After them the deployment is
+left alone and must serve everything; before, each request that was not answered names the fault
+that it met. Exit status 1 when a promise is broken; the logs of that seed are then kept, and the
+seed belongs into tests/soak/seeds.txt with its cause.
 """
 
 import argparse
@@ -22,7 +22,8 @@
 import tempfile
 import time
 
-from entry_world import (GIVE_UP_S, Callers, Instance, Store, Target, free_port,
+import bursts
+from entry_world import (GIVE_UP_S, Callers, Instance, Room, Store, Target, free_port,
                          put_config)
 from store_proxy import StoreProxy
 
@@ -41,6 +42,8 @@
 EVACUATION_BOUND_S = 3
 # Seeds from this one on also play evacuations of a second data centre, and weights of services.
 SPLIT_SEEDS = 10000
+# These seeds also play bursts, with the routes, targets and rate of bursts.py.
+BURST_SEEDS = range(20000, 30000)
 # A busy machine delays the stand-ins themselves.
 SLACK_S = 0.5
 # A packet reaches its target within this time, or is lost with the instance that has it, or waits
@@ -69,6 +72,8 @@
 STOP_GRACE_S = 6
 READY_POLLS = 10
 PAUSE_MAX_S = 3
+# Traces that are printed for a seed; a pause in a burst meets hundreds of packets.
+NOTES_MAX = 10
 
 
 class Soak:
@@ -92,30 +97,45 @@
         self.port = ports[0]
         self.store = Store()
         self.store.set_page(PAGE)
-        put_config(self.store, SERVICES, self.version)
+        self.bursting = seed in BURST_SEEDS
+        self.services = bursts.SERVICES if self.bursting else SERVICES
+        self.rate = bursts.RATE if self.bursting else RATE
+        self.weights = {}
+        self.configure_again()
         self.dcs = ("north", "south") if seed >= SPLIT_SEEDS else ("north",)
         self.targets = []
         self.died = False  # a target has, at some time
-        for service in SERVICES.values():
+        for service in self.names():
             for _ in range(TARGETS):
                 self.add_target(service)
         self.evacuations = []  # (data centre, start, end)
-        self.weights = {}
-        self.kinds = self.KINDS + (self.SPLIT_KINDS if seed >= SPLIT_SEEDS else ())
+        self.kinds = self.kinds_of(seed)
         self.proxies = [StoreProxy(self.store.address) for _ in range(INSTANCES)]
         self.logs = [open(os.path.join(folder, f"entry-{i}.log"), "ab") for i in range(INSTANCES)]
         self.instances = [Instance(program, self.proxies[i].address, i, "north", ports,
                                    self.logs[i], net,
-                                   evacuation_bound=EVACUATION_BOUND_S * 1000)
+                                   evacuation_bound=EVACUATION_BOUND_S * 1000,
+                                   **(bursts.LOG_SETTINGS if self.bursting else {}))
                           for i in range(INSTANCES)]
-        self.callers = Callers(self.instances, self.targets, self.port, SERVICES, net)
+        self.callers = Callers(self.instances, self.targets, self.port, self.services, net)
+
+    @classmethod
+    def kinds_of(cls, seed):
+        """Faults that a seed plays, with their weights."""
+        return (cls.KINDS + (cls.SPLIT_KINDS if seed >= SPLIT_SEEDS else ())
+                + (cls.BURST_KINDS if seed in BURST_SEEDS else ()))
+
+    def names(self):
+        """Names of the services."""
+        return list(dict.fromkeys(self.services.values()))
 
     # What happens.
 
     def add_target(self, service, sock=None):
         self.number += 1
         dc = self.dcs[self.number % len(self.dcs)]
-        target = Target(self.store, self.number, service, dc, self.port, sock)
+        room = Room(bursts.SLOTS, bursts.QUEUE, bursts.WORK_S) if self.bursting else None
+        target = Target(self.store, self.number, service, dc, self.port, sock, room)
         target.comes_at = time.monotonic()
         target.leaves_at = None
         self.targets.append(target)
@@ -146,7 +166,7 @@
 
     def some_target(self):
         """One whose service can spare it, or None."""
-        service = self.random.choice(list(SERVICES.values()))
+        service = self.random.choice(self.names())
         live = self.live(service)
         return self.random.choice(live) if len(live) > 2 else None
 
@@ -163,7 +183,7 @@
 
     def replace(self, target):
         """Another target of any service takes over its address."""
-        self.add_target(self.random.choice(list(SERVICES.values())), target.sock)
+        self.add_target(self.random.choice(self.names()), target.sock)
 
     def leave(self):
         target = self.some_target()
@@ -180,7 +200,7 @@
             self.later(time.monotonic() + 2, self.replace, target)
 
     def come(self):
-        self.add_target(self.random.choice(list(SERVICES.values())))
+        self.add_target(self.random.choice(self.names()))
 
     def configure(self):
         self.version += 1
@@ -188,9 +208,9 @@
 
     def weigh(self):
         """Splits the flows of a port between both services."""
-        port = self.random.choice(list(SERVICES))
-        self.callers.allowed[port] = set(SERVICES.values())
-        self.weights[port] = {s: self.random.choice((1, 3, 90)) for s in SERVICES.values()}
+        port = self.random.choice(list(self.services))
+        self.callers.allowed[port] = set(self.names())
+        self.weights[port] = {s: self.random.choice((1, 3, 90)) for s in self.names()}
         self.configure()
 
     def evacuate(self):
@@ -204,6 +224,15 @@
         self.evacuations.append((dc, time.monotonic(), end))
         self.later(end, self.store.put, "evacuations", dc, None)
 
+    def burst(self):
+        """One at a time, so that each has its own account."""
+        now = time.monotonic()
+        if self.callers.bursts and now < self.callers.bursts[-1].end + bursts.AFTERMATH_S:
+            return
+        ports, factor = self.random.choice(bursts.choices()), self.random.choice(bursts.FACTORS)
+        end = now + self.random.uniform(*bursts.SECONDS)
+        self.callers.bursts.append(bursts.Burst(ports, factor * self.rate, now, end))
+
     def signal_for(self, number, undo, low, high):
         inst = self.random.choice(self.instances)
         end = self.fault(self.random.uniform(low, high))
@@ -290,7 +319,7 @@
     def note_absences(self, now, reports):
         """Services of which the copy has no live target, until one of them reports."""
         present = self.store.names("servers")
-        for service in SERVICES.values():
+        for service in self.names():
             live = self.live(service)
             if live and not any(t.name in present for t in live):
                 self.absences.append((now, min(reports[t] for t in live), service))
@@ -302,7 +331,8 @@
             self.store.put("evacuations", dc, {} if wanted else None)
 
     def configure_again(self):
-        put_config(self.store, SERVICES, self.version, weights=self.weights)
+        put_config(self.store, self.services, self.version, weights=self.weights,
+                   terms=bursts.TERMS if self.bursting else None)
 
     def report_again(self, target):
         """Only a live target reports; the entry of another one lapses."""
@@ -319,6 +349,7 @@
              (kill_all, 1), (proxy_fault, 3), (connections_reset, 1), (store_down, 2),
              (store_stale, 1), (store_compacts, 1), (store_returns, 2))
     SPLIT_KINDS = ((evacuate, 6), (weigh, 3))
+    BURST_KINDS = ((burst, 12),)
 
     # What is promised.
 
@@ -404,10 +435,22 @@
         """An instance has reset the flow before it was open."""
         return what == "reset" and not flow.open and by in {i.ip for i in self.instances}
 
+    def burst_explains(self, flow, at):
+        """A burst explains that a packet of the flow was dropped, or the flow refused, at @at."""
+        return bursts.in_force(self.callers.bursts, self.callers.services_of, flow.dport, at)
+
+    def refused(self):
+        """Flows that were told that their request has not run."""
+        return [flow for flow, what, by in self.callers.failed
+                if what == "turned away" or self.was_refused(flow, what, by)]
+
     def check_end(self):
         if self.callers.wrong:
             self.problems.append(f"{self.callers.wrong} answers of another service")
+        self.problems += bursts.check_runs(self.callers.targets, self.callers.services_of,
+                                           self.refused())
         refused = sum(self.was_refused(flow, what, by) and not self.none_usable(flow)
+                      and not self.burst_explains(flow, flow.failed_at)
                       for flow, what, by in self.callers.failed)
         if refused:
             self.problems.append(f"{refused} flows refused while targets were there")
@@ -480,8 +523,6 @@
             return f"instance {state}"
         if any(at <= killed <= at + TRANSIT_S for killed in inst.killed_at):
             return "instance killed"
-        if self.pause_after(inst, at) is not None:
-            return "instance paused in transit"
         if any(at <= t <= at + TRANSIT_S for target in self.callers.targets
                for t in target.swallowed.get(flow.sport, ())):
             return "target dead"
@@ -489,6 +530,11 @@
             return "stand-ins stalled"
         if self.targets_unknown(at, flow.service):
             return "targets unknown to all"
+        if (self.burst_explains(flow, at)
+                and sent in flow.packets[:min(flow.copies + 1, bursts.DEFERRED_COPIES)]):
+            return "deferred in a burst"
+        if self.pause_after(inst, at) is not None:
+            return "instance paused in transit"
         return None
 
     def target_restarted(self, flow):
@@ -497,11 +543,16 @@
 
     def failure_causes(self, flow, what, by):
         """The causes of a failure; a None among them is not explained."""
+        if what == "turned away":
+            explained = self.burst_explains(flow, flow.failed_at)
+            return {"turned away in a burst" if explained else None}
         from_instance = by in {i.ip for i in self.instances}
         if what == "reset" and not from_instance and self.target_restarted(flow):
             return {"target restarted"}
         if self.was_refused(flow, what, by) and self.none_usable(flow):
             return {"no target allowed"}
+        if self.was_refused(flow, what, by) and self.burst_explains(flow, flow.failed_at):
+            return {"refused in a burst"}
         if what == "reset" and from_instance:
             # The last packet was answered by the reset, which tells that the target is dead.
             causes = {self.packet_cause(flow, sent) for sent in flow.packets[:-1]}
@@ -516,13 +567,22 @@
         for flow, what, by in self.callers.failed:
             causes = self.failure_causes(flow, what, by)
             self.causes["+".join(sorted(str(c) for c in causes))] += 1
-            self.note_pauses(flow, what)
+            if "instance paused in transit" in causes:
+                self.note_pauses(flow, what)
             if None in causes:
                 steps = ", ".join("%.2f %s %s" % (at - flow.started, inst.name,
                                                   self.packet_cause(flow, (at, inst, state)))
                                   for at, inst, state in flow.packets)
                 self.problems.append(f"{flow.sport}-{flow.service} {what} without a cause: {steps}")
 
+    def describe_bursts(self):
+        """What was turned away and answered in bursts, for the summary line."""
+        if not self.bursting:
+            return ""
+        c = self.callers
+        found = bursts.shares(c.bursts, c.services_of, c.played, self.refused())
+        return f"turned-away={c.turned_away} {bursts.describe(c.bursts, found)} "
+
     # The run.
 
     def step(self, now):
@@ -543,12 +603,12 @@
                 break
         now = self.began = time.monotonic()
         self.next_fault, self.last_fault = now + 1, now + self.seconds
-        self.callers.run(self.seconds + CALM_S - SERVED_S, RATE, self.step)
-        before = self.callers.lost + self.callers.reset
-        self.callers.run(SERVED_S, RATE, self.step)
+        self.callers.run(self.seconds + CALM_S - SERVED_S, self.rate, self.step)
+        before = len(self.callers.failed)
+        self.callers.run(SERVED_S, self.rate, self.step)
         started = self.callers.sent
         self.callers.run(2.5, 0)
-        failed = self.callers.lost + self.callers.reset - before
+        failed = len(self.callers.failed) - before
         if failed:
             self.problems.append(f"{failed} requests failed at the end, without a fault")
         if started != self.callers.sent or not self.callers.answered:
@@ -577,13 +637,15 @@
     soak.account()
     c = soak.callers
     print(f"soak: seed={seed} sent={c.sent} answered={c.answered} lost={c.lost} reset={c.reset} "
-          f"faults={len(soak.faults)} targets={len(soak.targets)} "
+          f"faults={len(soak.faults)} targets={len(soak.targets)} {soak.describe_bursts()}"
           f"{'BROKEN' if soak.problems else 'kept'}", flush=True)
     if soak.causes:
         print(f"soak: seed={seed} not answered: "
               + ", ".join(f"{cause} {n}" for cause, n in soak.causes.most_common()))
-    for note in soak.notes:
+    for note in soak.notes[:NOTES_MAX]:
         print(f"soak: seed={seed} trace: {note}")
+    if len(soak.notes) > NOTES_MAX:
+        print(f"soak: seed={seed} trace: {len(soak.notes) - NOTES_MAX} more")
     for problem in soak.problems:
         print(f"soak: seed={seed}: {problem}")
     if soak.problems and keep:
