core: a flow whose candidates all drain goes to a free target

Cause: drain rules leave a target its weight, so that candidates of flows do not change. When the three candidates of a flow all drained, no home could place it: its requests were refused with why=no_candidate until one was back, though other targets of the service were free.

Change: ht_placement_candidates() appends up to three substitutes to such a row, the targets with the best scores that do not drain, computed from the configuration alone. The candidates stay in front and target sets do not change: the home of candidate 1 goes on deciding, joins repeats with requests in flight, and deflects the flow to a substitute. The ingress skips draining candidates other than the first in such a row, so it reaches a substitute when that home is gone or silent.

The verdict "may have run" of these refusals came from the rule for homes that began a claim in the last 10 s, here at the start of the deployment. It stays: within that time a home does not know the copies of an earlier one.

The property world now also drains three of the four targets of a service.

--- a/core/placement.c
+++ b/core/placement.c
@@ -4,32 +4,54 @@
 
 #include <string.h>
 
-void ht_placement_candidates(struct ht_candidates *row, const struct ht_service_conf *svc,
-			     uint64_t flow)
+/* Puts the best @max targets, best score first, at @best; returns their number. */
+static unsigned int pick_best(const struct ht_target_conf **best, unsigned int max,
+			      const struct ht_service_conf *svc, uint64_t flow, bool skip_draining)
 {
-	double scores[HT_CANDIDATES_MAX];
+	double scores[HT_ROW_MAX];
+	unsigned int count = 0;
 
-	row->count = 0;
-	for (size_t i = 0; svc && i < svc->target_count; i++) {
+	for (size_t i = 0; i < svc->target_count; i++) {
 		const struct ht_target_conf *t = &svc->targets[i];
-		double score = ht_rendezvous_score(flow, t->id, t->weight);
-		unsigned int at = row->count;
+		double score;
+		unsigned int at = count;
 
+		if (skip_draining && t->draining)
+			continue;
+		score = ht_rendezvous_score(flow, t->id, t->weight);
 		if (score <= 0)
 			continue;
 		while (at > 0 && scores[at - 1] < score)
 			at--;
-		if (at == HT_CANDIDATES_MAX)
+		if (at == max)
 			continue;
-		if (row->count < HT_CANDIDATES_MAX)
-			row->count++;
-		for (unsigned int k = row->count - 1; k > at; k--) {
+		if (count < max)
+			count++;
+		for (unsigned int k = count - 1; k > at; k--) {
 			scores[k] = scores[k - 1];
-			row->target[k] = row->target[k - 1];
+			best[k] = best[k - 1];
 		}
 		scores[at] = score;
-		row->target[at] = t;
+		best[at] = t;
 	}
+	return count;
+}
+
+static bool all_drain(const struct ht_candidates *row)
+{
+	for (unsigned int i = 0; i < row->count; i++)
+		if (!row->target[i]->draining)
+			return false;
+	return row->count == HT_CANDIDATES_MAX;
+}
+
+void ht_placement_candidates(struct ht_candidates *row, const struct ht_service_conf *svc,
+			     uint64_t flow)
+{
+	row->count = svc ? pick_best(row->target, HT_CANDIDATES_MAX, svc, flow, false) : 0;
+	if (all_drain(row))
+		row->count +=
+			pick_best(row->target + row->count, HT_SUBSTITUTES_MAX, svc, flow, true);
 }
 
 unsigned int ht_candidates_index(const struct ht_candidates *row, uint64_t target)
@@ -37,7 +59,7 @@
 	for (unsigned int i = 0; i < row->count; i++)
 		if (row->target[i]->id == target)
 			return i;
-	return HT_CANDIDATES_MAX;
+	return HT_ROW_MAX;
 }
 
 const struct ht_target_conf *ht_service_target(const struct ht_service_conf *svc, uint64_t target)
--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -133,6 +133,15 @@
 	return false;
 }
 
+/*
+ * True when the target at index @i is not worth an attempt. Candidate 1 is, also while it drains:
+ * its home knows the flow's target and the requests in flight.
+ */
+static bool skip_candidate(const struct ht_candidates *cand, unsigned int i)
+{
+	return i > 0 && ht_candidates_all_drain(cand) && cand->target[i]->draining;
+}
+
 /* Sends to the first candidate, from pend->candidate on, whose home can be reached. */
 static bool try_candidates(struct ht_request_path *p, struct ht_pending *pend,
 			   const struct ht_candidates *cand)
@@ -142,7 +151,7 @@
 		uint64_t home = p->membership->home(p->membership->ctx, t->id, t->dc);
 		uint32_t flags = pend->flags;
 
-		if (!home)
+		if (!home || skip_candidate(cand, pend->candidate))
 			continue;
 		if (pend->candidate > 0 && !(flags & HT__FORWARD_FLAG__FORWARD_RETRY))
 			flags |= HT__FORWARD_FLAG__FORWARD_DEFLECTED;
@@ -236,12 +245,23 @@
 	finish(p, pend, &a);
 }
 
+/* True when a retry has a further candidate or substitute to go to. */
+static bool has_next_candidate(struct ht_request_path *p, const struct ht_pending *pend)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+	struct ht_candidates cand;
+
+	ht_placement_candidates(&cand, cfg ? ht_config_service(cfg, pend->req->service) : NULL,
+				pend->req->flow);
+	return pend->candidate + 1 <
+	       (ht_candidates_all_drain(&cand) ? cand.count : HT_CANDIDATES_MAX);
+}
+
 /* Sends to the next candidate after half of the deadline, within the retry budget. */
 static void retry(struct ht_request_path *p, struct ht_pending *pend, const char *why)
 {
 	ht_timer_set(p->timers, &pend->timer, pend->deadline);
-	if (pend->req->cancel || pend->attempts >= ATTEMPTS_MAX ||
-	    pend->candidate + 1 >= HT_CANDIDATES_MAX)
+	if (pend->req->cancel || pend->attempts >= ATTEMPTS_MAX || !has_next_candidate(p, pend))
 		return;
 	if (!ht_retry_budget_spend(p->ingress_retry_budget, pend->req->service)) {
 		ht_path_count(p, HT_C_retries_denied);
--- a/tests/property/world.cc
+++ b/tests/property/world.cc
@@ -50,7 +50,19 @@
 	sim_free(s_);
 }
 
-// Targets keep their service; the variant selects weights, a draining and a missing target.
+static bool drains(unsigned variant, unsigned target)
+{
+	unsigned first = variant / 32 % 8;
+
+	if (!first)
+		return false;
+	if (variant / 256 % 2 == 0)
+		return target == first - 1;
+	return target / 4 == (first - 1) / 4 && target % 4 != (first - 1) % 4;
+}
+
+// Targets keep their service; the variant selects weights, a missing target, and a draining one or
+// three of one service, which may be all candidates of a flow.
 std::string World::rules(unsigned variant) const
 {
 	std::string text;
@@ -74,7 +86,7 @@
 			" address 127.2.0." + std::to_string(t + 1) + ":5700 slots " +
 			std::to_string(kSlots) + " weight " + (variant & 2 && t % 2 ? "3" : "1") +
 			"  # property\n";
-		if (variant / 32 % 8 == t + 1)
+		if (drains(variant, t))
 			text += "drain " + service + " " + name + "  # property\n";
 	}
 	return text;
