core: a request that waited for a configuration keeps its timer

Cause: when a home had a newer configuration, the ingress waited claim_wait and then sent the request again without setting its timer. If that attempt was lost, the request never got an answer. The wait could also go beyond the deadline.

Change: the timer is set to half of the deadline, or to the deadline, before the attempt, and the wait ends at the deadline at the latest.

--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -20,6 +20,12 @@
 	return ht_stored_request_idempotent(pend->req) || !pend->req->has_ticket;
 }
 
+/* When the request is sent again or, if it is too late for that, refused. */
+static ht_ms timer_due(const struct ht_request_path *p, const struct ht_pending *pend)
+{
+	return can_resend(pend) && p->env->now < pend->retry_at ? pend->retry_at : pend->deadline;
+}
+
 void ht_pending_free(struct ht_request_path *p, struct ht_pending *pend)
 {
 	ht_timer_stop(&pend->timer);
@@ -227,7 +233,7 @@
 		      (long long)timeout);
 	if (!stored->cancel)
 		ht_retry_budget_earn(p->ingress_retry_budget, stored->service);
-	ht_timer_set(p->timers, &pend->timer, can_resend(pend) ? pend->retry_at : pend->deadline);
+	ht_timer_set(p->timers, &pend->timer, timer_due(p, pend));
 	send_attempt(p, pend);
 }
 
@@ -275,6 +281,16 @@
 	send_attempt(p, pend);
 }
 
+/*
+ * Sends a request that has waited for a newer configuration. Sets the timer first, as the attempt
+ * may end the request; without it a lost attempt would leave the request without an answer.
+ */
+static void resume(struct ht_request_path *p, struct ht_pending *pend)
+{
+	ht_timer_set(p->timers, &pend->timer, timer_due(p, pend));
+	send_attempt(p, pend);
+}
+
 static void on_pending_timer(void *ctx, struct ht_timer *timer)
 {
 	struct ht_request_path *p = ctx;
@@ -283,7 +299,7 @@
 	if (p->env->now >= pend->deadline)
 		refuse_at_deadline(p, pend);
 	else if (pend->waited_for_config && !pend->outstanding)
-		send_attempt(p, pend);
+		resume(p, pend);
 	else
 		retry(p, pend, "half_deadline");
 }
@@ -362,9 +378,11 @@
 		return;
 	}
 	if (reason == HT_RETURN_NOT_SERVED && !pend->waited_for_config && !pend->outstanding) {
+		ht_ms due = p->env->now + p->env->params.claim_wait;
+
 		/* The home's configuration is newer: wait until it has been pulled. */
 		pend->waited_for_config = true;
-		ht_timer_set(p->timers, &pend->timer, p->env->now + p->env->params.claim_wait);
+		ht_timer_set(p->timers, &pend->timer, due < pend->deadline ? due : pend->deadline);
 		return;
 	}
 	if (pend->outstanding)
@@ -424,5 +442,5 @@
 
 void ht_ingress_config_changed(struct ht_request_path *p)
 {
-	for_each_pending(p, waits_for_config, 0, send_attempt);
+	for_each_pending(p, waits_for_config, 0, resume);
 }
--- a/tests/core/test_path_flows.c
+++ b/tests/core/test_path_flows.c
@@ -294,6 +294,34 @@
 }
 END_TEST
 
+/* Guards against a request without an answer when the attempt after the wait for a newer
+ * configuration is lost, and against an answer after its deadline. */
+START_TEST(attempt_after_the_wait_for_a_configuration_is_lost)
+{
+	struct net *net = start_net(0, 5);
+	struct ht_config *next = make_config(2, 1, 5, -1, HT_AFFINITY_FLOW);
+	uint64_t flow = flow_at(net->cfg, 0, -1);
+
+	adopt(net, 0, next);
+	request(net, 2, 900, (struct call){.flow = flow, .token = "g", .method = HT_GET});
+	request(net, 2, 901, (struct call){.flow = flow, .token = "p", .method = HT_POST});
+	request(net, 2, 902,
+		(struct call){.flow = flow, .token = "s", .method = HT_GET, .deadline = 100});
+	net_run(net, 110);
+	expect(net, 902, HT_GATEWAY_TIMEOUT, HT_MAY_HAVE_RUN);
+	for (unsigned int sent = net->frames_sent; net->frames_sent == sent;)
+		net_run(net, 1);
+	for (int i = 0; i < 4; i++)
+		net->cut[2][i] = i != 2; /* drops the frames in flight */
+	net_run(net, 1000);
+	ck_assert_int_eq(net->sent_count, 0);
+	expect(net, 900, HT_GATEWAY_TIMEOUT, HT_MAY_HAVE_RUN);
+	expect(net, 901, HT_SERVICE_UNAVAILABLE, HT_NOT_RUN);
+	net->old[net->old_count++] = next;
+	net_free(net);
+}
+END_TEST
+
 /* Guards against a flow table that grows without bound or evicts flows in use. */
 START_TEST(table_is_bounded)
 {
@@ -362,6 +390,7 @@
 	tcase_add_test(tc, deflected_flow_leaves_failed_target);
 	tcase_add_test(tc, forwarding_loop_ends);
 	tcase_add_test(tc, config_versions_differ);
+	tcase_add_test(tc, attempt_after_the_wait_for_a_configuration_is_lost);
 	tcase_add_test(tc, table_is_bounded);
 	tcase_add_test(tc, full_table_refuses_new_flows);
 	tcase_set_timeout(tc, 60);
