--- a/core/placing.c
+++ b/core/placing.c
@@ -37,6 +37,12 @@
 	return ht_evidence_suspected(&t->evidence, now);
 }
 
+/* Suspected because of packets without response, not of errors, which full targets return, too. */
+static bool is_silent(const struct ht_target *t, ht_ms now)
+{
+	return is_suspected(t, now) && t->evidence.misses;
+}
+
 /* Answer time as a ratio to the mean of the service, clamped; 1 while unknown. */
 static double relative_answer_time(const struct ht_target *t)
 {
@@ -161,7 +167,6 @@
 {
 	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
 	size_t start = s->count ? next_random(pl) % s->count : 0, seen = 0;
-	bool skip_suspected = may_skip_suspected(pl, s, start, sampled, now);
 	struct ht_target *drawn[2] = {NULL, NULL};
 	uint32_t dc;
 
@@ -173,9 +178,8 @@
 		struct ht_target *t = s->targets[(start + i) % s->count];
 		size_t at = seen;
 
-		if (t->dc->key != dc || was_tried(t, tried, n) ||
-		    (skip_suspected && is_suspected(t, now)) || !ht_placing_allows(pl, t, now) ||
-		    !ht_placing_holds_more(pl, t, now))
+		if (t->dc->key != dc || was_tried(t, tried, n) || is_silent(t, now) ||
+		    !ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
--- a/tests/core/test_overload.c
+++ b/tests/core/test_overload.c
@@ -133,6 +133,27 @@
 }
 END_TEST
 
+/* Guards against a dead target that looks idle: it is left out, while full ones that are suspected
+ * because of their errors are not. */
+START_TEST(silent_target_is_left_out)
+{
+	struct ht_target *silent = ht_catalog_by_name(cat, "i-1001");
+	struct ht_target *failing = ht_catalog_by_name(cat, "i-1003");
+	unsigned int at_failing = 0;
+
+	set_plan(1, false, 1);
+	ht_evidence_miss(&silent->evidence, now, now);
+	failing->evidence.suspected_until = now + 1000;
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		struct ht_target *t = open_from(i, STOCK_PORT, 0).target;
+
+		ck_assert_ptr_ne(t, silent);
+		at_failing += t == failing;
+	}
+	ck_assert_uint_gt(at_failing, 0);
+}
+END_TEST
+
 /* Guards against more flows at a target than its service says it holds. */
 START_TEST(limit_of_flows_is_kept)
 {
@@ -183,6 +204,7 @@
 	tcase_add_test(tc, flows_that_can_wait_are_left_to_a_later_copy);
 	tcase_add_test(tc, flows_go_where_the_plan_says);
 	tcase_add_test(tc, full_target_of_the_view_gets_fewest_flows);
+	tcase_add_test(tc, silent_target_is_left_out);
 	tcase_add_test(tc, limit_of_flows_is_kept);
 	tcase_add_test(tc, without_shortage_decisions_are_as_before);
 	return run_case("overload", tc);
