core: turns of a caller differ between instances

With one hash for all, the three tries of a caller were refused together, while the plan counts them as separate demand, so that less was admitted than fits.

--- a/core/overload.c
+++ b/core/overload.c
@@ -166,5 +166,5 @@
 				    uint32_t copy, ht_ms now)
 {
 	return ht_admission_decide(&service->plan, &ov->admission, &route->terms,
-				   ht_hash_pair(src.ip, service->key), copy, now);
+				   ht_hash_pair(src.ip, ov->seed), copy, now);
 }
--- a/core/overload.h
+++ b/core/overload.h
@@ -13,6 +13,12 @@
 	struct ht_catalog *catalog; /**< borrowed */
 	struct ht_load *load;	    /**< borrowed; NULL: no overload control */
 	struct ht_admission_params admission;
+	/**
+	 * Differs between instances, so that a caller's turns do: each of its tries reaches another
+	 * instance, and if all of them were refused together, less than the plan allows would be
+	 * admitted.
+	 */
+	uint64_t seed;
 	/** Called when a service has become short of capacity, or is not any more. May be NULL. */
 	void (*changed)(void *ctx, const struct ht_service *service,
 			const struct ht_admission_input *load, ht_ms now);
--- a/core/steering.c
+++ b/core/steering.c
@@ -67,6 +67,7 @@
 		return NULL;
 	st->params = *params;
 	st->params.overload.catalog = params->catalog;
+	st->params.overload.seed = params->seed;
 	st->params.overload.changed = params->observer.capacity_changed;
 	st->params.overload.ctx = params->observer.ctx;
 	st->placing = (struct ht_placing){
--- a/core/steering.h
+++ b/core/steering.h
@@ -117,7 +117,7 @@
 	struct ht_catalog *catalog; /**< borrowed */
 	struct ht_reports *reports; /**< borrowed; collects misses and errors for other instances */
 	struct ht_steering_observer observer;
-	struct ht_overload overload; /**< its catalogue and callback are set here */
+	struct ht_overload overload; /**< its catalogue, seed and callback are set here */
 	uint64_t seed;
 	/** Size of the flow table; the least recently used flows are evicted. */
 	size_t flows_max;
