--- a/core/placing.c
+++ b/core/placing.c
@@ -11,6 +11,11 @@
 /* The smoothed answer time changes the cost by at most this factor, up or down. */
 #define SPEED_FACTOR_MAX 2.0
 
+/* Requests in flight per slot, by the view, from which a target is nearly full, and the factor by
+ * which it costs more. Counts below that are too old to compare targets by. */
+#define FULL_PER_SLOT 3.5
+#define FULL_COST 16.0
+
 /* Stated rates of cold targets are in thousandths per second. */
 #define WARMUP_RATE_UNIT 1000
 
@@ -140,9 +145,11 @@
 
 static double planned_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
-	double c = (load_of(pl, t, now).open + 1.0) / t->slots * relative_answer_time(t) *
+	double c = (t->waiting + 1.0) / t->slots * relative_answer_time(t) *
 		   (1 + ERROR_COST * t->evidence.error_rate);
 
+	if (load_of(pl, t, now).open >= FULL_PER_SLOT * t->slots)
+		c *= FULL_COST;
 	return now < t->warmup_ends_at ? c * pl->params->cold_factor : c;
 }
 
