--- a/core/admission.c
+++ b/core/admission.c
@@ -239,7 +239,7 @@
 			add_served(&busy, dc, fmin(dc->open, dc->slots));
 	}
 	measured = rate_of(&full);
-	if (measured <= 0) {
+	if (full.slots <= 0) {
 		measured = fmax(rate_of(&busy), refuses(plan) ? plan->rate * RATE_PROBE : 0);
 		if (derived > 0)
 			measured = fmin(measured, derived);
