tests: admission: order of rooms, classes that are not listed

Two changes of the plan, without the first filling to 90 % and with a wrong class, passed the tests. tests/core/test_admission: 27 of 27, also with the sanitizers. 27 changed plans (one term each) fail at least one test; 20 of them were tried against the 25 tests before.

--- a/tests/core/test_admission.c
+++ b/tests/core/test_admission.c
@@ -307,6 +307,23 @@
 }
 END_TEST
 
+/* Guards against long local queues while targets elsewhere are idle. */
+START_TEST(short_queues_elsewhere_come_before_long_ones_here)
+{
+	in.dc_count = 2;
+	in.dcs[1] = (struct ht_admission_dc){.dc = 2, .usable = true, .slots = 10};
+	saturate(&in.dcs[0], 0, 190);
+	update(8);
+	in.dcs[0].open = params.begin * 10;
+	in.dcs[0].opening[OTHER] = 170;
+	update(1);
+	ck_assert(plan.share[0] == 1);
+	in.dcs[0].opening[OTHER] = 200;
+	update(1);
+	ck_assert(fabs(plan.share[0] - 180.0 / 200) < 1e-6 && plan.admit[OTHER] == 1);
+}
+END_TEST
+
 /*
  * Guards against a rate that follows what is admitted: full slots show it, a low response time of
  * others shows that it is more, and 100 of 200 requests per second at half-full targets do not.
@@ -455,6 +472,26 @@
 }
 END_TEST
 
+/* Classes without demand are not in the plan if there are too many. */
+START_TEST(unlisted_class_is_decided_like_the_next_less_urgent_one)
+{
+	static const struct ht_load_terms listed[] = {{1, 100, 200}, {3, 100, 200}, {3, 0, 900}};
+	static const struct ht_load_terms above = {0, 0, 0}, between = {2, 0, 0}, below = {4, 0, 0};
+
+	plan = (struct ht_admission_plan){
+		.short_of_room = true, .class_count = 3, .admit = {0, 1, 0}, .delay = {true}};
+	memcpy(plan.classes, listed, sizeof(listed));
+	ck_assert_int_eq(ht_admission_decide(&plan, &params, &listed[0], 1, 0, 0), HT_DELAY);
+	ck_assert_int_eq(ht_admission_decide(&plan, &params, &listed[1], 1, 0, 0), HT_ADMIT);
+	ck_assert_int_eq(ht_admission_decide(&plan, &params, &listed[2], 1, 0, 0), HT_REFUSE);
+	ck_assert_int_eq(ht_admission_decide(&plan, &params, &above, 1, 0, 0), HT_DELAY);
+	ck_assert_int_eq(ht_admission_decide(&plan, &params, &between, 1, 0, 0), HT_ADMIT);
+	plan.admit[1] = 0;
+	plan.delay[1] = true;
+	ck_assert_int_eq(ht_admission_decide(&plan, &params, &below, 1, 0, 0), HT_DELAY);
+}
+END_TEST
+
 /* Guards against starving callers: each is admitted in its part of each turn. */
 START_TEST(refused_caller_is_admitted_within_a_turn)
 {
@@ -685,6 +722,7 @@
 	tcase_add_test(tc, state_changes_after_two_updates);
 	tcase_add_test(tc, no_local_targets_send_all_elsewhere);
 	tcase_add_test(tc, excess_goes_elsewhere_after_the_demand_there);
+	tcase_add_test(tc, short_queues_elsewhere_come_before_long_ones_here);
 	tcase_add_test(tc, rate_is_learnt_from_full_targets);
 	tcase_add_test(tc, rate_that_is_too_low_rises_while_requests_are_refused);
 	tcase_add_test(tc, short_work_that_makes_its_aim_comes_first);
@@ -692,6 +730,7 @@
 	tcase_add_test(tc, capacity_is_counted_in_work);
 	tcase_add_test(tc, aim_of_the_highest_class_limits_the_depth);
 	tcase_add_test(tc, only_what_can_wait_is_delayed);
+	tcase_add_test(tc, unlisted_class_is_decided_like_the_next_less_urgent_one);
 	tcase_add_test(tc, refused_caller_is_admitted_within_a_turn);
 	tcase_add_test(tc, burst_of_all);
 	tcase_add_test(tc, burst_of_one_kind);
