--- a/core/load.c
+++ b/core/load.c
@@ -14,6 +14,8 @@
 #define MS_PER_S 1000.0
 
 /* Weight of a response in the mean of a class. */
+#define LOW_FALL 0.1
+#define LOW_RISE 0.01
 #define MEAN_WEIGHT 0.02
 
 /* A response in the same ms took half a step of the clock, as 0 stands for unknown. */
@@ -188,7 +190,7 @@
 		class->least_ms = class->mean_ms = took;
 		return;
 	}
-	class->least_ms = ht_answer_next_least(class->least_ms, class->mean_ms, took);
+	class->least_ms += (took < class->least_ms ? LOW_FALL : LOW_RISE) * (took - class->least_ms);
 	class->mean_ms += MEAN_WEIGHT * (took - class->mean_ms);
 }
 
--- a/tests/core/test_admission.c
+++ b/tests/core/test_admission.c
@@ -768,6 +768,7 @@
 	tcase_add_test(tc, short_work_that_makes_its_aim_comes_first);
 	tcase_add_test(tc, open_flows_do_not_count_against_a_higher_class);
 	tcase_add_test(tc, rare_urgent_class_does_not_displace_the_next);
+	tcase_add_test(tc, capacity_is_counted_in_work);
 	tcase_add_test(tc, aim_of_the_highest_class_limits_the_depth);
 	tcase_add_test(tc, only_what_can_wait_is_delayed);
 	tcase_add_test(tc, unlisted_class_is_decided_like_the_next_less_urgent_one);
