core: a flow that may be open elsewhere is not reset

Cause: while capacity is short, a second or third copy of an opening packet was refused with a reset although another instance may have placed the first copy before the routers changed their paths. The caller then takes a flow that is open, and whose request may run, for one that has not run.

Change: an instance resets such a copy only if it has dropped all earlier ones itself, which it remembers in a table of 4,096 entries (64 kB). Other copies are dropped.

--- a/core/steering.c
+++ b/core/steering.c
@@ -1,5 +1,6 @@
 #include "core/steering.h"
 
+#include "base/hash.h"
 #include "core/flow_table.h"
 #include "core/placing.h"
 #include "core/split.h"
@@ -28,6 +29,16 @@
  * round trip of 10 ms, for the 60 s that a flow lasts. */
 #define FLOW_BYTES_MAX (1U << 27)
 
+/* Flows remembered because copies of their opening packet were dropped here, one for each remainder
+ * of a hash; enough for 3,000 dropped flows per second until the last copy. */
+#define DEFERRALS 4096
+
+/* A flow whose first copies of the opening packet this instance has dropped. */
+struct deferral {
+	uint64_t opening; /* hash of the addresses and the sequence number */
+	uint32_t copies;
+};
+
 struct ht_steering {
 	struct ht_steering_params params;
 	struct ht_placing placing;
@@ -37,6 +48,7 @@
 	ht_ms routes_at, targets_at; /* when an exact read last confirmed them */
 	size_t instance_count;
 	ht_ms adopted_at; /* when a flow unknown to the table was last added by its data */
+	struct deferral deferrals[DEFERRALS];
 };
 
 void ht_steering_params_default(struct ht_steering_params *params)
@@ -248,9 +260,37 @@
 	return true;
 }
 
+static uint64_t hash_opening(const struct ht_packet *pkt)
+{
+	return ht_hash_pair(ht_flow_hash(pkt->src, pkt->dst), pkt->sequence);
+}
+
+/* Records that the opening packet @pkt of a flow that is not tracked is dropped here. */
+static void note_drop(struct ht_steering *st, const struct ht_packet *pkt)
+{
+	uint64_t opening = hash_opening(pkt);
+	struct deferral *d = &st->deferrals[opening % DEFERRALS];
+
+	if (!pkt->acknowledged)
+		*d = (struct deferral){.opening = opening, .copies = 1};
+	else if (d->opening == opening && d->copies == pkt->acknowledged)
+		d->copies++;
+}
+
+/* True if no earlier copy of @pkt can have been placed: this instance has dropped all of them.
+ * Otherwise another instance may have placed one before the routers changed their paths. */
+static bool earlier_copies_dropped(const struct ht_steering *st, const struct ht_packet *pkt)
+{
+	uint64_t opening = hash_opening(pkt);
+	const struct deferral *d = &st->deferrals[opening % DEFERRALS];
+
+	return !pkt->acknowledged || (d->opening == opening && d->copies >= pkt->acknowledged);
+}
+
 /*
  * True if the opening packet @pkt is not forwarded because others go first: by the plan of the
- * service while capacity is short, otherwise by the flows of this instance alone.
+ * service while capacity is short, otherwise by the flows of this instance alone. A reset tells the
+ * caller that nothing has run, so a flow that may be open is not reset.
  */
 static bool turn_away(const struct ht_steering *st, const struct ht_route *route,
 		      const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
@@ -266,10 +306,10 @@
 				      verdict == HT_REFUSE);
 	if (!s->plan.short_of_room)
 		return should_defer(st, route, s, pkt, d);
-	if (verdict == HT_DELAY)
-		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
-	if (verdict == HT_REFUSE)
+	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt))
 		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
+	else
+		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
 	return verdict != HT_ADMIT;
 }
 
@@ -314,8 +354,11 @@
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 	bool again = f;
 
-	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY)
+	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY) {
+		if (!f)
+			note_drop(st, pkt);
 		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
+	}
 	if (!mark)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
 	ht_placing_count(t, now);
@@ -380,6 +423,8 @@
 		notify_flow(st, f, HT_FLOW_UNANSWERED, f->placed_at, 0, now);
 		record_miss(st, f->target, f->placed_at, now);
 	} else if (turn_away(st, route, service, pkt, now, &d)) {
+		if (d.action == HT_STEER_DROP)
+			note_drop(st, pkt);
 		return d;
 	}
 	return place(st, service, pkt, f, now);
--- a/tests/core/test_overload.c
+++ b/tests/core/test_overload.c
@@ -93,6 +93,37 @@
 }
 END_TEST
 
+/* Guards against an untrue reset: the first copy may have been placed by another instance before
+ * the routers changed their paths. */
+START_TEST(flow_with_an_unknown_first_copy_is_not_reset)
+{
+	set_plan(0, false, 1);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 1).action, HT_STEER_DROP);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 2).action, HT_STEER_DROP);
+	/* The same if a copy in between is unknown. */
+	set_plan(0, true, 1);
+	ck_assert_int_eq(open_flow(1025, STOCK_PORT, 0).action, HT_STEER_DROP);
+	ck_assert_int_eq(open_flow(1025, STOCK_PORT, 2).action, HT_STEER_DROP);
+	/* The same port, but another flow. */
+	ck_assert_int_eq(open_flow_at(1026, STOCK_PORT, 0, 1).action, HT_STEER_DROP);
+	set_plan(0, false, 1);
+	ck_assert_int_eq(open_flow_at(1026, STOCK_PORT, 1, 7000).action, HT_STEER_DROP);
+}
+END_TEST
+
+/* Guards against callers that wait in vain: all copies so far were dropped by this instance. */
+START_TEST(flow_whose_copies_were_all_dropped_here_is_reset)
+{
+	set_plan(0, true, 1);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 0).action, HT_STEER_DROP);
+	ck_assert_int_eq(open_flow(1025, STOCK_PORT, 0).action, HT_STEER_DROP);
+	ck_assert_int_eq(open_flow(1025, STOCK_PORT, 1).action, HT_STEER_DROP);
+	set_plan(0, false, 1);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 1).action, HT_STEER_RESET);
+	ck_assert_int_eq(open_flow(1025, STOCK_PORT, 2).action, HT_STEER_RESET);
+}
+END_TEST
+
 /* Burst in one data centre: guards against flows that stay where they would have to wait. */
 START_TEST(flows_go_where_the_plan_says)
 {
@@ -181,6 +212,8 @@
 	tcase_add_checked_fixture(tc, start, stop);
 	tcase_add_test(tc, less_urgent_flows_are_refused_at_once);
 	tcase_add_test(tc, flows_that_can_wait_are_left_to_a_later_copy);
+	tcase_add_test(tc, flow_with_an_unknown_first_copy_is_not_reset);
+	tcase_add_test(tc, flow_whose_copies_were_all_dropped_here_is_reset);
 	tcase_add_test(tc, flows_go_where_the_plan_says);
 	tcase_add_test(tc, full_target_of_the_view_gets_fewest_flows);
 	tcase_add_test(tc, limit_of_flows_is_kept);
