core: a plan ends with the last target and when routes no longer differ

Cause: plans are updated only for services with targets whose routes differ in their terms. A plan in force stayed so for good when a configuration (or one from an instance of an earlier build, without aims and limits) gave all routes the same terms, and until targets returned when the last one was lost: flows were refused by an old state.

Change: both cases clear the plan; the learned rate is kept while there is no target. The end is not logged when the configuration is the cause.

--- a/core/catalog_routes.c
+++ b/core/catalog_routes.c
@@ -261,6 +261,13 @@
 					note_terms(r->shares[k].service, r);
 		}
 	}
+	/* Without classes nothing updates a plan. */
+	ht_list_for_each (pos, &cat->services) {
+		struct ht_service *s = ht_container_of(pos, struct ht_service, node);
+
+		if (!s->has_classes)
+			s->plan = (struct ht_admission_plan){0};
+	}
 }
 
 static const struct ht_service_entry *find_service(const struct ht_route_table *table,
--- a/core/overload.c
+++ b/core/overload.c
@@ -121,9 +121,10 @@
 	struct ht_load_state state;
 	bool before = s->plan.short_of_room;
 
-	if (!fill_input(u, s, &state, &in))
-		return;
-	ht_admission_update(&s->plan, &in, &u->ov->admission);
+	if (fill_input(u, s, &state, &in))
+		ht_admission_update(&s->plan, &in, &u->ov->admission);
+	else
+		s->plan = (struct ht_admission_plan){.rate = s->plan.rate};
 	if (s->plan.short_of_room != before && u->ov->changed)
 		u->ov->changed(u->ov->ctx, s, &in, u->now);
 }
--- a/tests/core/test_overload.c
+++ b/tests/core/test_overload.c
@@ -205,6 +205,38 @@
 }
 END_TEST
 
+/* Guards against a plan that stays in force for good: a new configuration, or one from an instance
+ * of an earlier build, gives all routes of the service the same terms. */
+START_TEST(plan_ends_when_routes_no_longer_differ)
+{
+	struct ht_route_entry entries[] = {
+		{.at = {ADDRESS, STOCK_PORT}, .service = "stock", .priority = 2},
+		{.at = {ADDRESS, STOCK_PORT + 1}, .service = "stock", .priority = 2},
+	};
+	struct ht_route_table table = {.id = {2, rev(2)}, .count = 2, .entries = entries};
+
+	set_plan(0, false, 1);
+	ht_catalog_set_routes(cat, &table);
+	ck_assert(!stock->has_classes);
+	ht_steering_update_load(st, now);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 0).action, HT_STEER_FORWARD);
+}
+END_TEST
+
+/* Guards against the plan of a service that has lost its last target: it would refuse flows for
+ * want of room when targets return. */
+START_TEST(plan_ends_with_the_last_target)
+{
+	set_plan(0, false, 1);
+	ht_catalog_put_evacuation(cat, "here", true, rev(++revision), now);
+	ht_catalog_put_evacuation(cat, "there", true, rev(++revision), now);
+	ck_assert_uint_eq(stock->count, 0);
+	ht_steering_update_load(st, now);
+	ck_assert(!stock->plan.short_of_room);
+	ck_assert_int_ne(open_flow(1024, STOCK_PORT, 0).reason, HT_STEER_NO_ROOM);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("overload");
@@ -218,5 +250,7 @@
 	tcase_add_test(tc, full_target_of_the_view_gets_fewest_flows);
 	tcase_add_test(tc, limit_of_flows_is_kept);
 	tcase_add_test(tc, without_shortage_decisions_are_as_before);
+	tcase_add_test(tc, plan_ends_when_routes_no_longer_differ);
+	tcase_add_test(tc, plan_ends_with_the_last_target);
 	return run_case("overload", tc);
 }
