core: a target that refuses everything is not taken for a full one

Cause: while capacity is short, answers that look like refusals do not count as errors, so that full targets are not suspected.

Change: refusals count as errors from the sixth in a row on. A full target serves some requests in between.

--- a/core/catalog.c
+++ b/core/catalog.c
@@ -261,8 +261,10 @@
 static void apply_entry(struct ht_target *t, const struct ht_target_entry *e,
 			struct ht_service *service, struct ht_dc *dc, ht_ms now)
 {
-	if (t->started != e->started)
+	if (t->started != e->started) {
 		t->evidence = (struct ht_evidence){0};
+		t->refusals = 0;
+	}
 	t->started = e->started;
 	t->at = e->at;
 	t->service = service;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -192,6 +192,7 @@
 	uint32_t waiting; /**< of these, waiting for the target */
 	uint32_t flows;	  /**< flows that refer to the target, which is not freed before they end */
 	struct ht_evidence evidence;
+	uint32_t refusals;		    /**< in a row, see ht_answer_is_refusal() */
 	uint64_t answers;		    /**< seen by this instance... */
 	ht_ms answers_ms;		    /**< ...and the sum of their times */
 	struct ht_warmup *flows_while_cold; /**< NULL if there have been none under a limit */
--- a/core/steering.c
+++ b/core/steering.c
@@ -22,6 +22,10 @@
  * Those of other ones may just as well have been cut off. */
 #define RESTART_MISSES 2
 
+/* A full target serves some requests in between. One that has refused this many in a row while
+ * capacity is short is broken: of a full one that refuses half of them, it is one run in 64. */
+#define REFUSALS_OF_BROKEN 6
+
 /* Callers send an opening packet three times; the copies are numbered from 0. */
 #define LAST_OPENING_COPY 2
 
@@ -467,8 +471,9 @@
 	uint32_t bytes = pkt->acknowledged - f->acknowledged;
 	bool error = ht_answer_is_error(&route->answers, bytes, f->answer_delay);
 
+	t->refusals = ht_answer_is_refusal(&route->answers, bytes) ? t->refusals + 1 : 0;
 	/* A full target is well; leaving it out would put its load on the others. */
-	if (t->service->plan.short_of_room && ht_answer_is_refusal(&route->answers, bytes))
+	if (t->service->plan.short_of_room && t->refusals && t->refusals < REFUSALS_OF_BROKEN)
 		return;
 	if (error)
 		notify_flow(st, f, HT_FLOW_ERROR, now - f->answer_delay, bytes, now);
--- a/tests/core/test_overload.c
+++ b/tests/core/test_overload.c
@@ -237,6 +237,54 @@
 }
 END_TEST
 
+/* A release during a burst: guards against a broken target that answers each request with an error
+ * at once and is taken for a full one, so that its short queue attracts most flows. */
+START_TEST(target_that_serves_nothing_is_avoided)
+{
+	struct ht_target *broken = ht_catalog_by_name(cat, "i-1001");
+	unsigned int at_broken = 0;
+	uint16_t caller = 1024;
+
+	for (int i = 0; i < 40; i++, now += 20)
+		request(caller++, STOCK_PORT, 4000, 40);
+	set_plan(1, false, 1);
+	for (int i = 0; i < 120; i++, now += 20) {
+		struct ht_steering_decision d = open_flow(++caller, STOCK_PORT, 0);
+		uint32_t bytes = d.target == broken ? 150 : 4000;
+
+		at_broken += d.target == broken;
+		now += 4;
+		send_marked(caller, STOCK_PORT, d.mark, 100, 50);
+		now += d.target == broken ? 1 : 40;
+		send_marked(caller, STOCK_PORT, d.mark, 100 + bytes, 0);
+		close_flow(caller, STOCK_PORT, d.mark, 100 + bytes);
+	}
+	ck_assert_uint_gt(at_broken, 0);
+	ck_assert_uint_le(at_broken, 12);
+	ck_assert(broken->evidence.error_rate > 0);
+}
+END_TEST
+
+/* Guards against full targets that are left out as suspected: they refuse some requests, and what
+ * they would serve goes to the others. */
+START_TEST(target_that_refuses_some_requests_is_not_suspected)
+{
+	uint16_t caller = 1024;
+
+	for (int i = 0; i < 40; i++, now += 20)
+		request(caller++, STOCK_PORT, 4000, 40);
+	set_plan(1, false, 1);
+	for (int i = 0; i < 200; i++, now += 20)
+		request(caller++, STOCK_PORT, i % 2 ? 150 : 4000, i % 2 ? 1 : 40);
+	for (int i = 1; i < TARGETS; i += 2) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "i-%x", 0x1000 + i);
+		ck_assert_uint_eq(ht_catalog_by_name(cat, name)->evidence.error_suspicions, 0);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("overload");
@@ -252,5 +300,7 @@
 	tcase_add_test(tc, without_shortage_decisions_are_as_before);
 	tcase_add_test(tc, plan_ends_when_routes_no_longer_differ);
 	tcase_add_test(tc, plan_ends_with_the_last_target);
+	tcase_add_test(tc, target_that_serves_nothing_is_avoided);
+	tcase_add_test(tc, target_that_refuses_some_requests_is_not_suspected);
 	return run_case("overload", tc);
 }
