core: a placed flow is not reset because targets hold as many flows as stated

Cause: when all targets of a service with maxConns hold that many flows, the last copy of an opening packet was refused with a reset even if its earlier copies had been placed here, or may have been placed by another instance.

Change: such a copy is dropped. Services without maxConns are not affected.

--- a/core/steering.c
+++ b/core/steering.c
@@ -350,6 +350,13 @@
 	return t ? t : ht_placing_choose(&st->placing, s, tried, n, now);
 }
 
+/* True if a flow that finds no target for want of places there may be open already. */
+static bool may_be_open_at_limit(const struct ht_steering *st, const struct ht_service *s,
+				 const struct ht_tracked_flow *f, const struct ht_packet *pkt)
+{
+	return s->flows_max && (f || !earlier_copies_dropped(st, pkt));
+}
+
 static struct ht_steering_decision place(struct ht_steering *st, struct ht_service *service,
 					 const struct ht_packet *pkt, struct ht_tracked_flow *f,
 					 ht_ms now)
@@ -358,7 +365,8 @@
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 	bool again = f;
 
-	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY) {
+	if (!t && service->count &&
+	    (pkt->acknowledged < LAST_OPENING_COPY || may_be_open_at_limit(st, service, f, pkt))) {
 		if (!f)
 			note_drop(st, pkt);
 		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
--- a/tests/core/test_overload.c
+++ b/tests/core/test_overload.c
@@ -285,6 +285,45 @@
 }
 END_TEST
 
+/* Guards against an untrue reset: the first copies of the opening packet were placed, and all
+ * targets have reached their limit of flows meanwhile. */
+START_TEST(placed_flow_is_not_reset_at_the_limit_of_flows)
+{
+	stock->flows_max = 5;
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 0).action, HT_STEER_FORWARD);
+	for (uint32_t i = 1; i < CALLERS; i++)
+		open_from(i, STOCK_PORT, 0);
+	now += 200;
+	ck_assert_int_ne(open_flow(1024, STOCK_PORT, 1).action, HT_STEER_RESET);
+	now += 400;
+	ck_assert_int_ne(open_flow(1024, STOCK_PORT, 2).action, HT_STEER_RESET);
+	/* Nor if another instance may have placed them. */
+	ck_assert_int_ne(open_flow(1025, STOCK_PORT, 2).action, HT_STEER_RESET);
+}
+END_TEST
+
+/* Limits of cold targets: guards against a plan that sends a cold target more than its service
+ * states. */
+START_TEST(limit_of_cold_targets_is_kept_by_plans)
+{
+	unsigned int at_cold = 0;
+	struct ht_target *cold;
+
+	stock->warmup_rate = 1000;
+	stock->warmup = 10000;
+	ck_assert(ht_steering_set_peers(st, 1, NULL, 0));
+	ht_steering_set_bounds(st, &(struct ht_steering_bounds){.routes = HT_NEVER,
+								.targets = HT_NEVER,
+								.warmup_overage = 1});
+	cold = ht_catalog_by_name(cat, "i-1001");
+	cold->warmup_ends_at = now + 10000;
+	set_plan(1, false, 1);
+	for (uint32_t i = 0; i < CALLERS; i++)
+		at_cold += open_from(i, STOCK_PORT, 0).target == cold;
+	ck_assert_uint_eq(at_cold, 1);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("overload");
@@ -302,5 +341,7 @@
 	tcase_add_test(tc, plan_ends_with_the_last_target);
 	tcase_add_test(tc, target_that_serves_nothing_is_avoided);
 	tcase_add_test(tc, target_that_refuses_some_requests_is_not_suspected);
+	tcase_add_test(tc, placed_flow_is_not_reset_at_the_limit_of_flows);
+	tcase_add_test(tc, limit_of_cold_targets_is_kept_by_plans);
 	return run_case("overload", tc);
 }
