entry: admitted shares of classes of equal priority are told apart

Cause: the metric admitted_share had only the service and the priority as labels. Classes of a service may differ in aim or limit alone; the page then had several samples with the same labels, which its format does not allow.

Change: labels aim_ms and limit_ms.

--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -3,6 +3,7 @@
 #include "base/exposition.h"
 #include "platform/http_server.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -243,11 +244,17 @@
 	FILE *out = ctx;
 
 	for (size_t i = 0; i < plan->class_count; i++) {
-		char priority[16];
-		const struct ht_label labels[] = {
-			{"service", s->name}, {"priority", priority}, {0}};
-
-		snprintf(priority, sizeof(priority), "%u", plan->classes[i].priority);
+		const struct ht_load_terms *terms = &plan->classes[i];
+		char priority[16], aim[24], limit[24];
+		const struct ht_label labels[] = {{"service", s->name},
+						  {"priority", priority},
+						  {"aim_ms", aim},
+						  {"limit_ms", limit},
+						  {0}};
+
+		snprintf(priority, sizeof(priority), "%" PRIu32, terms->priority);
+		snprintf(aim, sizeof(aim), "%" PRId64, terms->aim);
+		snprintf(limit, sizeof(limit), "%" PRId64, terms->limit);
 		ht_exposition_sample(out, METRIC("admitted_share"), "", labels, plan->admit[i]);
 	}
 }
@@ -263,7 +270,8 @@
 			    "1 while new flows of the service are admitted by a plan.");
 	ht_catalog_each_service(cat, write_short, out);
 	ht_exposition_begin(out, METRIC("admitted_share"), "gauge",
-			    "Share of new flows admitted, by priority of the route.");
+			    "Share of new flows admitted, by priority, aim and limit of the route; "
+			    "0: no aim or limit stated.");
 	ht_catalog_each_service(cat, write_plan, out);
 }
 
--- a/tests/entry/test_decisions.c
+++ b/tests/entry/test_decisions.c
@@ -345,6 +345,39 @@
 }
 END_TEST
 
+/* Guards against two samples with the same labels, of which a reader of the page takes only one:
+ * classes of equal priority may differ in their aim or limit. */
+START_TEST(admitted_shares_of_equal_priority_are_told_apart)
+{
+	const struct ht_metrics_params page = {.stats = &stats,
+					       .catalog = cat,
+					       .steering = st,
+					       .log = logger,
+					       .state = fill_metrics_state};
+	struct ht_service *s;
+	char *body = NULL;
+	size_t len = 0;
+	FILE *out = open_memstream(&body, &len);
+
+	put_target(0, "stock", "here");
+	s = ht_catalog_by_name(cat, "i-1000")->service;
+	s->plan.class_count = 2;
+	s->plan.classes[0] = (struct ht_load_terms){.priority = 2, .aim = 50, .limit = 400};
+	s->plan.classes[1] = (struct ht_load_terms){.priority = 2, .aim = 300, .limit = 1000};
+	s->plan.admit[0] = 1;
+	s->plan.admit[1] = 0.25;
+	ht_metrics_write(&page, out);
+	fclose(out);
+	ck_assert_ptr_nonnull(
+		strstr(body, "\nhickorytrestle_admitted_share{service=\"stock\",priority=\"2\","
+			     "aim_ms=\"50\",limit_ms=\"400\"} 1\n"));
+	ck_assert_ptr_nonnull(
+		strstr(body, "\nhickorytrestle_admitted_share{service=\"stock\",priority=\"2\","
+			     "aim_ms=\"300\",limit_ms=\"1000\"} 0.25\n"));
+	free(body);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("decisions");
@@ -360,5 +393,6 @@
 	tcase_add_test(tc, target_changes_are_logged);
 	tcase_add_test(tc, malformed_packet_is_counted_and_logged);
 	tcase_add_test(tc, metrics_page_shows_counters);
+	tcase_add_test(tc, admitted_shares_of_equal_priority_are_told_apart);
 	return run_case("decisions", tc);
 }
