core: absurd figures of targets neither close a service nor hide its load

Cause: figures of targets in a view have no limit, unlike those of services. One other data centre that states absurd numbers of flows closed every listed target of a service with maxConns, also without shortage of capacity. Absurd numbers of requests in flight made the data centre look empty, as what exceeds the intended depth at a full target is subtracted.

Change: more than four times maxConns flows count as an error, and the instance's own count is used; a target with more requests in flight than its data centre (by a quarter, for rounding) is not subtracted.

Result: test_overload 16 of 16; without the change, both new tests fail. test_steering, test_admission, test_warmup pass.

--- a/core/overload.c
+++ b/core/overload.c
@@ -7,6 +7,10 @@
 /* A target that has just started serves about half as much. */
 #define COLD_SLOTS 0.5
 
+/* Figures of a view are rounded to 3 %, and those of targets and of data centres are scaled to all
+ * instances separately. */
+#define FIGURE_ERROR 1.25
+
 static void add_target(void *ctx, struct ht_target *t)
 {
 	const struct ht_load_target seen = {
@@ -75,11 +79,16 @@
 
 /*
  * Requests queued at a full target wait for it alone: what exceeds the intended depth there does
- * not count, or a few slow targets would make the others look full.
+ * not count, or a few slow targets would make the others look full. A target with more requests
+ * than its data centre, as far as figures are exact, is an error and must not hide the load.
  */
 static void discount_full_targets(const struct ht_overload *ov, struct ht_admission_input *in,
 				  const struct ht_service *s, ht_ms now)
 {
+	double open[HT_LOAD_DCS_MAX] = {0};
+
+	for (size_t i = 0; i < in->dc_count; i++)
+		open[i] = in->dcs[i].open;
 	for (size_t i = 0; i < s->count; i++) {
 		const struct ht_target *t = s->targets[i];
 		double depth = ov->admission.depth * t->slots;
@@ -89,7 +98,7 @@
 		if (!ht_load_target(ov->load, t->marks[0].value, &load, now) || load.open <= depth)
 			continue;
 		dc = find_dc(in, t->dc->key);
-		if (dc)
+		if (dc && load.open <= FIGURE_ERROR * open[dc - in->dcs])
 			dc->open = fmax(dc->open - (load.open - depth), 0);
 	}
 }
--- a/core/placing.c
+++ b/core/placing.c
@@ -11,6 +11,10 @@
 /* The smoothed answer time changes the cost by at most this factor, up or down. */
 #define SPEED_FACTOR_MAX 2.0
 
+/* Instances stop at the limit of flows of a target. More than this many times as many are an error
+ * of whoever has reported them, which must not close the target. */
+#define FLOWS_ABSURD 4
+
 /* Stated rates of cold targets are in thousandths per second. */
 #define WARMUP_RATE_UNIT 1000
 
@@ -129,7 +133,14 @@
 
 bool ht_placing_holds_more(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
-	return !t->service->flows_max || load_of(pl, t, now).flows < t->service->flows_max;
+	uint32_t max = t->service->flows_max, flows;
+
+	if (!max)
+		return true;
+	flows = load_of(pl, t, now).flows;
+	if (flows > FLOWS_ABSURD * (uint64_t)max)
+		flows = t->flows;
+	return flows < max;
 }
 
 static double planned_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
--- a/tests/core/test_overload.c
+++ b/tests/core/test_overload.c
@@ -324,6 +324,70 @@
 }
 END_TEST
 
+/* The view says that each target holds @flows and has @open requests in flight, which it attributes
+ * to the other data centre; the places are those of the own one. */
+static void share_targets(uint32_t flows, uint32_t open, double open_here)
+{
+	struct ht_load_view view = {
+		.count = 2,
+		.dcs = {{.dc = ht_load_key("here"),
+			 .instances = 1,
+			 .service_count = 1,
+			 .services = {{.service = stock->key,
+				       .place_count = 1,
+				       .places = {{.dc = ht_load_key("here"),
+						   .open = open_here}}}}},
+			{.dc = ht_load_key("there"), .instances = 1, .target_count = TARGETS}}};
+
+	for (int i = 0; i < TARGETS; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "i-%x", 0x1000 + i);
+		view.dcs[1].targets[i] = (struct ht_load_target){
+			.mark = ht_catalog_by_name(cat, name)->marks[0].value,
+			.flows = flows,
+			.open = open};
+	}
+	ht_load_set_view(load, &view, now);
+}
+
+/* Failure: another data centre reports absurd numbers of flows. Guards against a service that is
+ * closed by them; a number that can be true counts. */
+START_TEST(absurd_numbers_of_flows_do_not_close_a_service)
+{
+	stock->flows_max = 100;
+	share_targets(4000000000U, 0, 0);
+	ck_assert_int_eq(open_flow(1024, STOCK_PORT, 0).action, HT_STEER_FORWARD);
+	share_targets(100, 0, 0);
+	ck_assert_int_eq(open_flow(1025, STOCK_PORT, 0).action, HT_STEER_DROP);
+	share_targets(99, 0, 0);
+	ck_assert_int_eq(open_flow(1026, STOCK_PORT, 0).action, HT_STEER_FORWARD);
+}
+END_TEST
+
+/* Failure: the same of requests in flight. Guards against targets that look empty because what
+ * exceeds the intended depth at a full one is taken off. */
+START_TEST(absurd_queues_do_not_hide_the_load)
+{
+	double occupancy;
+
+	for (int i = 0; i < 12; i++, now += 500) {
+		struct ht_load_sum out;
+		struct ht_target *t = ht_catalog_by_name(cat, "i-1001");
+
+		ht_load_begin_report(load);
+		ht_load_add_target(load, stock->key, ht_load_key("here"),
+				   &(struct ht_load_target){.mark = t->marks[0].value, .open = 18});
+		ht_load_end_report(load, &out, now);
+	}
+	share_targets(0, 0, 18);
+	occupancy = ht_steering_occupancy(st, now);
+	ck_assert(occupancy > 1.9 && occupancy < 2.1);
+	share_targets(0, 4000000000U, 18);
+	ck_assert(ht_steering_occupancy(st, now) > 1.9);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("overload");
@@ -343,5 +407,7 @@
 	tcase_add_test(tc, target_that_refuses_some_requests_is_not_suspected);
 	tcase_add_test(tc, placed_flow_is_not_reset_at_the_limit_of_flows);
 	tcase_add_test(tc, limit_of_cold_targets_is_kept_by_plans);
+	tcase_add_test(tc, absurd_numbers_of_flows_do_not_close_a_service);
+	tcase_add_test(tc, absurd_queues_do_not_hide_the_load);
 	return run_case("overload", tc);
 }
