--- a/core/placing.c
+++ b/core/placing.c
@@ -15,6 +15,11 @@
  * of whoever has reported them, which must not close the target. */
 #define FLOWS_ABSURD 4
 
+/* Requests in flight per slot, by the view, from which a target is nearly full, and the factor by
+ * which it costs more. Counts below that are too old to compare targets by. */
+#define FULL_PER_SLOT 3.5
+#define FULL_COST 16.0
+
 /* Stated rates of cold targets are in thousandths per second. */
 #define WARMUP_RATE_UNIT 1000
 
@@ -41,6 +46,12 @@
 	return ht_evidence_suspected(&t->evidence, now);
 }
 
+/* Suspected because of packets without response, not of errors, which full targets return, too. */
+static bool is_silent(const struct ht_target *t, ht_ms now)
+{
+	return is_suspected(t, now) && t->evidence.misses;
+}
+
 /* Answer time as a ratio to the mean of the service, clamped; 1 while unknown. */
 static double relative_answer_time(const struct ht_target *t)
 {
@@ -145,9 +156,11 @@
 
 static double planned_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
-	double c = (load_of(pl, t, now).open + 1.0) / t->slots * relative_answer_time(t) *
+	double c = (t->waiting + 1.0) / t->slots * relative_answer_time(t) *
 		   (1 + ERROR_COST * t->evidence.error_rate);
 
+	if (load_of(pl, t, now).open >= FULL_PER_SLOT * t->slots)
+		c *= FULL_COST;
 	return now < t->warmup_ends_at ? c * pl->params->cold_factor : c;
 }
 
@@ -172,7 +185,6 @@
 {
 	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
 	size_t start = s->count ? next_random(pl) % s->count : 0, seen = 0;
-	bool skip_suspected = may_skip_suspected(pl, s, start, sampled, now);
 	struct ht_target *drawn[2] = {NULL, NULL};
 	uint32_t dc;
 
@@ -184,9 +196,8 @@
 		struct ht_target *t = s->targets[(start + i) % s->count];
 		size_t at = seen;
 
-		if (t->dc->key != dc || was_tried(t, tried, n) ||
-		    (skip_suspected && is_suspected(t, now)) || !ht_placing_allows(pl, t, now) ||
-		    !ht_placing_holds_more(pl, t, now))
+		if (t->dc->key != dc || was_tried(t, tried, n) || is_silent(t, now) ||
+		    !ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
--- a/core/router_ingress.c
+++ b/core/router_ingress.c
@@ -20,6 +20,12 @@
 	return ht_stored_request_idempotent(pend->req) || !pend->req->has_ticket;
 }
 
+/* When the request is sent again or, if it is too late for that, refused. */
+static ht_ms timer_due(const struct ht_request_path *p, const struct ht_pending *pend)
+{
+	return can_resend(pend) && p->env->now < pend->retry_at ? pend->retry_at : pend->deadline;
+}
+
 void ht_pending_free(struct ht_request_path *p, struct ht_pending *pend)
 {
 	ht_timer_stop(&pend->timer);
@@ -133,6 +139,15 @@
 	return false;
 }
 
+/*
+ * True when the target at index @i is not worth an attempt. Candidate 1 is, also while it drains:
+ * its home knows the flow's target and the requests in flight.
+ */
+static bool skip_candidate(const struct ht_candidates *cand, unsigned int i)
+{
+	return i > 0 && ht_candidates_all_drain(cand) && cand->target[i]->draining;
+}
+
 /* Sends to the first candidate, from pend->candidate on, whose home can be reached. */
 static bool try_candidates(struct ht_request_path *p, struct ht_pending *pend,
 			   const struct ht_candidates *cand)
@@ -142,7 +157,7 @@
 		uint64_t home = p->membership->home(p->membership->ctx, t->id, t->dc);
 		uint32_t flags = pend->flags;
 
-		if (!home)
+		if (!home || skip_candidate(cand, pend->candidate))
 			continue;
 		if (pend->candidate > 0 && !(flags & HT__FORWARD_FLAG__FORWARD_RETRY))
 			flags |= HT__FORWARD_FLAG__FORWARD_DEFLECTED;
@@ -218,7 +233,7 @@
 		      (long long)timeout);
 	if (!stored->cancel)
 		ht_retry_budget_earn(p->ingress_retry_budget, stored->service);
-	ht_timer_set(p->timers, &pend->timer, can_resend(pend) ? pend->retry_at : pend->deadline);
+	ht_timer_set(p->timers, &pend->timer, timer_due(p, pend));
 	send_attempt(p, pend);
 }
 
@@ -236,12 +251,23 @@
 	finish(p, pend, &a);
 }
 
+/* True when a retry has a further candidate or substitute to go to. */
+static bool has_next_candidate(struct ht_request_path *p, const struct ht_pending *pend)
+{
+	struct ht_config *cfg = p->config->current(p->config->ctx);
+	struct ht_candidates cand;
+
+	ht_placement_candidates(&cand, cfg ? ht_config_service(cfg, pend->req->service) : NULL,
+				pend->req->flow);
+	return pend->candidate + 1 <
+	       (ht_candidates_all_drain(&cand) ? cand.count : HT_CANDIDATES_MAX);
+}
+
 /* Sends to the next candidate after half of the deadline, within the retry budget. */
 static void retry(struct ht_request_path *p, struct ht_pending *pend, const char *why)
 {
 	ht_timer_set(p->timers, &pend->timer, pend->deadline);
-	if (pend->req->cancel || pend->attempts >= ATTEMPTS_MAX ||
-	    pend->candidate + 1 >= HT_CANDIDATES_MAX)
+	if (pend->req->cancel || pend->attempts >= ATTEMPTS_MAX || !has_next_candidate(p, pend))
 		return;
 	if (!ht_retry_budget_spend(p->ingress_retry_budget, pend->req->service)) {
 		ht_path_count(p, HT_C_retries_denied);
@@ -255,6 +281,16 @@
 	send_attempt(p, pend);
 }
 
+/*
+ * Sends a request that has waited for a newer configuration. Sets the timer first, as the attempt
+ * may end the request; without it a lost attempt would leave the request without an answer.
+ */
+static void resume(struct ht_request_path *p, struct ht_pending *pend)
+{
+	ht_timer_set(p->timers, &pend->timer, timer_due(p, pend));
+	send_attempt(p, pend);
+}
+
 static void on_pending_timer(void *ctx, struct ht_timer *timer)
 {
 	struct ht_request_path *p = ctx;
@@ -263,7 +299,7 @@
 	if (p->env->now >= pend->deadline)
 		refuse_at_deadline(p, pend);
 	else if (pend->waited_for_config && !pend->outstanding)
-		send_attempt(p, pend);
+		resume(p, pend);
 	else
 		retry(p, pend, "half_deadline");
 }
@@ -342,9 +378,11 @@
 		return;
 	}
 	if (reason == HT_RETURN_NOT_SERVED && !pend->waited_for_config && !pend->outstanding) {
+		ht_ms due = p->env->now + p->env->params.claim_wait;
+
 		/* The home's configuration is newer: wait until it has been pulled. */
 		pend->waited_for_config = true;
-		ht_timer_set(p->timers, &pend->timer, p->env->now + p->env->params.claim_wait);
+		ht_timer_set(p->timers, &pend->timer, due < pend->deadline ? due : pend->deadline);
 		return;
 	}
 	if (pend->outstanding)
@@ -404,5 +442,5 @@
 
 void ht_ingress_config_changed(struct ht_request_path *p)
 {
-	for_each_pending(p, waits_for_config, 0, send_attempt);
+	for_each_pending(p, waits_for_config, 0, resume);
 }
