entry: changes of the pace do not delay reports and views

Cause: each change between the relaxed and the busy pace began the interval anew, up to a whole one later. While the load is about the limit between them, views came late or not at all: with a change every 300 ms, instances had no valid view at times.

Change: a shorter interval brings forward what is due, a longer one applies after it.

Result: test_load_exchange 16 of 16; without the change, the new test finds instances without a view.

--- a/entry/load_exchange.c
+++ b/entry/load_exchange.c
@@ -449,12 +449,29 @@
 
 /* The phase of each instance is a different one, so that a collector receives reports one by one.
  */
+static ht_ms first_report(const struct ht_load_exchange *ex, ht_ms now)
+{
+	return now + (ht_ms)(ex->seed % (uint64_t)interval_of(ex->pace));
+}
+
 static void start_interval(struct ht_load_exchange *ex, ht_ms now)
 {
-	ht_ms interval = interval_of(ex->pace);
+	ex->report_at = first_report(ex, now);
+	ex->view_at = ex->report_at + VIEW_DELAY(interval_of(ex->pace));
+	arm(ex);
+}
+
+/* The interval has become shorter. Nothing that is due earlier is put off, so that frequent changes
+ * of the pace do not delay reports and views. */
+static void hasten(struct ht_load_exchange *ex, ht_ms now)
+{
+	ht_ms report_at = first_report(ex, now);
+	ht_ms view_at = report_at + VIEW_DELAY(interval_of(ex->pace));
 
-	ex->report_at = now + (ht_ms)(ex->seed % (uint64_t)interval);
-	ex->view_at = ex->report_at + VIEW_DELAY(interval);
+	if (report_at < ex->report_at)
+		ex->report_at = report_at;
+	if (view_at < ex->view_at)
+		ex->view_at = view_at;
 	arm(ex);
 }
 
@@ -468,8 +485,8 @@
 	ex->pace = pace;
 	if (before == HT_LOAD_IDLE || !has_collector(ex, now))
 		ex->waiting_since = now;
-	if (interval_of(pace) != interval_of(before))
-		start_interval(ex, now);
+	if (interval_of(pace) < interval_of(before))
+		hasten(ex, now);
 }
 
 /* A message of an instance that reports at @pace has arrived. Views follow at that pace. */
--- a/tests/entry/test_load_exchange.c
+++ b/tests/entry/test_load_exchange.c
@@ -427,6 +427,26 @@
 }
 END_TEST
 
+/* Load about the limit between two paces: guards against instances that begin their interval anew
+ * at each change and so neither report nor send views. */
+START_TEST(changes_of_pace_do_not_delay_views)
+{
+	add_nodes(small);
+	set_pace(HT_LOAD_BUSY);
+	run(3000);
+	for (int i = 0; i < 40; i++) {
+		set_pace(i % 2 ? HT_LOAD_BUSY : HT_LOAD_RELAXED);
+		for (ht_ms end = now + 300; now < end;) {
+			step();
+			for (size_t k = 0; k < node_count; k++)
+				ck_assert_int_lt(view_age(&nodes[k]),
+						 HT_LOAD_RELAXED_MS + 4 * STEP_MS);
+		}
+	}
+	ck_assert_uint_eq(most_members(0), small[0] - 1);
+}
+END_TEST
+
 /* Guards against a data centre with a burst that gets no views because its collector sees none of
  * it. */
 START_TEST(idle_collector_serves_busy_members)
@@ -961,6 +981,7 @@
 	tcase_add_test(tc, malformed_messages_are_refused);
 	tcase_add_test(tc, all_have_a_view_within_two_intervals);
 	tcase_add_test(tc, nothing_is_sent_when_idle);
+	tcase_add_test(tc, changes_of_pace_do_not_delay_views);
 	tcase_add_test(tc, idle_collector_serves_busy_members);
 	tcase_add_test(tc, burst_in_one_data_centre_wakes_the_others);
 	tcase_add_test(tc, next_takes_over_from_a_dead_collector);
