entry: loads that waited in the socket of a frozen instance are ignored

Cause: an instance that was frozen for seconds took the views, sums and reports in its socket for new ones, acted on them for up to 1.2 s, and forwarded old views to others, where they replaced newer ones.

Change: an instance whose timer is 1.25 s late or more ignores loads for 500 ms; it decides by its own counts meanwhile. A freeze during which the monotonic clock stands still is not noticed.

Result: test_load_exchange 17 of 17; without the change, the new test fails (age 0 of a view 4 s old). test_link_load 2 of 2.

--- a/entry/load_exchange.c
+++ b/entry/load_exchange.c
@@ -14,6 +14,12 @@
  * collecting without reports for as long. A view at the busy pace is valid for about as long. */
 #define SILENCE(interval) ((interval)*5 / 2)
 
+/* An instance that is this late was frozen. Messages that have waited in its socket look new, but
+ * may be as old as that, so it handles none until it has read them. Others have taken over
+ * meanwhile. */
+#define FROZEN_MS SILENCE(HT_LOAD_BUSY_MS)
+#define READ_QUEUE_MS HT_LOAD_BUSY_MS
+
 /* Slots for members that have reported; one for each remainder of the hash of a name. A member
  * whose slot another one has taken is treated as one that has not reported. */
 #define REPORTERS 2048
@@ -44,6 +50,7 @@
 	enum ht_load_pace pace;
 	ev_timer timer;
 	ht_ms report_at, view_at; /* when they are due */
+	ht_ms resumed_at;	  /* after it was frozen, or HT_NEVER */
 	ht_ms waiting_since;	  /* views are expected since then, or since the last one */
 	uint32_t collector;	  /* sender of the views that count... */
 	ht_ms collected_at;	  /* ...and the time of the last one, or HT_NEVER */
@@ -409,10 +416,17 @@
 		ex->params.updated(ex->params.ctx);
 }
 
+static ht_ms next_due(const struct ht_load_exchange *ex)
+{
+	return ex->report_at < ex->view_at ? ex->report_at : ex->view_at;
+}
+
 ht_ms ht_load_exchange_run(struct ht_load_exchange *ex)
 {
 	ht_ms now = now_of(ex);
 
+	if (now - next_due(ex) >= FROZEN_MS)
+		ex->resumed_at = now;
 	if (now >= ex->report_at) {
 		ex->report_at = now + (is_collecting(ex, now) ? view_interval(ex, now)
 							      : interval_of(ex->pace));
@@ -422,12 +436,12 @@
 		ex->view_at = now + view_interval(ex, now);
 		collect(ex, now);
 	}
-	return ex->report_at < ex->view_at ? ex->report_at : ex->view_at;
+	return next_due(ex);
 }
 
 static void arm(struct ht_load_exchange *ex)
 {
-	ht_ms next = ex->report_at < ex->view_at ? ex->report_at : ex->view_at;
+	ht_ms next = next_due(ex);
 	ht_ms now = now_of(ex);
 
 	if (!ex->params.loop)
@@ -585,6 +599,8 @@
 	ht_ms now = now_of(ex);
 	bool own;
 
+	if (within(ex->resumed_at, READ_QUEUE_MS, now))
+		return;
 	if (msg->instance == ex->self || !ht_load_decode(msg, ex->names, NAMES_KEPT, &view, &names))
 		return;
 	own = view.dcs[0].dc == ex->dc;
@@ -612,6 +628,7 @@
 	ex->self = (uint32_t)ex->seed;
 	ex->dc = ht_load_key(params->dc);
 	ex->collected_at = HT_NEVER;
+	ex->resumed_at = HT_NEVER;
 	ex->members = ex->others = (struct heard){.any_at = HT_NEVER, .busy_at = HT_NEVER};
 	ev_timer_init(&ex->timer, on_timer, 0, 0);
 	ex->timer.data = ex;
--- a/tests/entry/test_load_exchange.c
+++ b/tests/entry/test_load_exchange.c
@@ -495,6 +495,49 @@
 }
 END_TEST
 
+/* Finds a view that is on its way to @n. */
+static struct datagram next_view_to(const struct node *n)
+{
+	for (int i = 0; i < 1000; i++, step()) {
+		for (size_t k = 0; k < queue_len; k++) {
+			const struct datagram *d = &queue[k];
+			Ht__EntryGreeting *msg = ht__entry_greeting__unpack(NULL, d->len, d->data);
+			bool found = d->to == n->index && msg->load->kind == HT_LOAD_VIEW;
+
+			ht__entry_greeting__free_unpacked(msg, NULL);
+			if (found)
+				return *d;
+		}
+	}
+	ck_abort_msg("no view for %s", n->name);
+}
+
+/* Failure: a frozen process. Guards against the views in its socket, seconds old, that it would act
+ * on and forward to others as if they were new. */
+START_TEST(views_queued_while_frozen_are_ignored)
+{
+	struct datagram old;
+	struct node *n;
+	uint64_t sent;
+
+	add_nodes(small);
+	set_pace(HT_LOAD_BUSY);
+	run(3000);
+	n = first_of(0, 1);
+	old = next_view_to(n);
+	n->dead = true;
+	run(4000);
+	n->dead = false;
+	ht_load_exchange_run(n->ex);
+	sent = n->sent;
+	deliver(&old);
+	ck_assert_int_eq(view_age(n), HT_NEVER);
+	ck_assert_uint_eq(n->sent, sent);
+	run(2000);
+	ck_assert_int_lt(view_age(n), HT_LOAD_BUSY_MS + 4 * STEP_MS);
+}
+END_TEST
+
 /* Guards against a data centre without views after the loss of its collector, for longer than the
  * 2 s after which the dead one's share has to be with the live ones. */
 START_TEST(next_takes_over_from_a_dead_collector)
@@ -984,6 +1027,7 @@
 	tcase_add_test(tc, changes_of_pace_do_not_delay_views);
 	tcase_add_test(tc, idle_collector_serves_busy_members);
 	tcase_add_test(tc, burst_in_one_data_centre_wakes_the_others);
+	tcase_add_test(tc, views_queued_while_frozen_are_ignored);
 	tcase_add_test(tc, next_takes_over_from_a_dead_collector);
 	tcase_add_test(tc, partitioned_instance_falls_back_and_returns);
 	tcase_add_test(tc, instances_of_an_earlier_build_are_passed_over);
