--- a/core/steering.c
+++ b/core/steering.c
@@ -1,5 +1,6 @@
 #include "core/steering.h"
 
+#include "base/hash.h"
 #include "core/flow_table.h"
 #include "core/placing.h"
 #include "core/split.h"
@@ -21,6 +22,10 @@
  * Those of other ones may just as well have been cut off. */
 #define RESTART_MISSES 2
 
+/* A full target serves some requests in between. One that has refused this many in a row while
+ * capacity is short is broken: of a full one that refuses half of them, it is one run in 64. */
+#define REFUSALS_OF_BROKEN 6
+
 /* Callers send an opening packet three times; the copies are numbered from 0. */
 #define LAST_OPENING_COPY 2
 
@@ -28,6 +33,16 @@
  * round trip of 10 ms, for the 60 s that a flow lasts. */
 #define FLOW_BYTES_MAX (1U << 27)
 
+/* Flows remembered because copies of their opening packet were dropped here, one for each remainder
+ * of a hash; enough for 3,000 dropped flows per second until the last copy. */
+#define DEFERRALS 4096
+
+/* A flow whose first copies of the opening packet this instance has dropped. */
+struct deferral {
+	uint64_t opening; /* hash of the addresses and the sequence number */
+	uint32_t copies;
+};
+
 struct ht_steering {
 	struct ht_steering_params params;
 	struct ht_placing placing;
@@ -37,6 +52,7 @@
 	ht_ms routes_at, targets_at; /* when an exact read last confirmed them */
 	size_t instance_count;
 	ht_ms adopted_at; /* when a flow unknown to the table was last added by its data */
+	struct deferral deferrals[DEFERRALS];
 };
 
 void ht_steering_params_default(struct ht_steering_params *params)
@@ -249,9 +265,37 @@
 	return true;
 }
 
+static uint64_t hash_opening(const struct ht_packet *pkt)
+{
+	return ht_hash_pair(ht_flow_hash(pkt->src, pkt->dst), pkt->sequence);
+}
+
+/* Records that the opening packet @pkt of a flow that is not tracked is dropped here. */
+static void note_drop(struct ht_steering *st, const struct ht_packet *pkt)
+{
+	uint64_t opening = hash_opening(pkt);
+	struct deferral *d = &st->deferrals[opening % DEFERRALS];
+
+	if (!pkt->acknowledged)
+		*d = (struct deferral){.opening = opening, .copies = 1};
+	else if (d->opening == opening && d->copies == pkt->acknowledged)
+		d->copies++;
+}
+
+/* True if no earlier copy of @pkt can have been placed: this instance has dropped all of them.
+ * Otherwise another instance may have placed one before the routers changed their paths. */
+static bool earlier_copies_dropped(const struct ht_steering *st, const struct ht_packet *pkt)
+{
+	uint64_t opening = hash_opening(pkt);
+	const struct deferral *d = &st->deferrals[opening % DEFERRALS];
+
+	return !pkt->acknowledged || (d->opening == opening && d->copies >= pkt->acknowledged);
+}
+
 /*
  * True if the opening packet @pkt is not forwarded because others go first: by the plan of the
- * service while capacity is short, otherwise by the flows of this instance alone.
+ * service while capacity is short, otherwise by the flows of this instance alone. A reset tells the
+ * caller that nothing has run, so a flow that may be open is not reset.
  */
 static bool turn_away(const struct ht_steering *st, const struct ht_route *route,
 		      const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
@@ -267,10 +311,10 @@
 				      verdict == HT_REFUSE);
 	if (!s->plan.short_of_room)
 		return should_defer(st, route, s, pkt, d);
-	if (verdict == HT_DELAY)
-		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
-	if (verdict == HT_REFUSE)
+	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt))
 		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
+	else
+		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
 	return verdict != HT_ADMIT;
 }
 
@@ -307,6 +351,13 @@
 	return t ? t : ht_placing_choose(&st->placing, s, tried, n, now);
 }
 
+/* True if a flow that finds no target for want of places there may be open already. */
+static bool may_be_open_at_limit(const struct ht_steering *st, const struct ht_service *s,
+				 const struct ht_tracked_flow *f, const struct ht_packet *pkt)
+{
+	return s->flows_max && (f || !earlier_copies_dropped(st, pkt));
+}
+
 static struct ht_steering_decision place(struct ht_steering *st, struct ht_service *service,
 					 const struct ht_packet *pkt, struct ht_tracked_flow *f,
 					 ht_ms now)
@@ -315,8 +366,12 @@
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 	bool again = f;
 
-	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY)
+	if (!t && service->count &&
+	    (pkt->acknowledged < LAST_OPENING_COPY || may_be_open_at_limit(st, service, f, pkt))) {
+		if (!f)
+			note_drop(st, pkt);
 		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
+	}
 	if (!mark)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
 	ht_placing_count(t, now);
@@ -381,6 +436,8 @@
 		notify_flow(st, f, HT_FLOW_UNANSWERED, f->placed_at, 0, now);
 		record_miss(st, f->target, f->placed_at, now);
 	} else if (turn_away(st, route, service, pkt, now, &d)) {
+		if (d.action == HT_STEER_DROP)
+			note_drop(st, pkt);
 		return d;
 	}
 	return place(st, service, pkt, f, now);
@@ -423,8 +480,9 @@
 	uint32_t bytes = pkt->acknowledged - f->acknowledged;
 	bool error = ht_answer_is_error(&route->answers, bytes, f->answer_delay);
 
+	t->refusals = ht_answer_is_refusal(&route->answers, bytes) ? t->refusals + 1 : 0;
 	/* A full target is well; leaving it out would put its load on the others. */
-	if (t->service->plan.short_of_room && ht_answer_is_refusal(&route->answers, bytes))
+	if (t->service->plan.short_of_room && t->refusals && t->refusals < REFUSALS_OF_BROKEN)
 		return;
 	if (error)
 		notify_flow(st, f, HT_FLOW_ERROR, now - f->answer_delay, bytes, now);
