--- a/core/answers.c
+++ b/core/answers.c
@@ -29,11 +29,12 @@
 /* Delays up to this many ms always count as fast, as the clock is too coarse to compare them. */
 #define CLOCK_STEP_MS 2
 
-double ht_answer_next_least(double least, double mean, double took)
+static void note_least(struct ht_answer_stats *a, double took)
 {
-	if (took < least)
-		return took;
-	return mean > least ? least + LEAST_RISE * (mean - least) : least;
+	if (!a->seen || took < a->least_ms)
+		a->least_ms = took;
+	else if (a->took_ms > a->least_ms)
+		a->least_ms += LEAST_RISE * (a->took_ms - a->least_ms);
 }
 
 static bool looks_like_error(const struct ht_answer_stats *a, double bytes, double took)
@@ -56,8 +57,7 @@
 	double weight = a->seen < MIN_SAMPLES ? 1.0 / (a->seen + 1) : MEAN_WEIGHT;
 	bool error = a->seen >= MIN_SAMPLES && looks_like_error(a, bytes, (double)took);
 
-	a->least_ms = a->seen ? ht_answer_next_least(a->least_ms, a->took_ms, (double)took)
-			      : (double)took;
+	note_least(a, (double)took);
 	if (a->seen < MIN_SAMPLES)
 		a->seen++;
 	if (!error) {
--- a/core/answers.h
+++ b/core/answers.h
@@ -18,12 +18,6 @@
 	double least_ms; /**< shortest recent delay; the network's part, which errors take too */
 };
 
-/**
- * Returns the least delay in ms after an answer that took @took: it falls at once and rises slowly
- * towards the mean delay, to follow a network that has become slower.
- */
-double ht_answer_next_least(double least, double mean, double took);
-
 /**
  * Returns true if an answer of @bytes that began @took after its request looks like an error;
  * otherwise adds it to the means.
--- a/core/load.c
+++ b/core/load.c
@@ -15,8 +15,8 @@
 
 /* Weights of a response below and above the low estimate of a class, which thus stays near the
  * fastest tenth. The least of all would follow single responses that were seen in part only. */
-#define LOW_FALL 0.1
-#define LOW_RISE 0.01
+#define LOW_FALL 0.02
+#define LOW_RISE 0.002
 
 /* A response in the same ms took half a step of the clock, as 0 stands for unknown. */
 #define TOOK_MIN_MS 0.5
