entry: settings of overload control

Cause: overload control could be neither switched off nor adjusted without a new build.

Change: overload_control and the seven parameters of admission are settings, taken over by a reload. Their defaults are macros of core/admission.h, used by ht_admission_params_default(), too. Switched off, the load is freed, nothing is exchanged, and all plans end. admission_end above admission_begin is an error, as the state would change at each update.

--- a/core/admission.c
+++ b/core/admission.c
@@ -53,13 +53,13 @@
 
 void ht_admission_params_default(struct ht_admission_params *params)
 {
-	*params = (struct ht_admission_params){.begin = 1.5,
-					       .end = 1.0,
-					       .shed = 0.05,
-					       .updates = 2,
-					       .depth = 3.0,
-					       .horizon = 1000,
-					       .turn = 2000};
+	*params = (struct ht_admission_params){.begin = HT_ADMISSION_BEGIN,
+					       .end = HT_ADMISSION_END,
+					       .shed = HT_ADMISSION_SHED,
+					       .updates = HT_ADMISSION_UPDATES,
+					       .depth = HT_ADMISSION_DEPTH,
+					       .horizon = HT_ADMISSION_HORIZON_MS,
+					       .turn = HT_ADMISSION_TURN_MS};
 }
 
 /* A figure that is no number counts as missing, so that it cannot close a service. */
--- a/core/admission.h
+++ b/core/admission.h
@@ -40,6 +40,15 @@
 	double share[HT_LOAD_DCS_MAX]; /**< of the admitted new flows, by data centre; sum 1 */
 };
 
+/* Defaults of the parameters; also those of the settings of hickorytrestle-entry. */
+#define HT_ADMISSION_BEGIN 1.5
+#define HT_ADMISSION_END 1.0
+#define HT_ADMISSION_SHED 0.05
+#define HT_ADMISSION_UPDATES 2
+#define HT_ADMISSION_DEPTH 3.0
+#define HT_ADMISSION_HORIZON_MS 1000
+#define HT_ADMISSION_TURN_MS 2000
+
 struct ht_admission_params {
 	double begin;	      /**< requests in flight per slot at which capacity is short */
 	double end;	      /**< below which it is not any more */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -105,6 +105,7 @@
 
 	ht_feed_view(e->feed, &state->view);
 	state->ready = is_ready(e);
+	state->overload_control = e->load;
 	state->neighbours = ht_link_neighbours(e->link);
 }
 
@@ -301,6 +302,35 @@
 	return strcmp(ht_addr_format(a, x), ht_addr_format(b, y)) == 0;
 }
 
+static bool start_load(struct ht_entry *e)
+{
+	struct ht_load_params params;
+
+	ht_load_params_default(&params);
+	params.dc = ht_load_key(e->settings.data_centre);
+	e->load = ht_load_new(&params);
+	return e->load;
+}
+
+/* The steering does not refer to the load any more when that is freed. */
+static void set_overload(struct ht_entry *e)
+{
+	struct ht_admission_params admission = ht_entry_settings_admission(&e->settings);
+	bool on = e->settings.overload_control, was_on = e->load, ok = true;
+
+	if (on && !was_on)
+		ok = start_load(e) && ht_link_set_load(e->link, e->load);
+	ht_steering_set_overload(e->steering, on && ok ? e->load : NULL, &admission, ht_now());
+	if (was_on && !on)
+		ok = ht_link_set_load(e->link, NULL);
+	if (!on || !ok) {
+		ht_load_free(e->load);
+		e->load = NULL;
+	}
+	if (!ok)
+		ht_logger_event(e->log, HT_EV_OUT_OF_MEMORY, "object=load");
+}
+
 static void set_bounds(struct ht_entry *e)
 {
 	ht_steering_set_bounds(e->steering, &(struct ht_steering_bounds){
@@ -338,6 +368,7 @@
 			    event_budget(&e->settings));
 	ht_decisions_set_sample(e->decisions, (unsigned int)e->settings.log_sample);
 	set_bounds(e);
+	set_overload(e);
 	ht_logger_event(e->log, HT_EV_SETTINGS_RELOADED, "store_changed=%d", store_changed);
 	if (!store_changed)
 		return;
@@ -429,16 +460,6 @@
 	return e->log;
 }
 
-static bool start_load(struct ht_entry *e)
-{
-	struct ht_load_params params;
-
-	ht_load_params_default(&params);
-	params.dc = ht_load_key(e->settings.data_centre);
-	e->load = ht_load_new(&params);
-	return e->load;
-}
-
 static bool start_steering(struct ht_entry *e)
 {
 	struct ht_catalog_observer observer;
@@ -461,7 +482,7 @@
 	params.catalog = e->catalog;
 	params.reports = &e->reports;
 	params.overload.load = e->load;
-	ht_admission_params_default(&params.overload.admission);
+	params.overload.admission = ht_entry_settings_admission(&e->settings);
 	params.observer = ht_decisions_observer(e->decisions);
 	params.seed = ht_hash_pair(ht_hash_str(e->settings.instance), (uint64_t)ht_clock_wall());
 	e->steering = ht_steering_new(&params);
@@ -500,7 +521,7 @@
 	ht_entry_stats_init(&e->stats);
 	if (!ht_entry_settings_load(&e->settings, e->path, err))
 		return false;
-	if (!start_log(e) || !start_load(e) || !start_steering(e))
+	if (!start_log(e) || (e->settings.overload_control && !start_load(e)) || !start_steering(e))
 		return ht_err_set(err, HT_ENOMEM, "out of memory");
 	e->packets = ht_packets_new(
 		&(struct ht_packets_params){
--- a/entry/link.c
+++ b/entry/link.c
@@ -446,6 +446,17 @@
 	return link->load_exchange;
 }
 
+bool ht_link_set_load(struct ht_link *link, struct ht_load *load)
+{
+	ht_load_exchange_free(link->load_exchange);
+	link->load_exchange = NULL;
+	link->params.load = load;
+	if (start_load_exchange(link))
+		return true;
+	link->params.load = NULL;
+	return false;
+}
+
 void ht_link_set_load_pace(struct ht_link *link, enum ht_load_pace pace)
 {
 	if (link->load_exchange)
--- a/entry/link.h
+++ b/entry/link.h
@@ -49,6 +49,11 @@
  */
 void ht_link_announce_view(struct ht_link *link, bool all_dcs);
 
+/**
+ * Exchanges @load from now on instead of the former one; NULL: none. Returns false, and exchanges
+ * none, when out of memory.
+ */
+bool ht_link_set_load(struct ht_link *link, struct ht_load *load);
 /** Sets how often loads are exchanged; without effect if there is no load. */
 void ht_link_set_load_pace(struct ht_link *link, enum ht_load_pace pace);
 
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -9,6 +9,10 @@
 
 #define SETTINGS_MAX ((size_t)64 * 1024)
 
+/* The value of a macro as text. */
+#define TEXT_OF(x) #x
+#define TEXT(x) TEXT_OF(x)
+
 #define FIELD(f) .name = #f, .offset = offsetof(struct ht_entry_settings, f)
 
 static const struct ht_option table[] = {
@@ -59,19 +63,54 @@
 	 .help = "time from the stop signal until the process is killed, s"},
 	{FIELD(flow_max_s), .type = HT_OPT_DOUBLE, .min = 1, .max = 86400, .def = "60",
 	 .help = "longest lifetime of a flow, s"},
+	{FIELD(overload_control), .type = HT_OPT_BOOL, .def = "true",
+	 .help = "exchange load with other instances, and admit new flows by a plan while capacity "
+		 "is short"},
+	{FIELD(admission_begin), .type = HT_OPT_DOUBLE, .min = 0.1, .max = 100,
+	 .def = TEXT(HT_ADMISSION_BEGIN),
+	 .help = "requests in flight per slot at which capacity is short"},
+	{FIELD(admission_end), .type = HT_OPT_DOUBLE, .min = 0.1, .max = 100,
+	 .def = TEXT(HT_ADMISSION_END),
+	 .help = "requests in flight per slot below which capacity is not short any more; at most "
+		 "admission_begin"},
+	{FIELD(admission_shed), .type = HT_OPT_DOUBLE, .min = 0.001, .max = 1,
+	 .def = TEXT(HT_ADMISSION_SHED),
+	 .help = "share of responses that look like errors at which capacity is short"},
+	{FIELD(admission_updates), .type = HT_OPT_INT, .min = 1, .max = 100,
+	 .def = TEXT(HT_ADMISSION_UPDATES),
+	 .help = "consecutive updates of the load before capacity counts as short or not any more"},
+	{FIELD(admission_depth), .type = HT_OPT_DOUBLE, .min = 1, .max = 100,
+	 .def = TEXT(HT_ADMISSION_DEPTH),
+	 .help = "requests in flight per slot to aim for while capacity is short"},
+	{FIELD(admission_horizon), .type = HT_OPT_DOUBLE, .min = 100, .max = 60000,
+	 .def = TEXT(HT_ADMISSION_HORIZON_MS),
+	 .help = "time in which a deviation from that is corrected, ms"},
+	{FIELD(admission_turn), .type = HT_OPT_DOUBLE, .min = 100, .max = 600000,
+	 .def = TEXT(HT_ADMISSION_TURN_MS),
+	 .help = "time in which the admitted share moves through all callers, ms"},
 	{.name = NULL},
 };
 
+static bool check(const struct ht_entry_settings *set, const char *file, struct ht_err *err)
+{
+	if (ht_level_parse(set->log_level) < 0)
+		return ht_err_set(err, HT_EINVAL, "%s: key 'log_level': '%s' is not a level", file,
+				  set->log_level);
+	if (set->admission_end > set->admission_begin)
+		return ht_err_set(err, HT_EINVAL,
+				  "%s: key 'admission_end': %g is above admission_begin, %g", file,
+				  set->admission_end, set->admission_begin);
+	return true;
+}
+
 bool ht_entry_settings_parse(struct ht_entry_settings *set, const char *file, const char *text,
 			     size_t len, struct ht_err *err)
 {
 	*set = (struct ht_entry_settings){0};
 	if (!ht_options_load(table, file, text, len, set, err))
 		return false;
-	if (ht_level_parse(set->log_level) >= 0)
+	if (check(set, file, err))
 		return true;
-	ht_err_set(err, HT_EINVAL, "%s: key 'log_level': '%s' is not a level", file,
-		   set->log_level);
 	ht_entry_settings_clear(set);
 	return false;
 }
@@ -91,6 +130,17 @@
 	ht_options_clear(table, set);
 }
 
+struct ht_admission_params ht_entry_settings_admission(const struct ht_entry_settings *set)
+{
+	return (struct ht_admission_params){.begin = set->admission_begin,
+					    .end = set->admission_end,
+					    .shed = set->admission_shed,
+					    .updates = (unsigned int)set->admission_updates,
+					    .depth = set->admission_depth,
+					    .horizon = (ht_ms)set->admission_horizon,
+					    .turn = (ht_ms)set->admission_turn};
+}
+
 void ht_entry_settings_describe(FILE *out)
 {
 	ht_options_describe(table, out);
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -4,6 +4,7 @@
 
 #include "base/addr.h"
 #include "base/clock.h"
+#include "core/admission.h"
 
 #include <stdio.h>
 
@@ -30,6 +31,14 @@
 	double report_interval;	 /**< ms between two reports of a target to the store */
 	double stop_grace_s;	 /**< s from the stop signal until the process is killed */
 	double flow_max_s;	 /**< s; older flows may be dropped */
+	bool overload_control;	 /**< load is exchanged and plans are made */
+	/* Parameters of the plans, see struct ht_admission_params. */
+	double admission_begin, admission_end; /**< requests in flight per slot */
+	double admission_shed;		       /**< share of responses */
+	int64_t admission_updates;
+	double admission_depth;	  /**< requests in flight per slot */
+	double admission_horizon; /**< ms */
+	double admission_turn;	  /**< ms */
 };
 
 /**
@@ -39,6 +48,8 @@
 			     size_t len, struct ht_err *err);
 bool ht_entry_settings_load(struct ht_entry_settings *set, const char *path, struct ht_err *err);
 void ht_entry_settings_clear(struct ht_entry_settings *set);
+/** Parameters of the plans by the settings. */
+struct ht_admission_params ht_entry_settings_admission(const struct ht_entry_settings *set);
 void ht_entry_settings_describe(FILE *out);
 
 #endif
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -85,16 +85,11 @@
 			   json_pack("{sis[o]}", "configVersion", version, "routes", route));
 }
 
-/* Starts the program from the same build with the store at @store_addr. */
-static void launch(struct instance *in, const char *store_addr, const char *seeds)
+static void write_settings(const struct instance *in, const char *store_addr, const char *seeds)
 {
-	char self[512], program[600], path[160];
-	ssize_t n = readlink("/proc/self/exe", self, sizeof(self) - 1);
+	char path[160];
 	FILE *f;
 
-	self[n] = '\0';
-	*strrchr(self, '/') = '\0';
-	snprintf(program, sizeof(program), "%s/../../hickorytrestle-entry", self);
 	snprintf(path, sizeof(path), "%s/settings.json", in->dir);
 	f = fopen(path, "w");
 	fprintf(f,
@@ -105,7 +100,19 @@
 		in->dir + 5, in->ip, in->packet_port, in->ip, in->ready_port, in->ip, in->peer_port,
 		store_addr, in->ip, in->metrics_port, seeds, extra_settings);
 	fclose(f);
-	snprintf(path + strlen(path), sizeof(path) - strlen(path), ".log");
+}
+
+/* Starts the program from the same build with the store at @store_addr. */
+static void launch(struct instance *in, const char *store_addr, const char *seeds)
+{
+	char self[512], program[600], path[160];
+	ssize_t n = readlink("/proc/self/exe", self, sizeof(self) - 1);
+
+	self[n] = '\0';
+	*strrchr(self, '/') = '\0';
+	snprintf(program, sizeof(program), "%s/../../hickorytrestle-entry", self);
+	write_settings(in, store_addr, seeds);
+	snprintf(path, sizeof(path), "%s/settings.json.log", in->dir);
 	in->pid = fork();
 	if (in->pid == 0) {
 		dup2(stdout_fd >= 0 ? stdout_fd
@@ -420,6 +427,45 @@
 }
 END_TEST
 
+static void await_metric(const struct instance *in, const char *sample)
+{
+	static char text[1 << 16];
+
+	for (int i = 0; i < WAIT_MS / 20; i++) {
+		ck_assert_int_eq(get(in, in->metrics_port, "/metrics", text, sizeof(text)), 200);
+		if (strstr(text, sample))
+			return;
+		usleep(20000);
+	}
+	ck_abort_msg("no %s in:\n%s", sample, text);
+}
+
+static void reload_with(const struct instance *in, const char *extra)
+{
+	extra_settings = extra;
+	write_settings(in, ht_si_metadata_address(store), "");
+	extra_settings = "";
+	kill(in->pid, SIGHUP);
+}
+
+/* Guards against a change of overload control that needs a restart, and against a fault when its
+ * state is freed and made again while packets arrive. */
+START_TEST(overload_control_is_switched_by_a_reload)
+{
+	launch(&inst[0], ht_si_metadata_address(store), "");
+	await_readiness(&inst[0], 200);
+	await_metric(&inst[0], "\nhickorytrestle_overload_control 1\n");
+	reload_with(&inst[0], ",\"overload_control\":false");
+	await_metric(&inst[0], "\nhickorytrestle_overload_control 0\n");
+	send_packet(&inst[0], 128, 4005, 0, 443);
+	receive_at_target(0x7f3a91c2);
+	reload_with(&inst[0], ",\"admission_depth\":4");
+	await_metric(&inst[0], "\nhickorytrestle_overload_control 1\n");
+	send_packet(&inst[0], 128, 4006, 0, 443);
+	receive_at_target(0x7f3a91c2);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("entry");
@@ -432,5 +478,6 @@
 	tcase_add_test(tc, logs_and_metrics_identify_flows_without_payload);
 	tcase_add_test(tc, keeps_serving_when_log_is_not_read);
 	tcase_add_test(tc, closed_stdout_is_replaced_by_dev_null);
+	tcase_add_test(tc, overload_control_is_switched_by_a_reload);
 	return run_case("entry", tc);
 }
--- a/tests/entry/test_link_load.c
+++ b/tests/entry/test_link_load.c
@@ -259,6 +259,44 @@
 }
 END_TEST
 
+static void stop_loop(struct ev_loop *l, ev_timer *timer, int revents)
+{
+	(void)timer;
+	(void)revents;
+	ev_break(l, EVBREAK_ALL);
+}
+
+static void run_for(ht_ms ms)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, stop_loop, (double)ms / 1000, 0);
+	ev_timer_start(loop, &timer);
+	ev_run(loop, 0);
+	ev_timer_stop(loop, &timer);
+}
+
+/* Guards against an instance that goes on exchanging loads after overload control has been switched
+ * off, or that does not resume when it is switched on again. */
+START_TEST(exchange_can_be_switched_off_and_on)
+{
+	const struct ht_message_stats *sent = &sides[1].stats.link.sent[HT_LINK_LOAD];
+	uint64_t before;
+
+	play(true, true);
+	ck_assert(ht_link_set_load(sides[1].link, NULL));
+	before = sent->count;
+	run_for(3 * HT_LOAD_BUSY_MS);
+	ck_assert_uint_eq(sent->count, before);
+	ck_assert(ht_link_set_load(sides[1].link, sides[1].load));
+	ht_link_set_load_pace(sides[1].link, HT_LOAD_BUSY);
+	for (int i = 0; i < WAIT_MS / HT_LOAD_BUSY_MS && sent->count == before; i++)
+		run_for(HT_LOAD_BUSY_MS);
+	ck_assert_uint_gt(sent->count, before);
+	finish();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("link_load");
@@ -266,5 +304,6 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, loads_travel_between_two_links);
 	tcase_add_test(tc, link_without_load_ignores_them);
+	tcase_add_test(tc, exchange_can_be_switched_off_and_on);
 	return run_case("link_load", tc);
 }
