--- a/core/steering.c
+++ b/core/steering.c
@@ -85,6 +85,7 @@
 	st->params.overload.catalog = params->catalog;
 	st->params.overload.seed = params->seed;
 	st->params.overload.changed = params->observer.capacity_changed;
+	st->params.overload.plan_changed = params->observer.plan_changed;
 	st->params.overload.ctx = params->observer.ctx;
 	st->placing = (struct ht_placing){
 		.params = &st->params, .bounds = &st->bounds, .random = params->seed};
@@ -115,6 +116,15 @@
 	st->bounds = *bounds;
 }
 
+void ht_steering_set_overload(struct ht_steering *st, struct ht_load *load,
+			      const struct ht_admission_params *admission, ht_ms now)
+{
+	if (!load)
+		ht_overload_end_plans(&st->params.overload, now);
+	st->params.overload.load = load;
+	st->params.overload.admission = *admission;
+}
+
 void ht_steering_set_proofs(struct ht_steering *st, ht_ms routes_at, ht_ms targets_at)
 {
 	st->routes_at = routes_at;
@@ -298,24 +308,33 @@
  * caller that nothing has run, so a flow that may be open is not reset.
  */
 static bool turn_away(const struct ht_steering *st, const struct ht_route *route,
-		      const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
+		      struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
 		      struct ht_steering_decision *d)
 {
 	enum ht_admission verdict = HT_ADMIT;
 
-	if (s->plan.short_of_room)
+	if (ht_service_is_short(s))
 		verdict = ht_overload_admit(&st->params.overload, route, s, pkt->src,
 					    pkt->acknowledged, now);
 	if (st->params.overload.load && !pkt->acknowledged)
 		ht_load_count_opening(st->params.overload.load, s->key, &route->terms,
 				      verdict == HT_REFUSE);
-	if (!s->plan.short_of_room)
-		return should_defer(st, route, s, pkt, d);
-	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt))
+	if (!ht_service_is_short(s)) {
+		if (!should_defer(st, route, s, pkt, d))
+			return false;
+		ht_service_count_turned_away(s, route->terms.priority, HT_TURNED_AWAY_DEFERRED);
+		return true;
+	}
+	if (verdict == HT_ADMIT)
+		return false;
+	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt)) {
 		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
-	else
+		ht_service_count_turned_away(s, route->terms.priority, HT_TURNED_AWAY_REFUSED);
+	} else {
 		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
-	return verdict != HT_ADMIT;
+		ht_service_count_turned_away(s, route->terms.priority, HT_TURNED_AWAY_DELAYED);
+	}
+	return true;
 }
 
 /* True if the opening packet @pkt belongs to @f and not to a later flow from the same port. */
@@ -346,7 +365,7 @@
 	size_t n = f ? f->tried_count : 0;
 	struct ht_target *t = NULL;
 
-	if (s->plan.short_of_room)
+	if (ht_service_is_short(s))
 		t = ht_placing_choose_by_plan(&st->placing, s, tried, n, now);
 	return t ? t : ht_placing_choose(&st->placing, s, tried, n, now);
 }
@@ -482,7 +501,7 @@
 
 	t->refusals = ht_answer_is_refusal(&route->answers, bytes) ? t->refusals + 1 : 0;
 	/* A full target is well; leaving it out would put its load on the others. */
-	if (t->service->plan.short_of_room && t->refusals && t->refusals < REFUSALS_OF_BROKEN)
+	if (ht_service_is_short(t->service) && t->refusals && t->refusals < REFUSALS_OF_BROKEN)
 		return;
 	if (error)
 		notify_flow(st, f, HT_FLOW_ERROR, now - f->answer_delay, bytes, now);
