--- a/tests/entry/test_decisions.c
+++ b/tests/entry/test_decisions.c
@@ -567,6 +567,42 @@
 }
 END_TEST
 
+/* Guards against a plan by shared load that is shown as one by own counts, and against data centres
+ * without targets that share one name. */
+START_TEST(shared_load_is_shown_as_such)
+{
+	static const char *const dcs[] = {"here", "west", "east"};
+	struct ht_load_view view = {.count = 3};
+	char sample[128], *page;
+
+	for (int i = 0; i < 3; i++) {
+		view.dcs[i] = (struct ht_load_sum){
+			.dc = ht_load_key(dcs[i]),
+			.instances = 1,
+			.age = 300,
+			.service_count = 1,
+			.services = {{.service = ht_load_key("stock"),
+				      .class_count = 1,
+				      .place_count = 1,
+				      .classes = {{.terms = {.priority = 2}, .opening = 5}},
+				      .places = {{.dc = ht_load_key(dcs[i]), .open = 20}}}}};
+	}
+	for (int i = 0; i < 4; i++) {
+		ht_load_set_view(load, &view, now + 1000);
+		report(15, 400);
+	}
+	ck_assert_uint_eq(count_lines("CAPACITY_SHORT"), 1);
+	assert_field(line_of("CAPACITY_SHORT"), "service=stock source=shared age_ms=300 dc=here ");
+	page = metrics_page();
+	assert_samples_differ(page);
+	assert_sample(page, "load_shared{service=\"stock\"} 1\n");
+	snprintf(sample, sizeof(sample), "load_in_flight{service=\"stock\",dc=\"%08x\"} ",
+		 ht_load_key("west"));
+	assert_sample(page, sample);
+	free(page);
+}
+END_TEST
+
 /* Guards against refused callers whom no counter shows, and against one counter for each of any
  * number of priorities. */
 START_TEST(turned_away_flows_are_counted_by_priority)
@@ -657,6 +693,7 @@
 	tcase_add_test(tc, refusals_by_plan_name_the_priority);
 	tcase_add_test(tc, classes_of_equal_priority_have_samples_of_their_own);
 	tcase_add_test(tc, metrics_show_what_the_plan_is_based_on);
+	tcase_add_test(tc, shared_load_is_shown_as_such);
 	tcase_add_test(tc, turned_away_flows_are_counted_by_priority);
 	tcase_add_test(tc, plans_end_with_overload_control_or_classes);
 	tcase_add_test(tc, changed_parameters_hold_for_the_next_plan);
