core: neighbours: the order is sorted once for a look-up by rank

Cause: the instance of a rank was found by as many passes over all neighbours.

Change: one pass and a sort.

The order of 85 is the same. test_neighbours 26 of 26, test_load_exchange 17 of 17.

--- a/core/neighbours.c
+++ b/core/neighbours.c
@@ -449,40 +449,51 @@
 	return n->local && n->name[0] && heard_or_mentioned(n, LIVE_MS, now);
 }
 
-/* The first instance of the own data centre. @follow: the first one after @after. There is one. */
-static const struct ht_neighbour *next_ranked(const struct ht_neighbours *nb, bool follow,
-					      const struct ht_neighbour *after, ht_ms now)
+/* An instance and its place in the order of readers. */
+struct ranked {
+	const struct ht_neighbour *neighbour; /* NULL: this instance */
+	uint32_t size;
+	uint64_t hash;
+};
+
+static struct ranked ranked_of(const struct ht_neighbours *nb, const struct ht_neighbour *n)
 {
-	const struct ht_neighbour *best = NULL;
-	/* This instance is a candidate. */
-	bool found = !follow || ht_neighbours_precedes(nb, after, NULL);
-	const struct ht_list *pos;
+	return (struct ranked){.neighbour = n,
+			       .size = n ? n->size : nb->params.size,
+			       .hash = ht_hash_pair(n ? n->id : ht_hash_str(nb->name), nb->epoch)};
+}
 
-	ht_list_for_each (pos, &nb->list) {
-		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+static int compare_ranked(const void *a, const void *b)
+{
+	const struct ranked *x = a, *y = b;
 
-		if (!is_ranked(n, now) || (follow && !ht_neighbours_precedes(nb, after, n)) ||
-		    (found && !ht_neighbours_precedes(nb, n, best)))
-			continue;
-		best = n;
-		found = true;
-	}
-	return best;
+	if (x->size != y->size)
+		return x->size > y->size ? -1 : 1;
+	return (x->hash > y->hash) - (x->hash < y->hash);
 }
 
 const struct ht_neighbour *ht_neighbours_ranked(const struct ht_neighbours *nb, size_t rank,
 						ht_ms now)
 {
-	const struct ht_neighbour *n;
+	struct ranked *all = calloc(nb->count + 1, sizeof(*all));
+	const struct ht_neighbour *found;
 	const struct ht_list *pos;
-	size_t count = 1;
+	size_t count = 0;
 
-	ht_list_for_each (pos, &nb->list)
-		count += is_ranked(ht_container_of(pos, const struct ht_neighbour, node), now);
-	n = next_ranked(nb, false, NULL, now);
-	for (size_t i = 0; i < rank % count; i++)
-		n = next_ranked(nb, true, n, now);
-	return n;
+	/* Without memory this instance stands for all. */
+	if (!all)
+		return NULL;
+	all[count++] = ranked_of(nb, NULL);
+	ht_list_for_each (pos, &nb->list) {
+		const struct ht_neighbour *n = ht_container_of(pos, struct ht_neighbour, node);
+
+		if (is_ranked(n, now))
+			all[count++] = ranked_of(nb, n);
+	}
+	qsort(all, count, sizeof(*all), compare_ranked);
+	found = all[rank % count].neighbour;
+	free(all);
+	return found;
 }
 
 /* Lists each other data centre of which an instance was heard or mentioned lately, with the best of
