--- a/core/placing.c
+++ b/core/placing.c
@@ -197,24 +197,28 @@
 		size_t at = seen;
 
 		if (t->dc->key != dc || was_tried(t, tried, n) || is_silent(t, now) ||
-		    !ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
+		    !ht_placing_allows(pl, t, now))
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
 		if (at < 2)
 			drawn[at] = t;
 	}
-	if (!drawn[1])
-		return drawn[0];
+	for (size_t i = 0; i < 2; i++)
+		if (drawn[i] && !ht_placing_holds_more(pl, drawn[i], now))
+			drawn[i] = NULL;
+	if (!drawn[0] || !drawn[1])
+		return drawn[0] ? drawn[0] : drawn[1];
 	return planned_cost(pl, drawn[1], now) < planned_cost(pl, drawn[0], now) ? drawn[1]
 										 : drawn[0];
 }
 
-struct ht_target *ht_placing_choose(struct ht_placing *pl, struct ht_service *s,
-				    struct ht_target *const *tried, size_t n, ht_ms now)
+/* @check_flows: leaves out targets that hold as many flows as their service states. */
+static struct ht_target *choose(struct ht_placing *pl, struct ht_service *s, size_t start,
+				struct ht_target *const *tried, size_t n, bool check_flows,
+				ht_ms now)
 {
 	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
-	size_t start = s->count ? next_random(pl) % s->count : 0;
 	bool skip_suspected = may_skip_suspected(pl, s, start, sampled, now);
 	struct ht_target *best = NULL, *fallback = NULL;
 	double best_cost = 0, fallback_cost = 0;
@@ -224,7 +228,8 @@
 		struct ht_target *t = s->targets[(start + i) % s->count];
 		double c = expected_cost(pl, t, now);
 
-		if (!ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
+		if (!ht_placing_allows(pl, t, now) ||
+		    (check_flows && !ht_placing_holds_more(pl, t, now)))
 			continue;
 		if (was_tried(t, tried, n) || (skip_suspected && is_suspected(t, now))) {
 			if (!fallback || c < fallback_cost) {
@@ -238,3 +243,14 @@
 	}
 	return best ? best : fallback;
 }
+
+struct ht_target *ht_placing_choose(struct ht_placing *pl, struct ht_service *s,
+				    struct ht_target *const *tried, size_t n, ht_ms now)
+{
+	size_t start = s->count ? next_random(pl) % s->count : 0;
+	struct ht_target *t = choose(pl, s, start, tried, n, false, now);
+
+	/* Looking up the flows of each target would double the cost of a decision. */
+	return t && !ht_placing_holds_more(pl, t, now) ? choose(pl, s, start, tried, n, true, now)
+						       : t;
+}
