--- a/core/load.h
+++ b/core/load.h
@@ -182,5 +182,9 @@
  */
 bool ht_load_target(const struct ht_load *load, uint32_t mark, struct ht_load_target *out,
 		    ht_ms now);
+/** Calls @visit for each target that a recent view lists. */
+void ht_load_each_target(const struct ht_load *load,
+			 void (*visit)(void *ctx, const struct ht_load_target *target), void *ctx,
+			 ht_ms now);
 
 #endif
--- a/core/load_view.c
+++ b/core/load_view.c
@@ -105,6 +105,16 @@
 	return found;
 }
 
+void ht_load_each_target(const struct ht_load *load,
+			 void (*visit)(void *ctx, const struct ht_load_target *target), void *ctx,
+			 ht_ms now)
+{
+	size_t i;
+
+	for (i = 0; view_valid(load, now) && i < load->listed_count; i++)
+		visit(ctx, &load->listed[i]);
+}
+
 static const struct ht_load_place *place_of(const struct ht_load_service *service, uint32_t dc)
 {
 	size_t i;
--- a/core/overload.c
+++ b/core/overload.c
@@ -11,6 +11,10 @@
 /* Plans are remade about twice a second; the observer, which logs, is told less often. */
 #define TELL_INTERVAL_MS 5000
 
+/* Visiting all targets twice a second costs a small instance before thousands of them 1 % of its
+ * core; the load that the last plan is based on is used for this long. */
+#define BASIS_FRESH_MS 600
+
 /* Figures of a view are rounded to 3 %, and those of targets and of data centres are scaled to all
  * instances separately. */
 #define FIGURE_ERROR 1.25
@@ -81,6 +85,28 @@
 	}
 }
 
+struct discount {
+	const struct ht_overload *ov;
+	const struct ht_service *service;
+	struct ht_admission_input *in;
+	double open[HT_LOAD_DCS_MAX]; /* before any discount */
+};
+
+static void discount_target(void *ctx, const struct ht_load_target *load)
+{
+	struct discount *d = ctx;
+	const struct ht_target *t = ht_catalog_by_mark(d->ov->catalog, load->mark);
+	struct ht_admission_dc *dc;
+	double depth;
+
+	if (!t || t->service != d->service || !t->eligible)
+		return;
+	depth = d->ov->admission.depth * t->slots;
+	dc = find_dc(d->in, t->dc->key);
+	if (dc && load->open > depth && load->open <= FIGURE_ERROR * d->open[dc - d->in->dcs])
+		dc->open = fmax(dc->open - (load->open - depth), 0);
+}
+
 /*
  * Requests queued at a full target wait for it alone: what exceeds the intended depth there does
  * not count, or a few slow targets would make the others look full. A target with more requests
@@ -89,22 +115,11 @@
 static void discount_full_targets(const struct ht_overload *ov, struct ht_admission_input *in,
 				  const struct ht_service *s, ht_ms now)
 {
-	double open[HT_LOAD_DCS_MAX] = {0};
+	struct discount d = {.ov = ov, .service = s, .in = in};
 
 	for (size_t i = 0; i < in->dc_count; i++)
-		open[i] = in->dcs[i].open;
-	for (size_t i = 0; i < s->count; i++) {
-		const struct ht_target *t = s->targets[i];
-		double depth = ov->admission.depth * t->slots;
-		struct ht_load_target load;
-		struct ht_admission_dc *dc;
-
-		if (!ht_load_target(ov->load, t->marks[0].value, &load, now) || load.open <= depth)
-			continue;
-		dc = find_dc(in, t->dc->key);
-		if (dc && load.open <= FIGURE_ERROR * open[dc - in->dcs])
-			dc->open = fmax(dc->open - (load.open - depth), 0);
-	}
+		d.open[i] = in->dcs[i].open;
+	ht_load_each_target(ov->load, discount_target, &d, now);
 }
 
 struct update {
@@ -242,11 +257,14 @@
 
 static void find_occupancy(void *ctx, struct ht_service *s)
 {
-	struct ht_admission_input in;
+	struct ht_admission_input in = s->basis.load;
 	struct ht_load_state state;
 	struct update *u = ctx;
 
-	if (!s->has_classes || !fill_input(u, s, &state, &in))
+	if (!s->has_classes)
+		return;
+	if ((!s->basis.made_at || u->now - s->basis.made_at > BASIS_FRESH_MS) &&
+	    !fill_input(u, s, &state, &in))
 		return;
 	for (size_t i = 0; i < in.dc_count; i++) {
 		const struct ht_admission_dc *dc = &in.dcs[i];
