--- a/core/admission.c
+++ b/core/admission.c
@@ -7,7 +7,8 @@
 
 /* A larger figure is an error; sums and products of figures up to it stay finite. */
 #define FIGURE_MAX 1e9
-/* Weight of a new measurement of the speed. States are 400 ms apart while capacity is short. */
+/* Weight of a new measurement of the speed. States are half a second apart while capacity is short.
+ */
 #define SPEED_WEIGHT 0.5
 /* Speed to try, in parts of the current one, while requests are refused before targets are full. */
 #define PROBE 1.05
@@ -107,11 +108,6 @@
 	return sum;
 }
 
-static bool same_terms(const struct ht_load_terms *a, const struct ht_load_terms *b)
-{
-	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
-}
-
 /*
  * Index of the class with @terms. One that the plan does not list has too little demand to matter;
  * it is treated as the most urgent class listed that is not more urgent than itself, or else as the
@@ -124,7 +120,7 @@
 	for (size_t c = 0; c < plan->class_count; c++) {
 		uint32_t priority = plan->classes[c].priority;
 
-		if (same_terms(&plan->classes[c], terms))
+		if (ht_load_terms_equal(&plan->classes[c], terms))
 			return c;
 		if (priority > plan->classes[last].priority)
 			last = c;
