--- a/core/overload.c
+++ b/core/overload.c
@@ -11,8 +11,8 @@
 /* Plans are remade about twice a second; the observer, which logs, is told less often. */
 #define TELL_INTERVAL_MS 5000
 
-/* Visiting all targets twice a second costs a small instance before thousands of them 1 % of its
- * core; the load that the last plan is based on is used for this long. */
+/* The load that the last plan is based on is used for this long, as finding it anew visits all
+ * targets of the service. */
 #define BASIS_FRESH_MS 600
 
 /* Figures of a view are rounded to 3 %, and those of targets and of data centres are scaled to all
