core: explanation of the decision on a new flow

An operator who asks why a flow is refused or where it would go had to work it out from logs and metrics. ht_steering_explain() says it for the first copy of an opening packet, by the functions that decide: refusal of the route, split, admission or deferral, choice of the target and cost. It runs them on copies of the service, its targets and the random source, with inactive flows already taken out of the counts, so that nothing is changed and the verdict and target are those of a decision right after it.

For this, the steps of steer_opening() that change nothing are functions of their own, declared in core/steering_internal.h, and the demand is counted apart from the verdict. ht_placing_choose() includes the choice by the plan; both choices share the sample and the test of a target, so a target that has been tried or is suspected is now also tested for its limits first by the plan, with the same result. The cost records its parts only if they are wanted, which is known when compiling.

tests/core/test_explain: 60 random states with 300 decisions each agree in verdict, reason, target, mark and deferral; two equal instances, of which one explains all the time, stay equal in counts, permits, reports and decisions. Without the correction of the counts it fails.

--- a/core/admission.c
+++ b/core/admission.c
@@ -632,12 +632,7 @@
 	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
 }
 
-/*
- * Index of the class with @terms. One that the plan does not list has too little demand to matter;
- * it is treated as the most urgent class listed that is not more urgent than itself, or else as the
- * least urgent one.
- */
-static size_t find_class(const struct ht_admission_plan *plan, const struct ht_load_terms *terms)
+size_t ht_admission_class(const struct ht_admission_plan *plan, const struct ht_load_terms *terms)
 {
 	size_t below = plan->class_count, last = 0;
 
@@ -681,7 +676,7 @@
 
 	if (!plan->short_of_room || !plan->class_count)
 		return HT_ADMIT;
-	class = find_class(plan, terms);
+	class = ht_admission_class(plan, terms);
 	if (plan->admit[class] >= 1 ||
 	    has_turn(terms, plan->admit[class], caller, params->turn, now))
 		return HT_ADMIT;
--- a/core/admission.h
+++ b/core/admission.h
@@ -56,6 +56,13 @@
 void ht_admission_update(struct ht_admission_plan *plan, const struct ht_admission_input *input,
 			 const struct ht_admission_params *params);
 
+/**
+ * Index of the class with @terms, of a plan that has classes. One that the plan does not list has
+ * too little demand to matter; it is treated as the most urgent class listed that is not more
+ * urgent than itself, or else as the least urgent one.
+ */
+size_t ht_admission_class(const struct ht_admission_plan *plan, const struct ht_load_terms *terms);
+
 enum ht_admission {
 	HT_ADMIT,
 	HT_DELAY,  /**< a later copy of the opening packet may be admitted */
--- a/core/flow_table.c
+++ b/core/flow_table.c
@@ -126,6 +126,11 @@
 	f->waiting = f->phase != HT_PHASE_ANSWERED;
 }
 
+static bool is_inactive(const struct ht_tracked_flow *f, ht_ms timeout, ht_ms now)
+{
+	return now - f->last_packet_at >= timeout;
+}
+
 static void uncount_list(struct ht_flow_table *table, struct ht_list *list, ht_ms timeout,
 			 ht_ms now)
 {
@@ -134,7 +139,7 @@
 	ht_list_for_each_safe (pos, tmp, list) {
 		struct ht_tracked_flow *f = ht_container_of(pos, struct ht_tracked_flow, node);
 
-		if (now - f->last_packet_at < timeout)
+		if (!is_inactive(f, timeout, now))
 			return;
 		uncount(f);
 		ht_list_del(&f->node);
@@ -150,6 +155,29 @@
 	uncount_list(table, &table->answered, timeouts->answered, now);
 }
 
+static void visit_inactive(const struct ht_list *list, ht_ms timeout, ht_ms now,
+			   void (*visit)(void *ctx, const struct ht_tracked_flow *flow), void *ctx)
+{
+	for (const struct ht_list *pos = list->next; pos != list; pos = pos->next) {
+		const struct ht_tracked_flow *f =
+			ht_container_of(pos, const struct ht_tracked_flow, node);
+
+		if (!is_inactive(f, timeout, now))
+			return;
+		visit(ctx, f);
+	}
+}
+
+void ht_flow_table_each_inactive(const struct ht_flow_table *table,
+				 const struct ht_flow_timeouts *timeouts, ht_ms now,
+				 void (*visit)(void *ctx, const struct ht_tracked_flow *flow),
+				 void *ctx)
+{
+	visit_inactive(&table->opening, timeouts->opening, now, visit, ctx);
+	visit_inactive(&table->active, timeouts->open, now, visit, ctx);
+	visit_inactive(&table->answered, timeouts->answered, now, visit, ctx);
+}
+
 void ht_flow_set_target(struct ht_tracked_flow *f, struct ht_target *t, uint32_t mark, ht_ms now)
 {
 	uncount(f);
--- a/core/flow_table.h
+++ b/core/flow_table.h
@@ -73,6 +73,12 @@
 void ht_flow_table_uncount_inactive(struct ht_flow_table *table,
 				    const struct ht_flow_timeouts *timeouts, ht_ms now);
 
+/** Calls @visit for each flow that ht_flow_table_uncount_inactive() would stop counting. */
+void ht_flow_table_each_inactive(const struct ht_flow_table *table,
+				 const struct ht_flow_timeouts *timeouts, ht_ms now,
+				 void (*visit)(void *ctx, const struct ht_tracked_flow *flow),
+				 void *ctx);
+
 /** Moves the flow to @target; it is counted there from its next packet on. */
 void ht_flow_set_target(struct ht_tracked_flow *flow, struct ht_target *target, uint32_t mark,
 			ht_ms now);
--- a/core/placing.c
+++ b/core/placing.c
@@ -82,20 +82,45 @@
 		ht_warmup_use(t->flows_while_cold, now);
 }
 
-static double expected_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
+/* Records a factor of a cost in @part, if the parts are wanted, and returns it. */
+static inline double factor(double *part, double value)
 {
-	double c = (t->open + 1.0) / t->slots * relative_answer_time(t) *
-		   (1 + ERROR_COST * t->evidence.error_rate);
+	if (part)
+		*part = value;
+	return value;
+}
+
+#define PART(parts, field) ((parts) ? &(parts)->field : NULL)
+
+/* What the costs with and without a plan have in common; @open: requests or flows at @t. */
+static inline __attribute__((always_inline)) double
+busy_cost(const struct ht_target *t, uint32_t open, struct ht_placing_cost *parts)
+{
+	if (parts)
+		*parts = (struct ht_placing_cost){
+			.open = open, .remote = 1, .dc_suspected = 1, .suspected = 1, .cold = 1};
+	return (open + 1.0) / t->slots * factor(PART(parts, speed), relative_answer_time(t)) *
+	       factor(PART(parts, errors), 1 + ERROR_COST * t->evidence.error_rate);
+}
+
+/* With @parts NULL, which is known when compiling, their recording costs nothing. */
+static inline __attribute__((always_inline)) double expected_cost(const struct ht_placing *pl,
+								  const struct ht_target *t,
+								  ht_ms now,
+								  struct ht_placing_cost *parts)
+{
+	const struct ht_steering_params *p = pl->params;
+	double c = busy_cost(t, t->open, parts);
 
 	if (!t->dc->local) {
-		c *= pl->params->remote_factor;
+		c *= factor(PART(parts, remote), p->remote_factor);
 		if (ht_evidence_suspected(&t->dc->evidence, now))
-			c *= pl->params->suspected_factor;
+			c *= factor(PART(parts, dc_suspected), p->suspected_factor);
 	}
 	if (is_suspected(t, now))
-		c *= pl->params->suspected_factor;
+		c *= factor(PART(parts, suspected), p->suspected_factor);
 	if (now < t->warmup_ends_at)
-		c *= pl->params->cold_factor;
+		c *= factor(PART(parts, cold), p->cold_factor);
 	return c;
 }
 
@@ -132,12 +157,47 @@
 	return !t->service->flows_max || load_of(pl, t, now).flows < t->service->flows_max;
 }
 
-static double planned_cost(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
+static inline __attribute__((always_inline)) double planned_cost(const struct ht_placing *pl,
+								 const struct ht_target *t,
+								 ht_ms now,
+								 struct ht_placing_cost *parts)
+{
+	double c = busy_cost(t, load_of(pl, t, now).open, parts);
+
+	if (now < t->warmup_ends_at)
+		c *= factor(PART(parts, cold), pl->params->cold_factor);
+	return c;
+}
+
+/* Targets of a service that are examined for one flow. */
+struct sample {
+	size_t start, count;
+	bool skip_suspected;
+};
+
+static struct sample draw_sample(struct ht_placing *pl, const struct ht_service *s, ht_ms now)
 {
-	double c = (load_of(pl, t, now).open + 1.0) / t->slots * relative_answer_time(t) *
-		   (1 + ERROR_COST * t->evidence.error_rate);
+	struct sample sample = {.count = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX};
 
-	return now < t->warmup_ends_at ? c * pl->params->cold_factor : c;
+	sample.start = s->count ? next_random(pl) % s->count : 0;
+	sample.skip_suspected = may_skip_suspected(pl, s, sample.start, sample.count, now);
+	return sample;
+}
+
+/* @t is not const as the permits of a cold target are stored in it when they are first needed. */
+static inline enum ht_placing_fit fit_of(const struct ht_placing *pl, const struct sample *sample,
+					 struct ht_target *t, struct ht_target *const *tried,
+					 size_t n, ht_ms now)
+{
+	if (!ht_placing_allows(pl, t, now))
+		return HT_PLACING_COLD;
+	if (!ht_placing_holds_more(pl, t, now))
+		return HT_PLACING_FULL;
+	if (was_tried(t, tried, n))
+		return HT_PLACING_TRIED;
+	if (sample->skip_suspected && is_suspected(t, now))
+		return HT_PLACING_SUSPECTED;
+	return HT_PLACING_FITS;
 }
 
 static double random_unit(struct ht_placing *pl)
@@ -156,26 +216,23 @@
 	return plan->dcs[i];
 }
 
-struct ht_target *ht_placing_choose_by_plan(struct ht_placing *pl, const struct ht_service *s,
-					    struct ht_target *const *tried, size_t n, ht_ms now)
+static struct ht_target *choose_by_plan(struct ht_placing *pl, const struct ht_service *s,
+					struct ht_target *const *tried, size_t n, ht_ms now)
 {
-	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
-	size_t start = s->count ? next_random(pl) % s->count : 0, seen = 0;
-	bool skip_suspected = may_skip_suspected(pl, s, start, sampled, now);
+	const struct sample sample = draw_sample(pl, s, now);
 	struct ht_target *drawn[2] = {NULL, NULL};
+	size_t seen = 0;
 	uint32_t dc;
 
 	if (!s->plan.dc_count)
 		return NULL;
 	dc = draw_dc(pl, &s->plan);
 	/* Draws two of the candidates with equal chances. */
-	for (size_t i = 0; i < sampled; i++) {
-		struct ht_target *t = s->targets[(start + i) % s->count];
+	for (size_t i = 0; i < sample.count; i++) {
+		struct ht_target *t = s->targets[(sample.start + i) % s->count];
 		size_t at = seen;
 
-		if (t->dc->key != dc || was_tried(t, tried, n) ||
-		    (skip_suspected && is_suspected(t, now)) || !ht_placing_allows(pl, t, now) ||
-		    !ht_placing_holds_more(pl, t, now))
+		if (t->dc->key != dc || fit_of(pl, &sample, t, tried, n, now) != HT_PLACING_FITS)
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
@@ -184,27 +241,27 @@
 	}
 	if (!drawn[1])
 		return drawn[0];
-	return planned_cost(pl, drawn[1], now) < planned_cost(pl, drawn[0], now) ? drawn[1]
-										 : drawn[0];
+	return planned_cost(pl, drawn[1], now, NULL) < planned_cost(pl, drawn[0], now, NULL)
+		       ? drawn[1]
+		       : drawn[0];
 }
 
-struct ht_target *ht_placing_choose(struct ht_placing *pl, struct ht_service *s,
-				    struct ht_target *const *tried, size_t n, ht_ms now)
+static struct ht_target *choose_by_cost(struct ht_placing *pl, const struct ht_service *s,
+					struct ht_target *const *tried, size_t n, ht_ms now)
 {
-	size_t sampled = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX;
-	size_t start = s->count ? next_random(pl) % s->count : 0;
-	bool skip_suspected = may_skip_suspected(pl, s, start, sampled, now);
+	const struct sample sample = draw_sample(pl, s, now);
 	struct ht_target *best = NULL, *fallback = NULL;
 	double best_cost = 0, fallback_cost = 0;
 
 	/* The random start breaks ties and selects the sample. */
-	for (size_t i = 0; i < sampled; i++) {
-		struct ht_target *t = s->targets[(start + i) % s->count];
-		double c = expected_cost(pl, t, now);
+	for (size_t i = 0; i < sample.count; i++) {
+		struct ht_target *t = s->targets[(sample.start + i) % s->count];
+		double c = expected_cost(pl, t, now, NULL);
+		enum ht_placing_fit fit = fit_of(pl, &sample, t, tried, n, now);
 
-		if (!ht_placing_allows(pl, t, now) || !ht_placing_holds_more(pl, t, now))
+		if (fit == HT_PLACING_COLD || fit == HT_PLACING_FULL)
 			continue;
-		if (was_tried(t, tried, n) || (skip_suspected && is_suspected(t, now))) {
+		if (fit != HT_PLACING_FITS) {
 			if (!fallback || c < fallback_cost) {
 				fallback = t;
 				fallback_cost = c;
@@ -216,3 +273,60 @@
 	}
 	return best ? best : fallback;
 }
+
+struct ht_target *ht_placing_choose(struct ht_placing *pl, const struct ht_service *s,
+				    struct ht_target *const *tried, size_t n, ht_ms now)
+{
+	struct ht_target *t = NULL;
+
+	if (s->plan.short_of_room)
+		t = choose_by_plan(pl, s, tried, n, now);
+	return t ? t : choose_by_cost(pl, s, tried, n, now);
+}
+
+static double share_of(const struct ht_admission_plan *plan, uint32_t dc)
+{
+	for (size_t i = 0; i < plan->dc_count; i++)
+		if (plan->dcs[i] == dc)
+			return plan->share[i];
+	return 0;
+}
+
+bool ht_placing_list(struct ht_placing *pl, const struct ht_service *s, ht_ms now,
+		     void (*visit)(void *ctx, const struct ht_placing_candidate *candidate),
+		     void *ctx)
+{
+	bool planned = s->plan.short_of_room;
+	struct ht_placing at_start = *pl;
+	struct sample sample;
+
+	if (planned && !choose_by_plan(pl, s, NULL, 0, now)) {
+		planned = false;
+		at_start = *pl;
+	}
+	sample = draw_sample(&at_start, s, now);
+	for (size_t i = 0; i < sample.count; i++) {
+		struct ht_target *t = s->targets[(sample.start + i) % s->count];
+		struct ht_placing_candidate c = {.target = t};
+
+		c.share = planned ? share_of(&s->plan, t->dc->key) : 1;
+		c.fit = fit_of(pl, &sample, t, NULL, 0, now);
+		if (planned)
+			c.cost = planned_cost(pl, t, now, &c.parts);
+		else
+			c.cost = expected_cost(pl, t, now, &c.parts);
+		visit(ctx, &c);
+	}
+	return planned;
+}
+
+const char *ht_placing_fit_name(enum ht_placing_fit fit)
+{
+	static const char *const names[] = {
+		[HT_PLACING_FITS] = "usable",	    [HT_PLACING_COLD] = "cold-limit",
+		[HT_PLACING_FULL] = "flow-limit",   [HT_PLACING_TRIED] = "tried",
+		[HT_PLACING_SUSPECTED] = "skipped",
+	};
+
+	return fit < HT_PLACING_FITS_COUNT ? names[fit] : "invalid";
+}
--- a/core/steering.c
+++ b/core/steering.c
@@ -1,7 +1,5 @@
-#include "core/steering.h"
+#include "core/steering_internal.h"
 
-#include "core/flow_table.h"
-#include "core/placing.h"
 #include "core/split.h"
 
 #include <stdlib.h>
@@ -28,17 +26,6 @@
  * round trip of 10 ms, for the 60 s that a flow lasts. */
 #define FLOW_BYTES_MAX (1U << 27)
 
-struct ht_steering {
-	struct ht_steering_params params;
-	struct ht_placing placing;
-	struct ht_flow_table flows;
-	bool complete;
-	struct ht_steering_bounds bounds;
-	ht_ms routes_at, targets_at; /* when an exact read last confirmed them */
-	size_t instance_count;
-	ht_ms adopted_at; /* when a flow unknown to the table was last added by its data */
-};
-
 void ht_steering_params_default(struct ht_steering_params *params)
 {
 	*params = (struct ht_steering_params){
@@ -248,29 +235,34 @@
 	return true;
 }
 
-/*
- * True if the opening packet @pkt is not forwarded because others go first: by the plan of the
- * service while capacity is short, otherwise by the flows of this instance alone.
- */
+bool ht_steering_turns_away(const struct ht_steering *st, const struct ht_route *route,
+			    const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
+			    struct ht_steering_decision *d)
+{
+	enum ht_admission verdict;
+
+	if (!s->plan.short_of_room)
+		return should_defer(st, route, s, pkt, d);
+	verdict =
+		ht_overload_admit(&st->params.overload, route, s, pkt->src, pkt->acknowledged, now);
+	if (verdict == HT_ADMIT)
+		return false;
+	*d = verdict == HT_DELAY ? make_decision(HT_STEER_DROP, HT_STEER_DEFERRED)
+				 : make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
+	return true;
+}
+
+/* Decides whether the opening packet @pkt is turned away, and counts it as demand. */
 static bool turn_away(const struct ht_steering *st, const struct ht_route *route,
 		      const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
 		      struct ht_steering_decision *d)
 {
-	enum ht_admission verdict = HT_ADMIT;
+	bool away = ht_steering_turns_away(st, route, s, pkt, now, d);
 
-	if (s->plan.short_of_room)
-		verdict = ht_overload_admit(&st->params.overload, route, s, pkt->src,
-					    pkt->acknowledged, now);
 	if (st->params.overload.load && !pkt->acknowledged)
 		ht_load_count_opening(st->params.overload.load, s->key, &route->terms,
-				      verdict == HT_REFUSE);
-	if (!s->plan.short_of_room)
-		return should_defer(st, route, s, pkt, d);
-	if (verdict == HT_DELAY)
-		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
-	if (verdict == HT_REFUSE)
-		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
-	return verdict != HT_ADMIT;
+				      away && d->reason == HT_STEER_NO_ROOM);
+	return away;
 }
 
 /* True if the opening packet @pkt belongs to @f and not to a later flow from the same port. */
@@ -294,30 +286,30 @@
 	ht_flow_table_touch(&st->flows, f, now);
 }
 
-static struct ht_target *choose(struct ht_steering *st, struct ht_service *s,
-				struct ht_tracked_flow *f, ht_ms now)
+struct ht_steering_decision ht_steering_judge_target(const struct ht_steering *st,
+						     const struct ht_service *service,
+						     const struct ht_packet *pkt,
+						     struct ht_target *t, bool again, ht_ms now)
 {
-	struct ht_target *const *tried = f ? f->tried : NULL;
-	size_t n = f ? f->tried_count : 0;
-	struct ht_target *t = NULL;
+	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 
-	if (s->plan.short_of_room)
-		t = ht_placing_choose_by_plan(&st->placing, s, tried, n, now);
-	return t ? t : ht_placing_choose(&st->placing, s, tried, n, now);
+	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY)
+		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
+	if (!mark)
+		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
+	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
 }
 
 static struct ht_steering_decision place(struct ht_steering *st, struct ht_service *service,
 					 const struct ht_packet *pkt, struct ht_tracked_flow *f,
 					 ht_ms now)
 {
-	struct ht_target *t = choose(st, service, f, now);
-	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
-	bool again = f;
+	struct ht_target *t = ht_placing_choose(&st->placing, service, f ? f->tried : NULL,
+						f ? f->tried_count : 0, now);
+	struct ht_steering_decision d = ht_steering_judge_target(st, service, pkt, t, f, now);
 
-	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY)
-		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
-	if (!mark)
-		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
+	if (d.action != HT_STEER_FORWARD)
+		return d;
 	ht_placing_count(t, now);
 	if (!f) {
 		f = ht_flow_table_add(&st->flows, pkt->src, pkt->dst);
@@ -327,8 +319,8 @@
 		}
 	}
 	if (f)
-		record_placement(st, f, t, mark, now);
-	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
+		record_placement(st, f, t, d.mark, now);
+	return d;
 }
 
 static void uncount_inactive(struct ht_steering *st, ht_ms now)
@@ -343,6 +335,29 @@
 	return route ? !route->share_count : ht_catalog_routes_incomplete(st->params.catalog);
 }
 
+bool ht_steering_refuses_route(const struct ht_steering *st, const struct ht_route *route,
+			       const struct ht_packet *pkt, ht_ms now,
+			       struct ht_steering_decision *d)
+{
+	if (is_unreadable(st, route))
+		*d = make_decision(HT_STEER_DROP, HT_STEER_UNREADABLE_ROUTE);
+	else if (!route)
+		*d = refuse(st, pkt, HT_STEER_NO_ROUTE, now);
+	else
+		return false;
+	return true;
+}
+
+bool ht_steering_refuses_service(const struct ht_steering *st, const struct ht_service *service,
+				 const struct ht_packet *pkt, ht_ms now,
+				 struct ht_steering_decision *d)
+{
+	if (service)
+		return false;
+	*d = refuse(st, pkt, HT_STEER_NO_TARGET, now);
+	return true;
+}
+
 static struct ht_steering_decision steer_opening(struct ht_steering *st,
 						 const struct ht_packet *pkt, ht_ms now)
 {
@@ -352,10 +367,8 @@
 	struct ht_steering_decision d;
 
 	uncount_inactive(st, now);
-	if (is_unreadable(st, route))
-		return make_decision(HT_STEER_DROP, HT_STEER_UNREADABLE_ROUTE);
-	if (!route)
-		return refuse(st, pkt, HT_STEER_NO_ROUTE, now);
+	if (ht_steering_refuses_route(st, route, pkt, now, &d))
+		return d;
 	/* The caller reuses its port for a new flow, whose first packet may have been lost. */
 	if (f && (!is_opening_of(f, pkt) || (f->phase != HT_PHASE_OPENING && !pkt->acknowledged))) {
 		ht_flow_table_end(&st->flows, f);
@@ -374,8 +387,8 @@
 		return forward(f->target, f->mark, HT_STEER_MARKED);
 	}
 	service = ht_split_pick(route, pkt->src);
-	if (!service)
-		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
+	if (ht_steering_refuses_service(st, service, pkt, now, &d))
+		return d;
 	if (f) {
 		notify_flow(st, f, HT_FLOW_UNANSWERED, f->placed_at, 0, now);
 		record_miss(st, f->target, f->placed_at, now);
@@ -666,6 +679,17 @@
 	return st->flows.map.count;
 }
 
+const char *ht_steering_action_name(enum ht_steering_action action)
+{
+	static const char *const names[] = {
+		[HT_STEER_FORWARD] = "forward",
+		[HT_STEER_RESET] = "reset",
+		[HT_STEER_DROP] = "drop",
+	};
+
+	return action < HT_STEER_ACTIONS ? names[action] : "invalid";
+}
+
 const char *ht_steering_reason_name(enum ht_steering_reason reason)
 {
 	static const char *const names[] = {
--- a/core/steering.h
+++ b/core/steering.h
@@ -204,6 +204,7 @@
 size_t ht_steering_flow_count(const struct ht_steering *st);
 
 /** Names for logs and metrics. */
+const char *ht_steering_action_name(enum ht_steering_action action);
 const char *ht_steering_reason_name(enum ht_steering_reason reason);
 const char *ht_flow_event_name(enum ht_flow_event event);
 const char *ht_health_cause_name(enum ht_health_cause cause);
--- a/mk/entry.mk
+++ b/mk/entry.mk
@@ -1,6 +1,6 @@
 # The program for the users' platform. It links only the objects that it needs, so that starting it
 # loads no other library; `make entry` builds it into target/ with the packages of deploy/system.toml.
-ENTRY_CORE := admission answers catalog catalog_evacuations catalog_routes evidence fanout flow_table leaving load load_members load_view neighbours overload placing reading reports rotation split steering warmup
+ENTRY_CORE := admission answers catalog catalog_evacuations catalog_routes evidence explain fanout flow_table leaving load load_members load_view neighbours overload placing reading reports rotation split steering warmup
 ENTRY_PLATFORM := era json_repair http http_server packet readiness store store_decode
 ENTRY_WIRE := buffer frame entry.pb-c
 ENTRY_BASE := addr clock err event exposition file hash histogram hmap listen logger options
