entry: page that explains a decision

/explain?from=IP:PORT&to=IP:PORT at the metrics address serves what ht_steering_explain() says of a flow as plain text.

--- a/entry/metrics.c
+++ b/entry/metrics.c
@@ -1,7 +1,7 @@
 #include "entry/metrics.h"
 
 #include "base/exposition.h"
-#include "platform/http_server.h"
+#include "entry/explain.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -27,12 +27,6 @@
 	[HT_CALL_WATCH] = "watch",
 };
 
-static const char *const action_names[] = {
-	[HT_STEER_FORWARD] = "forward",
-	[HT_STEER_RESET] = "reset",
-	[HT_STEER_DROP] = "drop",
-};
-
 static void gauge(FILE *out, const char *metric, const char *help, double value)
 {
 	ht_exposition_begin(out, metric, "gauge", help);
@@ -61,7 +55,7 @@
 	for (int a = 0; a < HT_STEER_ACTIONS; a++) {
 		for (int r = 0; r < HT_STEER_REASONS; r++) {
 			const struct ht_label labels[] = {
-				{"action", action_names[a]},
+				{"action", ht_steering_action_name((enum ht_steering_action)a)},
 				{"reason", ht_steering_reason_name((enum ht_steering_reason)r)},
 				{0}};
 
@@ -332,24 +326,68 @@
 	write_log(p->log, out);
 }
 
-static void answer(void *ctx, const char *path, struct ht_http_answer *ans)
+static FILE *open_body(struct ht_http_answer *ans)
 {
-	struct ht_metrics *m = ctx;
-	FILE *out;
+	FILE *out = open_memstream(&ans->body, &ans->len);
 
-	if (strcmp(path, metrics_path) != 0)
-		return;
-	out = open_memstream(&ans->body, &ans->len);
-	if (!out) {
+	if (!out)
 		ans->status = "500 Internal Server Error";
+	return out;
+}
+
+static void answer_metrics(const struct ht_metrics_params *p, struct ht_http_answer *ans)
+{
+	FILE *out = open_body(ans);
+
+	if (!out)
 		return;
-	}
-	ht_metrics_write(&m->params, out);
+	ht_metrics_write(p, out);
 	fclose(out);
 	ans->status = "200 OK";
 	ans->type = HT_EXPOSITION_TYPE;
 }
 
+/* @text: what follows the path, beginning with '?' if there is a query. */
+static void answer_explain(const struct ht_metrics_params *p, const char *text,
+			   struct ht_http_answer *ans)
+{
+	FILE *out = open_body(ans);
+	struct ht_explain_query query;
+	struct ht_err err;
+
+	if (!out)
+		return;
+	if (ht_explain_parse(&query, *text ? text + 1 : text, &err)) {
+		ans->status = "200 OK";
+		ht_explain_write(p->steering, &query, out, ht_now());
+	} else {
+		ans->status =
+			err.code == HT_ENOMEM ? "500 Internal Server Error" : "400 Bad Request";
+		fprintf(out, "%s; expected " HT_EXPLAIN_PATH "?from=IP:PORT&to=IP:PORT\n",
+			err.text);
+	}
+	fclose(out);
+}
+
+void ht_metrics_answer(const struct ht_metrics_params *p, const char *path,
+		       struct ht_http_answer *ans)
+{
+	static const char explain[] = HT_EXPLAIN_PATH;
+	const char *rest = path + sizeof(explain) - 1;
+
+	if (strcmp(path, metrics_path) == 0)
+		answer_metrics(p, ans);
+	else if (strncmp(path, explain, sizeof(explain) - 1) == 0 && (!*rest || *rest == '?'))
+		answer_explain(p, rest, ans);
+}
+
+static void answer(void *ctx, const char *path, struct ht_http_answer *ans)
+{
+	const struct ht_metrics *m = ctx;
+
+	ht_metrics_answer(&m->params, path, ans);
+}
+
 struct ht_metrics *ht_metrics_new(const struct ht_metrics_params *params, struct ht_err *err)
 {
 	struct ht_metrics *m = calloc(1, sizeof(*m));
--- a/entry/metrics.h
+++ b/entry/metrics.h
@@ -1,4 +1,4 @@
-/* Serves the metrics of one instance over HTTP in text format. */
+/* Serves the metrics of one instance, and explanations of decisions, over HTTP as text. */
 #ifndef HT_ENTRY_METRICS_H
 #define HT_ENTRY_METRICS_H
 
@@ -6,6 +6,7 @@
 #include "base/logger.h"
 #include "core/neighbours.h"
 #include "entry/stats.h"
+#include "platform/http_server.h"
 
 #include <stdio.h>
 
@@ -37,4 +38,9 @@
 /** Writes the metrics page. Of @params, the loop and the address are not used. */
 void ht_metrics_write(const struct ht_metrics_params *params, FILE *out);
 
+/** Answers a request for @path, with its query, as the server does; others than those for the
+ * metrics and for explanations are left as they are. The loop and the address are not used. */
+void ht_metrics_answer(const struct ht_metrics_params *params, const char *path,
+		       struct ht_http_answer *answer);
+
 #endif
--- a/tests/entry/test_entry.c
+++ b/tests/entry/test_entry.c
@@ -371,6 +371,31 @@
 }
 END_TEST
 
+/* Guards against a page that is not served, or that sends the flow that it explains. */
+START_TEST(explains_a_flow_without_sending_it)
+{
+	static char text[1 << 16];
+	uint8_t buf[64];
+
+	launch(&inst[0], ht_si_metadata_address(store), "");
+	await_readiness(&inst[0], 200);
+	ck_assert_int_eq(get(&inst[0], inst[0].metrics_port,
+			     "/explain?from=127.0.0.9:4001&to=198.18.0.1:443", text, sizeof(text)),
+			 200);
+	ck_assert_ptr_nonnull(strstr(text, "\nverdict: forward reason=placed: "));
+	ck_assert_ptr_nonnull(strstr(text, "\ntarget: i-7f3a91c2 mark="));
+	ck_assert_ptr_nonnull(strstr(text, "\nroute: known priority=2 aim_ms=200 limit_ms=2000\n"));
+	ck_assert_int_eq(recv(target_fd, buf, sizeof(buf), MSG_DONTWAIT), -1);
+	ck_assert_int_eq(get(&inst[0], inst[0].metrics_port, "/explain?from=127.0.0.9:4001", text,
+			     sizeof(text)),
+			 400);
+	ck_assert_ptr_nonnull(strstr(text, "\r\n\r\nto is missing; "));
+	ck_assert_int_eq(get(&inst[0], inst[0].metrics_port, "/metrics", text, sizeof(text)), 200);
+	ck_assert_ptr_nonnull(strstr(text, "\nhickorytrestle_flows 0\n"));
+	ck_assert_ptr_null(strstr(text, "decisions_total{"));
+}
+END_TEST
+
 /* A full log pipe must not block the instance: lines are dropped and counted. */
 START_TEST(keeps_serving_when_log_is_not_read)
 {
@@ -430,6 +455,7 @@
 	tcase_add_test(tc, starts_from_neighbour_snapshot_while_store_is_down);
 	tcase_add_test(tc, draining_target_gets_no_new_flow_and_unknown_route_is_reset);
 	tcase_add_test(tc, logs_and_metrics_identify_flows_without_payload);
+	tcase_add_test(tc, explains_a_flow_without_sending_it);
 	tcase_add_test(tc, keeps_serving_when_log_is_not_read);
 	tcase_add_test(tc, closed_stdout_is_replaced_by_dev_null);
 	return run_case("entry", tc);
