--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -122,6 +122,20 @@
 	"  hickoryctl timeline --log a.log --log b.log \\\n"
 	"      --flow 100.64.0.7:40001-198.18.0.1:443\n";
 
+static const char explain_help[] =
+	"Prints where an instance of hickorytrestle-entry would send a new flow from the\n"
+	"caller's address FROM to the address TO now, and why: the route and its terms, the\n"
+	"service picked by a split, whether capacity is short, the verdict, and the best\n"
+	"targets with their costs. Nothing is sent or changed. --instance names the instance\n"
+	"by its metrics_address and is required. Instances differ in what they know, so ask\n"
+	"the one that the packets pass. Another flow may be decided otherwise: splits and\n"
+	"turns go by the caller's address, and equal targets are chosen by chance.\n"
+	"\n"
+	"Exit status: 0 done, 1 the instance did not answer, 2 bad address.\n"
+	"\n"
+	"Examples:\n"
+	"  hickoryctl explain --instance 127.0.0.1:9100 100.64.0.7:40001 198.18.0.1:443\n";
+
 const struct ht_ctl_command ht_ctl_commands[] = {
 	{.name = "check",
 	 .arguments = "FILE",
@@ -197,5 +211,13 @@
 	 .options = " admin log flow request target instance number ",
 	 .needs_platform = true,
 	 .run = ht_ctl_timeline},
+	{.name = "explain",
+	 .arguments = "FROM TO",
+	 .summary = "Print where an instance would send a new flow now, and why",
+	 .description = explain_help,
+	 .options = " instance ",
+	 .min_args = 2,
+	 .max_args = 2,
+	 .run = ht_ctl_explain},
 	{0},
 };
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -85,7 +85,8 @@
 		 "Only events of this target, by id or address or, in log lines, by name",
 		 "ID|IP:PORT|NAME"},
 		{"instance", 0, 0, G_OPTION_ARG_STRING, &ctl->instance,
-		 "Only events of or about this instance", "NAME"},
+		 "timeline: only events of or about this instance; explain: its metrics address",
+		 "NAME|IP:PORT"},
 		{"number", 'n', 0, G_OPTION_ARG_INT, &ctl->number, "Only events with this number",
 		 "N"},
 	};
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -73,6 +73,7 @@
 int ht_ctl_evacuate(struct ht_ctl *ctl, char **argv);
 int ht_ctl_end_evacuation(struct ht_ctl *ctl, char **argv);
 int ht_ctl_timeline(struct ht_ctl *ctl, char **argv);
+int ht_ctl_explain(struct ht_ctl *ctl, char **argv);
 
 /** Prints "hickoryctl: MESSAGE" to the error stream and returns @status. */
 int ht_ctl_fail(struct ht_ctl *ctl, int status, const char *fmt, ...)
--- a/mk/install.mk
+++ b/mk/install.mk
@@ -3,7 +3,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 INSTALL ?= install
-CTL_COMMANDS := check diff apply show status drain evacuate end-evacuation timeline
+CTL_COMMANDS := check diff apply show status drain evacuate end-evacuation timeline explain
 DOCS := docs/OPERATIONS.md docs/platform.md docs/events.md docs/glossary.md
 MAN := hickoryctl.1 hickorytrestle-entry.8 $(if $(wildcard daemon/main.c),hickorytrestled.8)
 
