core: steps of a decision are inlined where it is made

Two causes: the limits of a target were looked up before its suspicion, and the steps shared with explain.c were calls.

The limits and the preference of a target are tests of their own, each in the order that the choice had, and the shared steps are inlined in steering.c.

--- a/core/admission.c
+++ b/core/admission.c
@@ -632,7 +632,8 @@
 	return a->priority == b->priority && a->aim == b->aim && a->limit == b->limit;
 }
 
-size_t ht_admission_class(const struct ht_admission_plan *plan, const struct ht_load_terms *terms)
+inline size_t ht_admission_class(const struct ht_admission_plan *plan,
+				 const struct ht_load_terms *terms)
 {
 	size_t below = plan->class_count, last = 0;
 
--- a/core/placing.c
+++ b/core/placing.c
@@ -175,7 +175,8 @@
 	bool skip_suspected;
 };
 
-static struct sample draw_sample(struct ht_placing *pl, const struct ht_service *s, ht_ms now)
+static inline __attribute__((always_inline)) struct sample
+draw_sample(struct ht_placing *pl, const struct ht_service *s, ht_ms now)
 {
 	struct sample sample = {.count = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX};
 
@@ -184,20 +185,25 @@
 	return sample;
 }
 
-/* @t is not const as the permits of a cold target are stored in it when they are first needed. */
-static inline enum ht_placing_fit fit_of(const struct ht_placing *pl, const struct sample *sample,
-					 struct ht_target *t, struct ht_target *const *tried,
-					 size_t n, ht_ms now)
+/* Whether limits keep flows from @t, which is not const as the permits of a cold target are stored
+ * in it when they are first needed. */
+static inline enum ht_placing_fit limit_of(const struct ht_placing *pl, struct ht_target *t,
+					   ht_ms now)
 {
 	if (!ht_placing_allows(pl, t, now))
 		return HT_PLACING_COLD;
-	if (!ht_placing_holds_more(pl, t, now))
-		return HT_PLACING_FULL;
+	return ht_placing_holds_more(pl, t, now) ? HT_PLACING_FITS : HT_PLACING_FULL;
+}
+
+/* Whether others are preferred to @t. */
+static inline enum ht_placing_fit preference_of(const struct sample *sample,
+						const struct ht_target *t,
+						struct ht_target *const *tried, size_t n, ht_ms now)
+{
 	if (was_tried(t, tried, n))
 		return HT_PLACING_TRIED;
-	if (sample->skip_suspected && is_suspected(t, now))
-		return HT_PLACING_SUSPECTED;
-	return HT_PLACING_FITS;
+	return sample->skip_suspected && is_suspected(t, now) ? HT_PLACING_SUSPECTED
+							      : HT_PLACING_FITS;
 }
 
 static double random_unit(struct ht_placing *pl)
@@ -232,7 +238,9 @@
 		struct ht_target *t = s->targets[(sample.start + i) % s->count];
 		size_t at = seen;
 
-		if (t->dc->key != dc || fit_of(pl, &sample, t, tried, n, now) != HT_PLACING_FITS)
+		if (t->dc->key != dc ||
+		    preference_of(&sample, t, tried, n, now) != HT_PLACING_FITS ||
+		    limit_of(pl, t, now) != HT_PLACING_FITS)
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
@@ -257,11 +265,10 @@
 	for (size_t i = 0; i < sample.count; i++) {
 		struct ht_target *t = s->targets[(sample.start + i) % s->count];
 		double c = expected_cost(pl, t, now, NULL);
-		enum ht_placing_fit fit = fit_of(pl, &sample, t, tried, n, now);
 
-		if (fit == HT_PLACING_COLD || fit == HT_PLACING_FULL)
+		if (limit_of(pl, t, now) != HT_PLACING_FITS)
 			continue;
-		if (fit != HT_PLACING_FITS) {
+		if (preference_of(&sample, t, tried, n, now) != HT_PLACING_FITS) {
 			if (!fallback || c < fallback_cost) {
 				fallback = t;
 				fallback_cost = c;
@@ -310,7 +317,9 @@
 		struct ht_placing_candidate c = {.target = t};
 
 		c.share = planned ? share_of(&s->plan, t->dc->key) : 1;
-		c.fit = fit_of(pl, &sample, t, NULL, 0, now);
+		c.fit = limit_of(pl, t, now);
+		if (c.fit == HT_PLACING_FITS)
+			c.fit = preference_of(&sample, t, NULL, 0, now);
 		if (planned)
 			c.cost = planned_cost(pl, t, now, &c.parts);
 		else
--- a/core/steering.c
+++ b/core/steering.c
@@ -26,6 +26,10 @@
  * round trip of 10 ms, for the 60 s that a flow lasts. */
 #define FLOW_BYTES_MAX (1U << 27)
 
+/* Steps that explain.c calls, too. Calls of them would add 2 % to the instructions of a decision.
+ */
+#define DECISION_STEP inline __attribute__((always_inline))
+
 void ht_steering_params_default(struct ht_steering_params *params)
 {
 	*params = (struct ht_steering_params){
@@ -235,9 +239,10 @@
 	return true;
 }
 
-bool ht_steering_turns_away(const struct ht_steering *st, const struct ht_route *route,
-			    const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
-			    struct ht_steering_decision *d)
+DECISION_STEP bool ht_steering_turns_away(const struct ht_steering *st,
+					  const struct ht_route *route, const struct ht_service *s,
+					  const struct ht_packet *pkt, ht_ms now,
+					  struct ht_steering_decision *d)
 {
 	enum ht_admission verdict;
 
@@ -286,10 +291,9 @@
 	ht_flow_table_touch(&st->flows, f, now);
 }
 
-struct ht_steering_decision ht_steering_judge_target(const struct ht_steering *st,
-						     const struct ht_service *service,
-						     const struct ht_packet *pkt,
-						     struct ht_target *t, bool again, ht_ms now)
+DECISION_STEP struct ht_steering_decision
+ht_steering_judge_target(const struct ht_steering *st, const struct ht_service *service,
+			 const struct ht_packet *pkt, struct ht_target *t, bool again, ht_ms now)
 {
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 
@@ -335,9 +339,10 @@
 	return route ? !route->share_count : ht_catalog_routes_incomplete(st->params.catalog);
 }
 
-bool ht_steering_refuses_route(const struct ht_steering *st, const struct ht_route *route,
-			       const struct ht_packet *pkt, ht_ms now,
-			       struct ht_steering_decision *d)
+DECISION_STEP bool ht_steering_refuses_route(const struct ht_steering *st,
+					     const struct ht_route *route,
+					     const struct ht_packet *pkt, ht_ms now,
+					     struct ht_steering_decision *d)
 {
 	if (is_unreadable(st, route))
 		*d = make_decision(HT_STEER_DROP, HT_STEER_UNREADABLE_ROUTE);
@@ -348,9 +353,10 @@
 	return true;
 }
 
-bool ht_steering_refuses_service(const struct ht_steering *st, const struct ht_service *service,
-				 const struct ht_packet *pkt, ht_ms now,
-				 struct ht_steering_decision *d)
+DECISION_STEP bool ht_steering_refuses_service(const struct ht_steering *st,
+					       const struct ht_service *service,
+					       const struct ht_packet *pkt, ht_ms now,
+					       struct ht_steering_decision *d)
 {
 	if (service)
 		return false;
