--- a/core/admission.h
+++ b/core/admission.h
@@ -23,7 +23,8 @@
 	struct ht_admission_dc dcs[HT_LOAD_DCS_MAX];
 	struct ht_load_terms classes[HT_LOAD_CLASSES_MAX];
 	double continued[HT_LOAD_CLASSES_MAX]; /**< requests on open flows, in all data centres */
-	double work_ms[HT_LOAD_CLASSES_MAX];   /**< lowest response time; 0: unknown */
+	double work_ms[HT_LOAD_CLASSES_MAX]; /**< response time of the fastest requests; 0: unknown
+					      */
 	enum ht_load_source source;
 };
 
@@ -31,6 +32,7 @@
 struct ht_admission_plan {
 	bool short_of_room;    /**< capacity is short */
 	unsigned int contrary; /* consecutive updates that speak for the other state */
+	double speed;	       /**< work_ms per ms and slot at full load; 0: unknown */
 	double rate;	       /**< requests per second and slot at full load; 0: unknown */
 	size_t dc_count, class_count;
 	struct ht_load_terms classes[HT_LOAD_CLASSES_MAX];
@@ -40,6 +42,15 @@
 	double share[HT_LOAD_DCS_MAX]; /**< of the admitted new flows, by data centre; sum 1 */
 };
 
+/* Defaults of the parameters; also those of the settings of hickorytrestle-entry. */
+#define HT_ADMISSION_BEGIN 1.5
+#define HT_ADMISSION_END 1.0
+#define HT_ADMISSION_SHED 0.05
+#define HT_ADMISSION_UPDATES 2
+#define HT_ADMISSION_DEPTH 3.0
+#define HT_ADMISSION_HORIZON_MS 1000
+#define HT_ADMISSION_TURN_MS 2000
+
 struct ht_admission_params {
 	double begin;	      /**< requests in flight per slot at which capacity is short */
 	double end;	      /**< below which it is not any more */
--- a/core/explain.c
+++ b/core/explain.c
@@ -198,7 +198,7 @@
 	if (ht_steering_turns_away(sc->st, sc->out->route, &sc->service, pkt, sc->now, &d))
 		return d;
 	sc->chosen = original_of(ht_placing_choose(&placing, &sc->service, NULL, 0, sc->now));
-	return ht_steering_judge_target(sc->st, &sc->service, pkt, sc->chosen, false, sc->now);
+	return ht_steering_judge_target(sc->st, &sc->service, pkt, sc->chosen, NULL, sc->now);
 }
 
 void ht_steering_explain(const struct ht_steering *st, struct ht_endpoint src,
--- a/core/load.h
+++ b/core/load.h
@@ -35,7 +35,7 @@
 	double opening;	  /**< new flows requested: first copies of opening packets */
 	double refused;	  /**< of these, refused */
 	double continued; /**< requests on flows that were already open */
-	double work_ms;	  /**< lowest response time observed recently; 0: unknown */
+	double work_ms;	  /**< response time of the fastest requests; 0: unknown */
 };
 
 /** Targets of a service in data centre @dc, as seen by the instances of the reporting one. */
@@ -96,9 +96,16 @@
 	struct ht_load_dc dcs[HT_LOAD_DCS_MAX];
 	struct ht_load_terms classes[HT_LOAD_CLASSES_MAX];
 	double continued[HT_LOAD_CLASSES_MAX]; /**< by class, at all instances */
-	double work_ms[HT_LOAD_CLASSES_MAX];   /**< lowest response time; 0: unknown */
+	double work_ms[HT_LOAD_CLASSES_MAX]; /**< response time of the fastest requests; 0: unknown
+					      */
 };
 
+/** Name for logs and metrics. */
+static inline const char *ht_load_source_name(enum ht_load_source source)
+{
+	return source == HT_LOAD_SHARED ? "shared" : "own";
+}
+
 struct ht_load_params {
 	uint32_t dc;	       /**< key of the own data centre */
 	ht_ms report_valid;    /**< a member's report counts for this long at a collector */
@@ -175,5 +182,9 @@
  */
 bool ht_load_target(const struct ht_load *load, uint32_t mark, struct ht_load_target *out,
 		    ht_ms now);
+/** Calls @visit for each target that a recent view lists. */
+void ht_load_each_target(const struct ht_load *load,
+			 void (*visit)(void *ctx, const struct ht_load_target *target), void *ctx,
+			 ht_ms now);
 
 #endif
--- a/core/placing.c
+++ b/core/placing.c
@@ -11,6 +11,15 @@
 /* The smoothed answer time changes the cost by at most this factor, up or down. */
 #define SPEED_FACTOR_MAX 2.0
 
+/* Instances stop at the limit of flows of a target. More than this many times as many are an error
+ * of whoever has reported them, which must not close the target. */
+#define FLOWS_ABSURD 4
+
+/* Requests in flight per slot, by the view, from which a target is nearly full, and the factor by
+ * which it costs more. Counts below that are too old to compare targets by. */
+#define FULL_PER_SLOT 3.5
+#define FULL_COST 16.0
+
 /* Stated rates of cold targets are in thousandths per second. */
 #define WARMUP_RATE_UNIT 1000
 
@@ -37,6 +46,12 @@
 	return ht_evidence_suspected(&t->evidence, now);
 }
 
+/* Suspected because of packets without response, not of errors, which full targets return, too. */
+static bool is_silent(const struct ht_target *t, ht_ms now)
+{
+	return is_suspected(t, now) && t->evidence.misses;
+}
+
 /* Answer time as a ratio to the mean of the service, clamped; 1 while unknown. */
 static double relative_answer_time(const struct ht_target *t)
 {
@@ -92,13 +107,18 @@
 
 #define PART(parts, field) ((parts) ? &(parts)->field : NULL)
 
-/* What the costs with and without a plan have in common; @open: requests or flows at @t. */
+/* What the costs with and without a plan have in common; @open: requests or flows of this
+ * instance at @t. */
 static inline __attribute__((always_inline)) double
 busy_cost(const struct ht_target *t, uint32_t open, struct ht_placing_cost *parts)
 {
 	if (parts)
-		*parts = (struct ht_placing_cost){
-			.open = open, .remote = 1, .dc_suspected = 1, .suspected = 1, .cold = 1};
+		*parts = (struct ht_placing_cost){.open = open,
+						  .full = 1,
+						  .remote = 1,
+						  .dc_suspected = 1,
+						  .suspected = 1,
+						  .cold = 1};
 	return (open + 1.0) / t->slots * factor(PART(parts, speed), relative_answer_time(t)) *
 	       factor(PART(parts, errors), 1 + ERROR_COST * t->evidence.error_rate);
 }
@@ -154,7 +174,14 @@
 
 bool ht_placing_holds_more(const struct ht_placing *pl, const struct ht_target *t, ht_ms now)
 {
-	return !t->service->flows_max || load_of(pl, t, now).flows < t->service->flows_max;
+	uint32_t max = t->service->flows_max, flows;
+
+	if (!max)
+		return true;
+	flows = load_of(pl, t, now).flows;
+	if (flows > FLOWS_ABSURD * (uint64_t)max)
+		flows = t->flows;
+	return flows < max;
 }
 
 static inline __attribute__((always_inline)) double planned_cost(const struct ht_placing *pl,
@@ -162,8 +189,10 @@
 								 ht_ms now,
 								 struct ht_placing_cost *parts)
 {
-	double c = busy_cost(t, load_of(pl, t, now).open, parts);
+	double c = busy_cost(t, t->waiting, parts);
 
+	if (load_of(pl, t, now).open >= FULL_PER_SLOT * t->slots)
+		c *= factor(PART(parts, full), FULL_COST);
 	if (now < t->warmup_ends_at)
 		c *= factor(PART(parts, cold), pl->params->cold_factor);
 	return c;
@@ -172,38 +201,29 @@
 /* Targets of a service that are examined for one flow. */
 struct sample {
 	size_t start, count;
-	bool skip_suspected;
 };
 
-static inline __attribute__((always_inline)) struct sample
-draw_sample(struct ht_placing *pl, const struct ht_service *s, ht_ms now)
+static inline __attribute__((always_inline)) struct sample draw_sample(struct ht_placing *pl,
+								       const struct ht_service *s)
 {
 	struct sample sample = {.count = s->count < SAMPLE_MAX ? s->count : SAMPLE_MAX};
 
 	sample.start = s->count ? next_random(pl) % s->count : 0;
-	sample.skip_suspected = may_skip_suspected(pl, s, sample.start, sample.count, now);
 	return sample;
 }
 
-/* Whether limits keep flows from @t, which is not const as the permits of a cold target are stored
- * in it when they are first needed. */
-static inline enum ht_placing_fit limit_of(const struct ht_placing *pl, struct ht_target *t,
-					   ht_ms now)
+/* True if the choice by plan leaves out @t, apart from limits. */
+static inline bool is_left_out_by_plan(const struct ht_target *t, struct ht_target *const *tried,
+				       size_t n, ht_ms now)
 {
-	if (!ht_placing_allows(pl, t, now))
-		return HT_PLACING_COLD;
-	return ht_placing_holds_more(pl, t, now) ? HT_PLACING_FITS : HT_PLACING_FULL;
+	return was_tried(t, tried, n) || is_silent(t, now);
 }
 
-/* Whether others are preferred to @t. */
-static inline enum ht_placing_fit preference_of(const struct sample *sample,
-						const struct ht_target *t,
-						struct ht_target *const *tried, size_t n, ht_ms now)
+/* True if the choice by cost prefers others to @t. */
+static inline bool is_second_choice(const struct ht_target *t, bool skip_suspected,
+				    struct ht_target *const *tried, size_t n, ht_ms now)
 {
-	if (was_tried(t, tried, n))
-		return HT_PLACING_TRIED;
-	return sample->skip_suspected && is_suspected(t, now) ? HT_PLACING_SUSPECTED
-							      : HT_PLACING_FITS;
+	return was_tried(t, tried, n) || (skip_suspected && is_suspected(t, now));
 }
 
 static double random_unit(struct ht_placing *pl)
@@ -225,7 +245,7 @@
 static struct ht_target *choose_by_plan(struct ht_placing *pl, const struct ht_service *s,
 					struct ht_target *const *tried, size_t n, ht_ms now)
 {
-	const struct sample sample = draw_sample(pl, s, now);
+	const struct sample sample = draw_sample(pl, s);
 	struct ht_target *drawn[2] = {NULL, NULL};
 	size_t seen = 0;
 	uint32_t dc;
@@ -238,37 +258,42 @@
 		struct ht_target *t = s->targets[(sample.start + i) % s->count];
 		size_t at = seen;
 
-		if (t->dc->key != dc ||
-		    preference_of(&sample, t, tried, n, now) != HT_PLACING_FITS ||
-		    limit_of(pl, t, now) != HT_PLACING_FITS)
+		if (t->dc->key != dc || is_left_out_by_plan(t, tried, n, now) ||
+		    !ht_placing_allows(pl, t, now))
 			continue;
 		if (seen++ >= 2)
 			at = next_random(pl) % seen;
 		if (at < 2)
 			drawn[at] = t;
 	}
-	if (!drawn[1])
-		return drawn[0];
+	for (size_t i = 0; i < 2; i++)
+		if (drawn[i] && !ht_placing_holds_more(pl, drawn[i], now))
+			drawn[i] = NULL;
+	if (!drawn[0] || !drawn[1])
+		return drawn[0] ? drawn[0] : drawn[1];
 	return planned_cost(pl, drawn[1], now, NULL) < planned_cost(pl, drawn[0], now, NULL)
 		       ? drawn[1]
 		       : drawn[0];
 }
 
-static struct ht_target *choose_by_cost(struct ht_placing *pl, const struct ht_service *s,
-					struct ht_target *const *tried, size_t n, ht_ms now)
+/* @check_flows: leaves out targets that hold as many flows as their service states. */
+static struct ht_target *find_cheapest(const struct ht_placing *pl, const struct ht_service *s,
+				       const struct sample *sample, struct ht_target *const *tried,
+				       size_t n, bool check_flows, ht_ms now)
 {
-	const struct sample sample = draw_sample(pl, s, now);
+	bool skip_suspected = may_skip_suspected(pl, s, sample->start, sample->count, now);
 	struct ht_target *best = NULL, *fallback = NULL;
 	double best_cost = 0, fallback_cost = 0;
 
 	/* The random start breaks ties and selects the sample. */
-	for (size_t i = 0; i < sample.count; i++) {
-		struct ht_target *t = s->targets[(sample.start + i) % s->count];
+	for (size_t i = 0; i < sample->count; i++) {
+		struct ht_target *t = s->targets[(sample->start + i) % s->count];
 		double c = expected_cost(pl, t, now, NULL);
 
-		if (limit_of(pl, t, now) != HT_PLACING_FITS)
+		if (!ht_placing_allows(pl, t, now) ||
+		    (check_flows && !ht_placing_holds_more(pl, t, now)))
 			continue;
-		if (preference_of(&sample, t, tried, n, now) != HT_PLACING_FITS) {
+		if (is_second_choice(t, skip_suspected, tried, n, now)) {
 			if (!fallback || c < fallback_cost) {
 				fallback = t;
 				fallback_cost = c;
@@ -281,12 +306,24 @@
 	return best ? best : fallback;
 }
 
+static struct ht_target *choose_by_cost(struct ht_placing *pl, const struct ht_service *s,
+					struct ht_target *const *tried, size_t n, ht_ms now)
+{
+	const struct sample sample = draw_sample(pl, s);
+	struct ht_target *t = find_cheapest(pl, s, &sample, tried, n, false, now);
+
+	/* Looking up the flows of each target would double the cost of a decision. */
+	return t && !ht_placing_holds_more(pl, t, now)
+		       ? find_cheapest(pl, s, &sample, tried, n, true, now)
+		       : t;
+}
+
 struct ht_target *ht_placing_choose(struct ht_placing *pl, const struct ht_service *s,
 				    struct ht_target *const *tried, size_t n, ht_ms now)
 {
 	struct ht_target *t = NULL;
 
-	if (s->plan.short_of_room)
+	if (ht_service_is_short(s))
 		t = choose_by_plan(pl, s, tried, n, now);
 	return t ? t : choose_by_cost(pl, s, tried, n, now);
 }
@@ -299,11 +336,26 @@
 	return 0;
 }
 
+/* Whether a flow that has tried no target may go to @t, which is not const as the permits of a cold
+ * target are stored in it when they are first needed. */
+static enum ht_placing_fit fit_of(const struct ht_placing *pl, struct ht_target *t, bool planned,
+				  bool skip_suspected, ht_ms now)
+{
+	bool skipped = planned ? is_left_out_by_plan(t, NULL, 0, now)
+			       : is_second_choice(t, skip_suspected, NULL, 0, now);
+
+	if (!ht_placing_allows(pl, t, now))
+		return HT_PLACING_COLD;
+	if (!ht_placing_holds_more(pl, t, now))
+		return HT_PLACING_FULL;
+	return skipped ? HT_PLACING_SUSPECTED : HT_PLACING_FITS;
+}
+
 bool ht_placing_list(struct ht_placing *pl, const struct ht_service *s, ht_ms now,
 		     void (*visit)(void *ctx, const struct ht_placing_candidate *candidate),
 		     void *ctx)
 {
-	bool planned = s->plan.short_of_room;
+	bool planned = ht_service_is_short(s), skip_suspected;
 	struct ht_placing at_start = *pl;
 	struct sample sample;
 
@@ -311,15 +363,14 @@
 		planned = false;
 		at_start = *pl;
 	}
-	sample = draw_sample(&at_start, s, now);
+	sample = draw_sample(&at_start, s);
+	skip_suspected = may_skip_suspected(pl, s, sample.start, sample.count, now);
 	for (size_t i = 0; i < sample.count; i++) {
 		struct ht_target *t = s->targets[(sample.start + i) % s->count];
 		struct ht_placing_candidate c = {.target = t};
 
 		c.share = planned ? share_of(&s->plan, t->dc->key) : 1;
-		c.fit = limit_of(pl, t, now);
-		if (c.fit == HT_PLACING_FITS)
-			c.fit = preference_of(&sample, t, NULL, 0, now);
+		c.fit = fit_of(pl, t, planned, skip_suspected, now);
 		if (planned)
 			c.cost = planned_cost(pl, t, now, &c.parts);
 		else
@@ -332,8 +383,9 @@
 const char *ht_placing_fit_name(enum ht_placing_fit fit)
 {
 	static const char *const names[] = {
-		[HT_PLACING_FITS] = "usable",	    [HT_PLACING_COLD] = "cold-limit",
-		[HT_PLACING_FULL] = "flow-limit",   [HT_PLACING_TRIED] = "tried",
+		[HT_PLACING_FITS] = "usable",
+		[HT_PLACING_COLD] = "cold-limit",
+		[HT_PLACING_FULL] = "flow-limit",
 		[HT_PLACING_SUSPECTED] = "skipped",
 	};
 
--- a/core/placing.h
+++ b/core/placing.h
@@ -40,16 +40,16 @@
 	HT_PLACING_FITS,
 	HT_PLACING_COLD,      /**< cold and at its limit, see ht_placing_allows() */
 	HT_PLACING_FULL,      /**< see ht_placing_holds_more() */
-	HT_PLACING_TRIED,     /**< only if no other fits: a former copy was sent there */
-	HT_PLACING_SUSPECTED, /**< likewise: suspected, and few enough others are */
+	HT_PLACING_SUSPECTED, /**< suspected, and without a plan few enough others are */
 	HT_PLACING_FITS_COUNT
 };
 
 /** The cost is (open + 1) / slots times the factors, which are 1 if they do not apply. */
 struct ht_placing_cost {
-	uint32_t open;	     /**< flows seen here; by a plan: requests in flight of all instances */
+	uint32_t open;	     /**< flows seen here; by a plan: requests that wait here */
 	double speed;	     /**< answer time relative to the service */
 	double errors;	     /**< by the error rate */
+	double full;	     /**< by a plan: nearly full by the view of load */
 	double remote;	     /**< another data centre... */
 	double dc_suspected; /**< ...that is suspected */
 	double suspected, cold;
--- a/core/steering.c
+++ b/core/steering.c
@@ -1,5 +1,6 @@
 #include "core/steering_internal.h"
 
+#include "base/hash.h"
 #include "core/split.h"
 
 #include <stdlib.h>
@@ -19,6 +20,10 @@
  * Those of other ones may just as well have been cut off. */
 #define RESTART_MISSES 2
 
+/* A full target serves some requests in between. One that has refused this many in a row while
+ * capacity is short is broken: of a full one that refuses half of them, it is one run in 64. */
+#define REFUSALS_OF_BROKEN 6
+
 /* Callers send an opening packet three times; the copies are numbered from 0. */
 #define LAST_OPENING_COPY 2
 
@@ -58,7 +63,9 @@
 		return NULL;
 	st->params = *params;
 	st->params.overload.catalog = params->catalog;
+	st->params.overload.seed = params->seed;
 	st->params.overload.changed = params->observer.capacity_changed;
+	st->params.overload.plan_changed = params->observer.plan_changed;
 	st->params.overload.ctx = params->observer.ctx;
 	st->placing = (struct ht_placing){
 		.params = &st->params, .bounds = &st->bounds, .random = params->seed};
@@ -89,6 +96,15 @@
 	st->bounds = *bounds;
 }
 
+void ht_steering_set_overload(struct ht_steering *st, struct ht_load *load,
+			      const struct ht_admission_params *admission, ht_ms now)
+{
+	if (!load)
+		ht_overload_end_plans(&st->params.overload, now);
+	st->params.overload.load = load;
+	st->params.overload.admission = *admission;
+}
+
 void ht_steering_set_proofs(struct ht_steering *st, ht_ms routes_at, ht_ms targets_at)
 {
 	st->routes_at = routes_at;
@@ -239,6 +255,33 @@
 	return true;
 }
 
+static uint64_t hash_opening(const struct ht_packet *pkt)
+{
+	return ht_hash_pair(ht_flow_hash(pkt->src, pkt->dst), pkt->sequence);
+}
+
+/* Records that the opening packet @pkt of a flow that is not tracked is dropped here. */
+static void note_drop(struct ht_steering *st, const struct ht_packet *pkt)
+{
+	uint64_t opening = hash_opening(pkt);
+	struct deferral *d = &st->deferrals[opening % DEFERRALS];
+
+	if (!pkt->acknowledged)
+		*d = (struct deferral){.opening = opening, .copies = 1};
+	else if (d->opening == opening && d->copies == pkt->acknowledged)
+		d->copies++;
+}
+
+/* True if no earlier copy of @pkt can have been placed: this instance has dropped all of them.
+ * Otherwise another instance may have placed one before the routers changed their paths. */
+static bool earlier_copies_dropped(const struct ht_steering *st, const struct ht_packet *pkt)
+{
+	uint64_t opening = hash_opening(pkt);
+	const struct deferral *d = &st->deferrals[opening % DEFERRALS];
+
+	return !pkt->acknowledged || (d->opening == opening && d->copies >= pkt->acknowledged);
+}
+
 DECISION_STEP bool ht_steering_turns_away(const struct ht_steering *st,
 					  const struct ht_route *route, const struct ht_service *s,
 					  const struct ht_packet *pkt, ht_ms now,
@@ -246,27 +289,40 @@
 {
 	enum ht_admission verdict;
 
-	if (!s->plan.short_of_room)
+	if (!ht_service_is_short(s))
 		return should_defer(st, route, s, pkt, d);
 	verdict =
 		ht_overload_admit(&st->params.overload, route, s, pkt->src, pkt->acknowledged, now);
 	if (verdict == HT_ADMIT)
 		return false;
-	*d = verdict == HT_DELAY ? make_decision(HT_STEER_DROP, HT_STEER_DEFERRED)
-				 : make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
+	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt))
+		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
+	else
+		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
 	return true;
 }
 
+static enum ht_turned_away outcome_of(const struct ht_service *s,
+				      const struct ht_steering_decision *d)
+{
+	if (!ht_service_is_short(s))
+		return HT_TURNED_AWAY_DEFERRED;
+	return d->action == HT_STEER_RESET ? HT_TURNED_AWAY_REFUSED : HT_TURNED_AWAY_DELAYED;
+}
+
 /* Decides whether the opening packet @pkt is turned away, and counts it as demand. */
 static bool turn_away(const struct ht_steering *st, const struct ht_route *route,
-		      const struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
+		      struct ht_service *s, const struct ht_packet *pkt, ht_ms now,
 		      struct ht_steering_decision *d)
 {
 	bool away = ht_steering_turns_away(st, route, s, pkt, now, d);
 
+	/* Of a first copy, every refusal is a reset. */
 	if (st->params.overload.load && !pkt->acknowledged)
 		ht_load_count_opening(st->params.overload.load, s->key, &route->terms,
 				      away && d->reason == HT_STEER_NO_ROOM);
+	if (away)
+		ht_service_count_turned_away(s, route->terms.priority, outcome_of(s, d));
 	return away;
 }
 
@@ -291,17 +347,26 @@
 	ht_flow_table_touch(&st->flows, f, now);
 }
 
+/* True if a flow that finds no target for want of places there may be open already. */
+static bool may_be_open_at_limit(const struct ht_steering *st, const struct ht_service *s,
+				 const struct ht_tracked_flow *f, const struct ht_packet *pkt)
+{
+	return s->flows_max && (f || !earlier_copies_dropped(st, pkt));
+}
+
 DECISION_STEP struct ht_steering_decision
 ht_steering_judge_target(const struct ht_steering *st, const struct ht_service *service,
-			 const struct ht_packet *pkt, struct ht_target *t, bool again, ht_ms now)
+			 const struct ht_packet *pkt, struct ht_target *t,
+			 const struct ht_tracked_flow *f, ht_ms now)
 {
 	uint32_t mark = t ? ht_catalog_unique_mark(st->params.catalog, t) : 0;
 
-	if (!t && service->count && pkt->acknowledged < LAST_OPENING_COPY)
+	if (!t && service->count &&
+	    (pkt->acknowledged < LAST_OPENING_COPY || may_be_open_at_limit(st, service, f, pkt)))
 		return make_decision(HT_STEER_DROP, HT_STEER_ALL_COLD);
 	if (!mark)
 		return refuse(st, pkt, HT_STEER_NO_TARGET, now);
-	return forward(t, mark, again ? HT_STEER_REPLACED : HT_STEER_PLACED);
+	return forward(t, mark, f ? HT_STEER_REPLACED : HT_STEER_PLACED);
 }
 
 static struct ht_steering_decision place(struct ht_steering *st, struct ht_service *service,
@@ -312,6 +377,8 @@
 						f ? f->tried_count : 0, now);
 	struct ht_steering_decision d = ht_steering_judge_target(st, service, pkt, t, f, now);
 
+	if (d.reason == HT_STEER_ALL_COLD && !f)
+		note_drop(st, pkt);
 	if (d.action != HT_STEER_FORWARD)
 		return d;
 	ht_placing_count(t, now);
@@ -399,6 +466,8 @@
 		notify_flow(st, f, HT_FLOW_UNANSWERED, f->placed_at, 0, now);
 		record_miss(st, f->target, f->placed_at, now);
 	} else if (turn_away(st, route, service, pkt, now, &d)) {
+		if (d.action == HT_STEER_DROP)
+			note_drop(st, pkt);
 		return d;
 	}
 	return place(st, service, pkt, f, now);
@@ -441,8 +510,9 @@
 	uint32_t bytes = pkt->acknowledged - f->acknowledged;
 	bool error = ht_answer_is_error(&route->answers, bytes, f->answer_delay);
 
+	t->refusals = ht_answer_is_refusal(&route->answers, bytes) ? t->refusals + 1 : 0;
 	/* A full target is well; leaving it out would put its load on the others. */
-	if (t->service->plan.short_of_room && ht_answer_is_refusal(&route->answers, bytes))
+	if (ht_service_is_short(t->service) && t->refusals && t->refusals < REFUSALS_OF_BROKEN)
 		return;
 	if (error)
 		notify_flow(st, f, HT_FLOW_ERROR, now - f->answer_delay, bytes, now);
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -133,13 +133,14 @@
 {
 	const struct ht_service *s = ex->service;
 	const struct ht_admission_plan *plan = &s->plan;
+	bool short_of_room = ht_service_is_short(s);
 	char buf[16];
 
-	fprintf(out, "capacity: %s\n", plan->short_of_room ? "short" : "not short");
-	if (plan->short_of_room && ex->has_class)
+	fprintf(out, "capacity: %s\n", short_of_room ? "short" : "not short");
+	if (short_of_room && ex->has_class)
 		fprintf(out, "class: admitted=%.2f, the rest is %s\n", ex->admit,
 			ex->delay ? "delayed" : "refused");
-	for (size_t i = 0; plan->short_of_room && i < plan->dc_count; i++)
+	for (size_t i = 0; short_of_room && i < plan->dc_count; i++)
 		fprintf(out, "share: dc=%s of the admitted flows=%.2f\n",
 			dc_name(s, plan->dcs[i], buf), plan->share[i]);
 	if (!ex->has_load)
@@ -167,6 +168,7 @@
 		t->dc->name, ht_placing_fit_name(c->fit), c->cost, c->parts.open, t->slots);
 	write_factor("speed", c->parts.speed, out);
 	write_factor("errors", c->parts.errors, out);
+	write_factor("full", c->parts.full, out);
 	write_factor("remote", c->parts.remote, out);
 	write_factor("dc_suspected", c->parts.dc_suspected, out);
 	write_factor("suspected", c->parts.suspected, out);
--- a/tests/core/test_explain.c
+++ b/tests/core/test_explain.c
@@ -172,6 +172,7 @@
 	struct ht_target *t = w->targets[below(w, w->count)];
 
 	t->evidence.suspected_until = w->now + below(w, 1000);
+	t->evidence.misses = (uint32_t)below(w, 3);
 	t->evidence.error_rate = below(w, 10) / 10.0;
 	t->evidence.answer_ms = below(w, 50);
 	t->service->answer_ms = below(w, 50);
@@ -235,7 +236,7 @@
 {
 	const struct ht_placing_cost *p = &c->parts;
 
-	return (p->open + 1.0) / c->target->slots * p->speed * p->errors * p->remote *
+	return (p->open + 1.0) / c->target->slots * p->speed * p->errors * p->full * p->remote *
 	       p->dc_suspected * p->suspected * p->cold;
 }
 
@@ -252,6 +253,9 @@
 	if (d->action != HT_STEER_FORWARD)
 		return;
 	ck_assert_uint_lt(at, ex->candidate_count);
+	/* The choice by plan leaves out all others. */
+	if (ex->planned)
+		ck_assert_int_eq(ex->candidates[at].candidate.fit, HT_PLACING_FITS);
 	/* The cost is that of the decision: nothing cheaper was available. */
 	if (!ex->planned && ex->candidates[at].candidate.fit == HT_PLACING_FITS)
 		ck_assert_double_eq(ex->candidates[at].candidate.cost,
--- a/tests/entry/test_explain.c
+++ b/tests/entry/test_explain.c
@@ -161,9 +161,9 @@
 			 .service_count = 1,
 			 .services = {{.service = t->service->key,
 				       .place_count = 1,
-				       .places = {{.dc = ht_load_key("here"), .open = 5}}}},
+				       .places = {{.dc = ht_load_key("here"), .open = 11}}}},
 			 .target_count = 1,
-			 .targets = {{.mark = t->marks[0].value, .open = 5, .flows = 7}}}}};
+			 .targets = {{.mark = t->marks[0].value, .open = 11, .flows = 7}}}}};
 
 	put_target(1, "stock", "there");
 	ht_load_set_view(load, &view, ht_now());
@@ -185,8 +185,8 @@
 	ck_assert_ptr_nonnull(
 		strstr(answer.body, "\nrule: a data centre is drawn by the shares, "));
 	ck_assert_ptr_nonnull(strstr(answer.body,
-				     "\n  i-1000 dc=here fit=usable cost=2.00 open=5 slots=3 "
-				     "dc_share=0.75 listed_open=5 listed_flows=7\n"));
+				     "\n  i-1000 dc=here fit=usable cost=5.33 open=0 slots=3 "
+				     "full=*16.00 dc_share=0.75 listed_open=11 listed_flows=7\n"));
 	says("from=100.64.0.1:1024&to=198.18.0.1:444", "verdict: forward reason=placed: ");
 	ck_assert_ptr_nonnull(strstr(answer.body, "class: admitted=1.00"));
 }
