--- a/core/steering.c
+++ b/core/steering.c
@@ -295,10 +295,14 @@
 		ht_overload_admit(&st->params.overload, route, s, pkt->src, pkt->acknowledged, now);
 	if (verdict == HT_ADMIT)
 		return false;
-	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt))
+	if (verdict == HT_REFUSE && earlier_copies_dropped(st, pkt)) {
 		*d = make_decision(HT_STEER_RESET, HT_STEER_NO_ROOM);
-	else
-		*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
+		return true;
+	}
+	/* After the last copy the caller would wait in vain for one that is admitted. */
+	if (pkt->acknowledged >= LAST_OPENING_COPY)
+		return false;
+	*d = make_decision(HT_STEER_DROP, HT_STEER_DEFERRED);
 	return true;
 }
 
