--- a/core/admission.c
+++ b/core/admission.c
@@ -341,8 +341,8 @@
 }
 
 /*
- * What the state of the local data centre speaks for: 1: capacity is short, -1: it is not. Few
- * requests in flight alone do not speak for the end, as they may be few because of refusals.
+ * What the state of the local data centre indicates: 1: capacity is short, -1: it is not. Few
+ * requests in flight alone do not indicate the end, as they may be few because of refusals.
  */
 static int judge(const struct allocation *a)
 {
--- a/core/admission.h
+++ b/core/admission.h
@@ -31,7 +31,7 @@
 /** Decisions in force for one service. Zero-initialise. */
 struct ht_admission_plan {
 	bool short_of_room;    /**< capacity is short */
-	unsigned int contrary; /* consecutive updates that speak for the other state */
+	unsigned int contrary; /* consecutive updates that indicate the other state */
 	double speed;	       /**< work_ms per ms and slot at full load; 0: unknown */
 	double rate;	       /**< requests per second and slot at full load; 0: unknown */
 	size_t dc_count, class_count;
--- a/core/catalog.h
+++ b/core/catalog.h
@@ -145,14 +145,14 @@
 	uint64_t packets[HT_TURNED_AWAY_KINDS];
 };
 
-/** What the plan of a service is based on, and the plan that the observer was last told of. */
+/** What the plan of a service is based on, and the plan that the observer was last notified of. */
 struct ht_plan_basis {
 	struct ht_admission_input load;
 	ht_ms load_age; /**< of the oldest part when the plan was made; HT_NEVER: no report yet */
 	ht_ms made_at;	/**< 0: no plan has been made */
-	struct ht_admission_plan told;
-	enum ht_load_source told_source;
-	ht_ms told_at;
+	struct ht_admission_plan notified;
+	enum ht_load_source notified_source;
+	ht_ms notified_at;
 };
 
 /** Age of the oldest part of the load at @now, or HT_NEVER. */
--- a/core/overload.c
+++ b/core/overload.c
@@ -7,9 +7,9 @@
 /* A target that has just started serves about half as much. */
 #define COLD_SLOTS 0.5
 /* A share of new flows has changed much if it differs by this. */
-#define TELL_CHANGE 0.1
-/* Plans are remade about twice a second; the observer, which logs, is told less often. */
-#define TELL_INTERVAL_MS 5000
+#define NOTIFY_CHANGE 0.1
+/* Plans are remade about twice a second; the observer, which logs, is notified less often. */
+#define NOTIFY_INTERVAL_MS 5000
 
 /* The load that the last plan is based on is used for this long, as finding it anew visits all
  * targets of the service. */
@@ -142,16 +142,16 @@
 	return s->count;
 }
 
-static void note_told(struct ht_service *s, ht_ms now)
+static void note_notified(struct ht_service *s, ht_ms now)
 {
-	s->basis.told = s->plan;
-	s->basis.told_source = s->basis.load.source;
-	s->basis.told_at = now;
+	s->basis.notified = s->plan;
+	s->basis.notified_source = s->basis.load.source;
+	s->basis.notified_at = now;
 }
 
 static bool differ(double a, double b)
 {
-	return fabs(a - b) >= TELL_CHANGE;
+	return fabs(a - b) >= NOTIFY_CHANGE;
 }
 
 static bool admission_differs(const struct ht_admission_plan *a, const struct ht_admission_plan *b,
@@ -175,40 +175,40 @@
 
 static bool plan_differs(const struct ht_service *s)
 {
-	const struct ht_admission_plan *plan = &s->plan, *told = &s->basis.told;
+	const struct ht_admission_plan *plan = &s->plan, *notified = &s->basis.notified;
 
-	if (s->basis.load.source != s->basis.told_source)
+	if (s->basis.load.source != s->basis.notified_source)
 		return true;
 	for (size_t c = 0; c < plan->class_count; c++)
-		if (admission_differs(plan, told, c))
+		if (admission_differs(plan, notified, c))
 			return true;
 	for (size_t i = 0; i < plan->dc_count; i++)
-		if (share_differs(plan, told, i))
+		if (share_differs(plan, notified, i))
 			return true;
 	return false;
 }
 
-static void tell(const struct ht_overload *ov, struct ht_service *s, bool before, ht_ms now)
+static void notify(const struct ht_overload *ov, struct ht_service *s, bool before, ht_ms now)
 {
 	if (s->plan.short_of_room != before) {
-		note_told(s, now);
+		note_notified(s, now);
 		if (ov->changed)
 			ov->changed(ov->ctx, s, now);
-	} else if (s->plan.short_of_room && now - s->basis.told_at >= TELL_INTERVAL_MS &&
+	} else if (s->plan.short_of_room && now - s->basis.notified_at >= NOTIFY_INTERVAL_MS &&
 		   plan_differs(s)) {
-		note_told(s, now);
+		note_notified(s, now);
 		if (ov->plan_changed)
 			ov->plan_changed(ov->ctx, s, now);
 	}
 }
 
-/* Keeps the basis of the last plan until the observer has been told. */
+/* Keeps the basis of the last plan until the observer has been notified. */
 static void end_plan(const struct ht_overload *ov, struct ht_service *s, ht_ms now)
 {
 	bool before = s->plan.short_of_room;
 
 	s->plan = (struct ht_admission_plan){.short_of_room = false};
-	tell(ov, s, before, now);
+	notify(ov, s, before, now);
 	s->basis = (struct ht_plan_basis){.made_at = 0};
 }
 
@@ -230,7 +230,7 @@
 	s->basis.load = in;
 	s->basis.load_age = state.age;
 	s->basis.made_at = u->now;
-	tell(u->ov, s, before, u->now);
+	notify(u->ov, s, before, u->now);
 }
 
 static void end_service(void *ctx, struct ht_service *s)
