core: look-ups of services, classes and places of a load in one place

The view, the sums and the codec each had loops of their own beside ht_load_find(). Also drops an include that is not used any more, and a hash that was taken of first copies in vain.

--- a/core/load.c
+++ b/core/load.c
@@ -1,7 +1,6 @@
 #include "core/load.h"
 
 #include "base/hash.h"
-#include "core/answers.h"
 #include "core/load_internal.h"
 
 #include <math.h>
--- a/core/load_internal.h
+++ b/core/load_internal.h
@@ -119,7 +119,12 @@
 /** Limits the counts and figures of a message to what is possible. */
 void ht_load_clean(struct ht_load_sum *sum);
 
+/* Look-ups; NULL if there is none, also without a @service. */
 const struct ht_load_service *ht_load_find(const struct ht_load_sum *sum, uint32_t service);
+const struct ht_load_demand *ht_load_find_class(const struct ht_load_service *service,
+						const struct ht_load_terms *terms);
+const struct ht_load_place *ht_load_find_place(const struct ht_load_service *service, uint32_t dc);
+
 /** Fills @out with the own smoothed figures of a service; false if there are none. */
 bool ht_load_own_estimate(const struct ht_load *load, uint32_t service, double times,
 			  struct ht_load_service *out);
--- a/core/load_members.c
+++ b/core/load_members.c
@@ -265,8 +265,8 @@
 	return fmax(s->sorted[0], known > 2 ? least : 0);
 }
 
-static const struct ht_load_demand *find_class(const struct ht_load_service *service,
-					       const struct ht_load_terms *terms)
+const struct ht_load_demand *ht_load_find_class(const struct ht_load_service *service,
+						const struct ht_load_terms *terms)
 {
 	size_t i;
 
@@ -276,7 +276,7 @@
 	return NULL;
 }
 
-static const struct ht_load_place *find_place(const struct ht_load_service *service, uint32_t dc)
+const struct ht_load_place *ht_load_find_place(const struct ht_load_service *service, uint32_t dc)
 {
 	size_t i;
 
@@ -376,7 +376,7 @@
 
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < s->count; j++)
-			s->parts[j] = find_class(s->services[j], &all[i].terms);
+			s->parts[j] = ht_load_find_class(s->services[j], &all[i].terms);
 		sum_fields(p, s, times, demand_fields, ARRAY_SIZE(demand_fields), &all[i]);
 		all[i].refused = fmin(all[i].refused, all[i].opening);
 		all[i].work_ms = least_work(p, s);
@@ -400,7 +400,7 @@
 
 	for (i = 0; i < count; i++) {
 		for (j = 0; j < s->count; j++)
-			s->parts[j] = find_place(s->services[j], all[i].dc);
+			s->parts[j] = ht_load_find_place(s->services[j], all[i].dc);
 		sum_fields(p, s, times, place_fields, ARRAY_SIZE(place_fields), &all[i]);
 		all[i].shed = fmin(all[i].shed, all[i].answered);
 		scores[i] = ht_load_place_demand(&all[i]) + 1 / FIGURE_MAX;
--- a/core/load_view.c
+++ b/core/load_view.c
@@ -117,12 +117,9 @@
 
 static const struct ht_load_place *place_of(const struct ht_load_service *service, uint32_t dc)
 {
-	size_t i;
+	const struct ht_load_place *place = ht_load_find_place(service, dc);
 
-	for (i = 0; i < service->place_count; i++)
-		if (service->places[i].dc == dc)
-			return &service->places[i];
-	return &empty_place;
+	return place ? place : &empty_place;
 }
 
 /* Lists the classes of all parts, those of equal terms as one, and keeps those with the most
@@ -238,16 +235,6 @@
 	}
 }
 
-static double own_opening(const struct ht_load_service *own, const struct ht_load_terms *terms)
-{
-	size_t i;
-
-	for (i = 0; i < own->class_count; i++)
-		if (ht_load_terms_equal(&own->classes[i].terms, terms))
-			return own->classes[i].opening;
-	return 0;
-}
-
 /*
  * Limits what a view says to what the own counts make possible. Other instances of the own data
  * centre see about the same as this one, and so, of targets elsewhere, do the instances there of
@@ -276,7 +263,8 @@
 			fmax(dc->answered, o->answered * (double)alive / p->outlier_factor - slack);
 		dc->shed = fmin(dc->shed, times * fmax(o->shed, local->shed) + slack);
 		for (j = 0; dc->dc == p->dc && j < out->class_count; j++) {
-			double opening = own_opening(own, &out->classes[j]);
+			const struct ht_load_demand *d = ht_load_find_class(own, &out->classes[j]);
+			double opening = d ? d->opening : 0;
 
 			dc->opening[j] = fmin(dc->opening[j],
 					      p->outlier_factor * opening * (double)alive + slack);
--- a/core/steering.c
+++ b/core/steering.c
@@ -276,10 +276,14 @@
  * Otherwise another instance may have placed one before the routers changed their paths. */
 static bool earlier_copies_dropped(const struct ht_steering *st, const struct ht_packet *pkt)
 {
-	uint64_t opening = hash_opening(pkt);
-	const struct deferral *d = &st->deferrals[opening % DEFERRALS];
+	const struct deferral *d;
+	uint64_t opening;
 
-	return !pkt->acknowledged || (d->opening == opening && d->copies >= pkt->acknowledged);
+	if (!pkt->acknowledged)
+		return true;
+	opening = hash_opening(pkt);
+	d = &st->deferrals[opening % DEFERRALS];
+	return d->opening == opening && d->copies >= pkt->acknowledged;
 }
 
 DECISION_STEP bool ht_steering_turns_away(const struct ht_steering *st,
--- a/entry/load_codec.c
+++ b/entry/load_codec.c
@@ -175,16 +175,7 @@
 static const struct ht_load_demand *find_demand(const struct ht_load_sum *sum, uint32_t service,
 						const struct ht_load_terms *terms)
 {
-	for (size_t s = 0; s < sum->service_count; s++) {
-		const struct ht_load_service *found = &sum->services[s];
-
-		if (found->service != service)
-			continue;
-		for (size_t c = 0; c < found->class_count; c++)
-			if (ht_load_terms_equal(&found->classes[c].terms, terms))
-				return &found->classes[c];
-	}
-	return NULL;
+	return ht_load_find_class(ht_load_find(sum, service), terms);
 }
 
 /* The lowest known response time of a class in all sums; 0: unknown. */
@@ -232,19 +223,17 @@
 		       const struct ht_load_names *names, const struct ht_load_sum *sum,
 		       uint32_t service)
 {
-	for (size_t s = 0; s < sum->service_count; s++) {
-		const struct ht_load_service *found = &sum->services[s];
+	const struct ht_load_service *found = ht_load_find(sum, service);
 
-		for (size_t p = 0; found->service == service && p < found->place_count; p++) {
-			size_t i = find_dc(names, found->places[p].dc);
+	for (size_t p = 0; found && p < found->place_count; p++) {
+		size_t i = find_dc(names, found->places[p].dc);
 
-			if (i == names->dc_count)
-				continue;
-			total[i].open += found->places[p].open;
-			total[i].answered += found->places[p].answered;
-			total[i].shed += found->places[p].shed;
-			total[i].continued += found->places[p].continued;
-		}
+		if (i == names->dc_count)
+			continue;
+		total[i].open += found->places[p].open;
+		total[i].answered += found->places[p].answered;
+		total[i].shed += found->places[p].shed;
+		total[i].continued += found->places[p].continued;
 	}
 }
 
