--- a/review/lab.py
+++ b/review/lab.py
@@ -253,20 +253,28 @@
         self.ready, self.misses = False, 0
         self.process = None
 
-    async def start(self, bounds):
-        store = await self.lab.store.listen(self.name, self.lab.net + ".1")
+    def write_settings(self):
+        """What the platform does at every start, and whenever the settings change."""
         listen = {"datagramAddr": "%s:%d" % (self.ip, self.lab.packet_port),
                   "ready": "%s:%d" % (self.ip, self.lab.ready_port)}
         values = {"nodeId": self.name, "zone": self.zone, "ip": self.ip, "listen": listen,
-                  "limits": {"cpuShare": self.share}, "heartbeatMs": 1200, "bounds": bounds,
+                  "limits": {"cpuShare": self.share}, "heartbeatMs": 1200,
+                  "bounds": self.bounds,
                   "internalPorts": [self.lab.peer_port, self.lab.peer_port + 9],
-                  "platform": {"address": store}, "seeds": self.seeds}
+                  "platform": {"address": self.store}, "seeds": self.seeds}
         with open(os.path.join(ROOT, "deploy", "settings.tmpl"), encoding="utf-8") as f:
             text = render(f.read(), values)
         json.loads(text)
         path = os.path.join(self.dir, "settings.json")
-        with open(path, "w", encoding="utf-8") as f:
+        with open(path + ".new", "w", encoding="utf-8") as f:
             f.write(text)
+        os.rename(path + ".new", path)
+        return path
+
+    async def start(self, bounds):
+        self.bounds = bounds
+        self.store = await self.lab.store.listen(self.name, self.lab.net + ".1")
+        path = self.write_settings()
         program = os.path.join(ROOT, "target", "hickorytrestle-entry")
         with open(os.path.join(self.dir, "log"), "ab") as log:
             self.process = subprocess.Popen(
